Serve one completion through separate processes

Conclusion: the path stands; routing is random and admission a fixed cap, to be replaced under measurement.

--- /dev/null
+++ b/admitter/fixed.go
@@ -0,0 +1,86 @@
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"limpetrail/classifier"
+)
+
+// fixedRetryAfter is the time to come back after a refusal of Fixed.
+const fixedRetryAfter = time.Second
+
+// Fixed admits up to a fixed number of requests of either class, in order of
+// arrival. It is the baseline that other admitters are measured against.
+type Fixed struct {
+	slots chan struct{}
+
+	mutex  sync.Mutex
+	report Report
+}
+
+var (
+	_ Admitter = (*Fixed)(nil)
+	_ Place    = (*fixedPlace)(nil)
+)
+
+// NewFixed returns an admitter of that many places.
+func NewFixed(places int) *Fixed {
+	return &Fixed{slots: make(chan struct{}, places), report: Report{Limit: places}}
+}
+
+// Enter implements Admitter.
+func (fixed *Fixed) Enter(ctx context.Context, ticket Ticket) (Place, classifier.Outcome) {
+	ctx, cancel := context.WithDeadline(ctx, ticket.Deadline)
+	defer cancel()
+
+	select {
+	case fixed.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, classifier.Refuse("no place at the backend server in time", fixedRetryAfter)
+	}
+
+	fixed.count(ticket.Batch, 1)
+
+	return &fixedPlace{fixed: fixed, batch: ticket.Batch}, classifier.Outcome{}
+}
+
+// Report implements Admitter.
+func (fixed *Fixed) Report() Report {
+	fixed.mutex.Lock()
+	defer fixed.mutex.Unlock()
+
+	report := fixed.report
+	report.BatchRoom = cap(fixed.slots) - len(fixed.slots)
+
+	return report
+}
+
+func (fixed *Fixed) count(batch bool, change int) {
+	fixed.mutex.Lock()
+	defer fixed.mutex.Unlock()
+
+	if batch {
+		fixed.report.RunningBatch += change
+	} else {
+		fixed.report.RunningOnline += change
+	}
+}
+
+type fixedPlace struct {
+	fixed *Fixed
+	batch bool
+}
+
+// Preempted implements Place; a fixed place is never taken back.
+func (place *fixedPlace) Preempted() <-chan struct{} { return nil }
+
+// Token implements Place.
+func (place *fixedPlace) Token() {}
+
+// Leave implements Place.
+func (place *fixedPlace) Leave() {
+	place.fixed.count(place.batch, -1)
+	<-place.fixed.slots
+}
--- /dev/null
+++ b/app/entry.go
@@ -0,0 +1,114 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/negroni/v3"
+
+	"limpetrail/dialer"
+	"limpetrail/handler"
+	"limpetrail/kernel"
+	"limpetrail/loader"
+	"limpetrail/locator"
+	"limpetrail/publisher"
+	"limpetrail/router"
+)
+
+const (
+	instancesInterval = time.Second
+	headerTimeout     = 10 * time.Second
+)
+
+// Entry is a process between callers and sidecars.
+type Entry struct {
+	kernel.Common
+	Settings  loader.Entry
+	Publisher *publisher.Publisher
+	Router    *router.Router
+	Dialer    *dialer.Dialer
+	List      locator.List
+	Routes    []handler.Routes
+}
+
+// Run serves until the context ends, then lets running requests finish.
+func (entry *Entry) Run(ctx context.Context) error {
+	defer entry.Dialer.Close()
+
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", entry.Settings.Listen.Callers)
+	if err != nil {
+		return errors.Annotate(err, "listening for callers")
+	}
+
+	server := &http.Server{Handler: entry.handler(), ReadHeaderTimeout: headerTimeout}
+	served := make(chan error, 1)
+
+	go entry.Publisher.Run(ctx)
+	go entry.locate(ctx)
+	go func() { served <- server.Serve(listener) }()
+
+	entry.Log.WithField("Callers", listener.Addr()).Info("Serving.")
+
+	select {
+	case err := <-served:
+		return errors.Annotate(err, "serving callers")
+	case <-ctx.Done():
+		entry.Log.Info("Stopping.")
+
+		return errors.Trace(server.Shutdown(context.WithoutCancel(ctx)))
+	}
+}
+
+func (entry *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, routes := range entry.Routes {
+		routes.Register(mux)
+	}
+
+	chain := negroni.New(negroni.NewRecovery())
+	chain.UseHandler(mux)
+
+	return chain
+}
+
+// locate follows the platform's list of instances.
+func (entry *Entry) locate(ctx context.Context) {
+	ticker := time.NewTicker(instancesInterval)
+	defer ticker.Stop()
+
+	for {
+		instances, err := entry.List.Instances(ctx)
+		if err != nil {
+			entry.Log.WithError(err).Warn("No instance list; the last one stays.")
+		} else {
+			entry.Router.Update(replicas(instances))
+		}
+
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func replicas(instances []locator.Instance) []router.Replica {
+	found := []router.Replica{}
+
+	for _, instance := range instances {
+		if !instance.Entry {
+			found = append(found, router.Replica{
+				Name:       instance.Name,
+				Address:    instance.Address,
+				DataCentre: instance.DataCentre,
+				Service:    instance.Service,
+				Leaving:    instance.Leaving,
+			})
+		}
+	}
+
+	return found
+}
--- /dev/null
+++ b/app/generate.go
@@ -0,0 +1,3 @@
+package app
+
+//go:generate wire gen .
--- /dev/null
+++ b/app/providers.go
@@ -0,0 +1,118 @@
+package app
+
+import (
+	"context"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"limpetrail/admitter"
+	"limpetrail/dialer"
+	"limpetrail/dispatcher"
+	"limpetrail/driver"
+	"limpetrail/executor"
+	"limpetrail/handler"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/loader"
+	"limpetrail/locator"
+	"limpetrail/router"
+)
+
+func newCommon(instance loader.Instance, level loader.Log) (kernel.Common, error) {
+	parsed, err := logrus.ParseLevel(level.Level)
+	if err != nil {
+		return kernel.Common{}, errors.Annotate(err, "log level")
+	}
+
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	logger.SetFormatter(kernel.Formatter{})
+	logger.SetLevel(parsed)
+
+	return kernel.NewCommon(instance.Name, instance.DataCentre, logger, tally.NoopScope), nil
+}
+
+func newEntryCommon(settings loader.Entry) (kernel.Common, error) {
+	return newCommon(settings.Instance, settings.Log)
+}
+
+func newSidecarCommon(settings loader.Sidecar) (kernel.Common, error) {
+	return newCommon(settings.Instance, settings.Log)
+}
+
+func newEntryStore(common kernel.Common, settings loader.Entry) (keeper.Store, error) {
+	factory, err := keeper.Adapters.Find(settings.KeyValue.Adapter)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	return factory(common, settings.KeyValue.Address)
+}
+
+func newList(common kernel.Common, settings loader.Entry) (locator.List, error) {
+	factory, err := locator.Adapters.Find(settings.Instances.Adapter)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	return factory(common, settings.Instances.Address)
+}
+
+func newRouter(common kernel.Common) *router.Router {
+	return router.NewRouter(common)
+}
+
+func newDialer() *dialer.Dialer {
+	return dialer.NewDialer()
+}
+
+func newDispatcher(common kernel.Common, settings loader.Entry, routes *router.Router, connections *dialer.Dialer) *dispatcher.Dispatcher {
+	return dispatcher.NewDispatcher(common, routes, connections, dispatcher.WithSettings(settings.Dispatch))
+}
+
+func newRoutes(inference *handler.Inference) []handler.Routes {
+	return []handler.Routes{inference}
+}
+
+func newAdmitter(settings loader.Sidecar) admitter.Admitter {
+	return admitter.NewFixed(settings.BackendServer.Places)
+}
+
+func newExecutor(ctx context.Context, common kernel.Common, settings loader.Sidecar, admission admitter.Admitter) (*executor.Executor, error) {
+	options := []executor.Option{executor.WithSettings(settings.Execute)}
+	server := settings.BackendServer
+
+	switch server.Kind {
+	case "Engine":
+		factory, err := driver.Adapters.Find(server.Adapter)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+
+		engine, err := factory(common, server.Address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+
+		options = append(options, executor.WithEngine(engine))
+	case "Service":
+		factory, err := driver.ServiceAdapters.Find(server.Adapter)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+
+		service, err := factory(common, server.Address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+
+		options = append(options, executor.WithService(service))
+	default:
+		return nil, errors.NotValidf("BackendServer.Kind %q (allowed: Engine, Service)", server.Kind)
+	}
+
+	return executor.NewExecutor(ctx, common, admission, options...), nil
+}
--- /dev/null
+++ b/app/wire.go
@@ -0,0 +1,41 @@
+//go:build wireinject
+
+package app
+
+import (
+	"context"
+
+	"github.com/google/wire"
+
+	"limpetrail/executor"
+	"limpetrail/handler"
+	"limpetrail/loader"
+	"limpetrail/publisher"
+)
+
+// NewEntry wires an entry from its settings.
+func NewEntry(settings loader.Entry) (*Entry, error) {
+	panic(wire.Build(
+		newEntryCommon,
+		newEntryStore,
+		newList,
+		newRouter,
+		newDialer,
+		newDispatcher,
+		newRoutes,
+		publisher.NewPublisher,
+		handler.NewInference,
+		wire.Struct(new(Entry), "*"),
+	))
+}
+
+// NewSidecar wires a sidecar from its settings. Its runs end with the context.
+func NewSidecar(ctx context.Context, settings loader.Sidecar) (*Sidecar, error) {
+	panic(wire.Build(
+		newSidecarCommon,
+		newAdmitter,
+		newExecutor,
+		executor.NewServer,
+		wire.Struct(new(Sidecar), "*"),
+	))
+}
--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,56 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Commander runs one command line.
+type Commander struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// NewCommander returns a commander that writes to the given streams.
+func NewCommander(out, err io.Writer) *Commander {
+	return &Commander{Out: out, Err: err}
+}
+
+// command is one subcommand: its flags are declared when it is added, and run
+// is called when it was chosen.
+type command struct {
+	clause *kingpin.CmdClause
+	run    func(ctx context.Context) error
+}
+
+// Run parses the arguments, runs the command and returns the exit code.
+func (commander *Commander) Run(ctx context.Context, arguments []string) int {
+	application := kingpin.New("limpetrail", "Serves online and batch inference on one fleet.")
+	application.UsageWriter(commander.Out)
+	application.ErrorWriter(commander.Err)
+	application.Terminate(nil)
+
+	commands := map[string]command{}
+	for _, add := range []func(*kingpin.Application) command{commander.entry, commander.sidecar} {
+		added := add(application)
+		commands[added.clause.FullCommand()] = added
+	}
+
+	chosen, err := application.Parse(arguments)
+	if err != nil {
+		fmt.Fprintln(commander.Err, "limpetrail:", err)
+
+		return ExitUsage
+	}
+
+	if err := commands[chosen].run(ctx); err != nil {
+		fmt.Fprintln(commander.Err, "limpetrail:", err)
+
+		return ExitFailed
+	}
+
+	return ExitOK
+}
--- /dev/null
+++ b/dispatcher/call.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"time"
+
+	"limpetrail/messenger"
+)
+
+// Call is a request as the entry accepted it.
+type Call struct {
+	// ID is unique for each accepted request; see NewRequestID.
+	ID         string
+	Class      messenger.Class
+	Firm       string
+	Workspace  string
+	Service    string
+	Adapter    string
+	Path       string
+	Body       []byte
+	MediaType  string
+	Idempotent bool
+	// Plain marks a call of a plain service.
+	Plain bool
+	// Deadline is when the caller no longer wants the answer.
+	Deadline time.Time
+	// PrefixKeys are hashes of the prompt's leading blocks for the router.
+	PrefixKeys []uint64
+}
+
+// End is what the last frame of an answer said.
+type End struct {
+	FinishReason string
+	Status       int
+	MediaType    string
+	PromptTokens int
+}
+
+// Sink takes an answer as it arrives. Its methods are called in order from one
+// goroutine. An error of a method ends the request: the caller is gone.
+type Sink interface {
+	// Begin is called once, before the first event, with the ID under which
+	// the answer can be read again.
+	Begin(requestID string) error
+	Event(event []byte) error
+	End(end End) error
+}
--- /dev/null
+++ b/driver/http_engine.go
@@ -0,0 +1,161 @@
+package driver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"limpetrail/kernel"
+)
+
+// Paths of the engine's interface.
+const (
+	PathGenerate = "/generate"
+	PathCancel   = "/cancel"
+	PathLoad     = "/load"
+	PathOrder    = "/order"
+)
+
+// maxTokenLineBytes bounds one line of a stream.
+const maxTokenLineBytes = 1 << 20
+
+// HTTPEngine speaks to an engine over HTTP: JSON requests, and answers as one
+// JSON token a line.
+type HTTPEngine struct {
+	Address string
+	Client  *http.Client
+}
+
+var _ Engine = (*HTTPEngine)(nil)
+
+func init() {
+	Adapters.Register("http", func(_ kernel.Common, address string) (Engine, error) {
+		return NewHTTPEngine(address), nil
+	})
+}
+
+// NewHTTPEngine returns an engine at the address, a host and port.
+func NewHTTPEngine(address string) *HTTPEngine {
+	return &HTTPEngine{Address: address, Client: &http.Client{Transport: &http.Transport{}}}
+}
+
+// Generate implements Engine.
+func (engine *HTTPEngine) Generate(ctx context.Context, generation Generation) (Stream, error) {
+	response, err := engine.post(ctx, PathGenerate, generation)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(nil, maxTokenLineBytes)
+
+	return &lineStream{body: response.Body, scanner: scanner}, nil
+}
+
+// Cancel implements Engine.
+func (engine *HTTPEngine) Cancel(ctx context.Context, id string) error {
+	response, err := engine.post(ctx, PathCancel, Generation{ID: id})
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	return errors.Trace(response.Body.Close())
+}
+
+// Load implements Engine.
+func (engine *HTTPEngine) Load(ctx context.Context) (Load, error) {
+	response, err := engine.post(ctx, PathLoad, struct{}{})
+	if err != nil {
+		return Load{}, errors.Trace(err)
+	}
+	defer response.Body.Close()
+
+	load := Load{}
+	err = json.NewDecoder(response.Body).Decode(&load)
+
+	return load, errors.Trace(err)
+}
+
+// Order implements Engine.
+func (engine *HTTPEngine) Order(ctx context.Context, order Order) error {
+	response, err := engine.post(ctx, PathOrder, order)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	return errors.Trace(response.Body.Close())
+}
+
+func (engine *HTTPEngine) post(ctx context.Context, path string, message any) (*http.Response, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engine.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	// Without GetBody the transport cannot send the request a second time.
+	request.GetBody = nil
+
+	response, err := engine.Client.Do(request)
+	if err != nil {
+		return nil, errors.Annotatef(err, "engine %s", path)
+	}
+
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxTokenLineBytes))
+	response.Body.Close()
+
+	if response.StatusCode == http.StatusForbidden {
+		return nil, errors.Forbiddenf("engine %s: %s", path, detail)
+	}
+
+	return nil, errors.Errorf("engine %s answered %s: %s", path, response.Status, detail)
+}
+
+// lineStream reads one JSON token a line.
+type lineStream struct {
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	// finished is set once the last token was read.
+	finished bool
+}
+
+// Next implements Stream.
+func (stream *lineStream) Next() (Token, error) {
+	if stream.finished {
+		return Token{}, io.EOF
+	}
+
+	if !stream.scanner.Scan() {
+		if err := stream.scanner.Err(); err != nil {
+			return Token{}, errors.Trace(err)
+		}
+
+		return Token{}, errors.Trace(io.ErrUnexpectedEOF)
+	}
+
+	token := Token{}
+	if err := json.Unmarshal(stream.scanner.Bytes(), &token); err != nil {
+		return Token{}, errors.Annotate(err, "decoding a token")
+	}
+
+	stream.finished = token.Finish != ""
+
+	return token, nil
+}
+
+// Close implements Stream.
+func (stream *lineStream) Close() error {
+	return errors.Trace(stream.body.Close())
+}
--- /dev/null
+++ b/editor/document.go
@@ -0,0 +1,112 @@
+package editor
+
+import "time"
+
+// Document describes what should run. It is the output of the console and the
+// only configuration that operators write; field names are its format.
+type Document struct {
+	Firms      []Firm
+	Workspaces []Workspace
+	Models     []Model
+	Services   []Service
+	Policies   []Policy
+}
+
+// Firm is one of the firms that share the fleet.
+type Firm struct {
+	// Name is unique among firms.
+	Name string
+	// Staff lists the operators who may change this firm's parts.
+	Staff []string
+	// Share is the firm's weight where requests compete; at least 1.
+	Share int
+}
+
+// Workspace is what a caller names; it belongs to one firm.
+type Workspace struct {
+	// Name is unique among workspaces.
+	Name string
+	Firm string
+}
+
+// Model is a model with the versions and adapters that may be served.
+type Model struct {
+	// Name is unique among models.
+	Name     string
+	Versions []Version
+	Adapters []Adapter
+}
+
+// Version is one set of a model's weights.
+type Version struct {
+	Name string
+	// Weights names the weights in the platform's weight store.
+	Weights string
+}
+
+// Adapter changes a model for one firm.
+type Adapter struct {
+	Name string
+	// Firm owns the adapter; empty for all firms.
+	Firm    string
+	Weights string
+}
+
+// ServiceKind is what stands behind a service.
+type ServiceKind string
+
+// Kinds of services.
+const (
+	ServiceKindModel ServiceKind = "Model"
+	ServiceKindPlain ServiceKind = "Plain"
+)
+
+// Service is what callers call.
+type Service struct {
+	// Name is unique among services. Callers of a model give it as model.
+	Name string
+	// Firm restricts the service to one firm's workspaces; empty for all.
+	Firm string
+	Kind ServiceKind
+	// Model, Version and Adapter name what a model service runs.
+	Model   string `json:",omitempty"`
+	Version string `json:",omitempty"`
+	Adapter string `json:",omitempty"`
+	// Replicas is how many backend servers are wanted.
+	Replicas int
+	// Idempotent allows that a request is run again after a failure.
+	Idempotent bool
+	// Policy names the policy; empty for the default one.
+	Policy string `json:",omitempty"`
+}
+
+// Policy weighs online latency against batch throughput.
+type Policy struct {
+	// Name is unique among policies.
+	Name string
+	// FirstToken is the wanted time to the first token for 95 in 100.
+	FirstToken Duration
+	// TokenInterval is the wanted time between tokens for 95 in 100.
+	TokenInterval Duration
+	// Reserve is the share of each engine kept free of batch for the next
+	// burst, 0 to 1.
+	Reserve float64
+	// MaxWait bounds the time an online request waits at a sidecar.
+	MaxWait Duration
+}
+
+// Duration is a time.Duration written as text, for example "1.4s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (duration Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(duration).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (duration *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*duration = Duration(parsed)
+
+	return err
+}
--- /dev/null
+++ b/emulator/instances.go
@@ -0,0 +1,84 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"limpetrail/locator"
+)
+
+// Instances stands in for the platform's list of instances.
+type Instances struct {
+	Faults *Faults
+
+	mutex     sync.Mutex
+	instances []locator.Instance
+	mux       *http.ServeMux
+}
+
+var (
+	_ locator.List = (*Instances)(nil)
+	_ http.Handler = (*Instances)(nil)
+)
+
+// NewInstances returns a list of the given instances.
+func NewInstances(instances ...locator.Instance) *Instances {
+	list := &Instances{Faults: NewFaults(), instances: instances, mux: http.NewServeMux()}
+	list.mux.Handle("/faults", list.Faults)
+	list.mux.HandleFunc("GET /v1/instances", list.get)
+	list.mux.HandleFunc("PUT /v1/instances", list.put)
+
+	return list
+}
+
+// Set replaces the list.
+func (list *Instances) Set(instances ...locator.Instance) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+
+	list.instances = instances
+}
+
+// Instances implements locator.List.
+func (list *Instances) Instances(ctx context.Context) ([]locator.Instance, error) {
+	if !list.Faults.Wait(ctx.Done()) {
+		return nil, errors.Trace(errOutage)
+	}
+
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+
+	return slices.Clone(list.instances), nil
+}
+
+// ServeHTTP implements http.Handler.
+func (list *Instances) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	list.mux.ServeHTTP(writer, request)
+}
+
+func (list *Instances) get(writer http.ResponseWriter, request *http.Request) {
+	instances, err := list.Instances(request.Context())
+	if err != nil {
+		refuse(writer, err)
+
+		return
+	}
+
+	writeJSON(writer, instances)
+}
+
+func (list *Instances) put(writer http.ResponseWriter, request *http.Request) {
+	instances := []locator.Instance{}
+	if err := json.NewDecoder(request.Body).Decode(&instances); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	list.Set(instances...)
+}
--- /dev/null
+++ b/emulator/service.go
@@ -0,0 +1,112 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"limpetrail/driver"
+)
+
+// Service stands in for a plain service. It acts on each call that reaches it
+// and counts them by request ID, so that a doubled call shows.
+type Service struct {
+	Faults *Faults
+
+	mutex sync.Mutex
+	acts  map[string]int
+	mux   *http.ServeMux
+}
+
+var (
+	_ driver.Service = (*Service)(nil)
+	_ http.Handler   = (*Service)(nil)
+)
+
+// NewService returns a service that has acted on nothing yet.
+func NewService() *Service {
+	service := &Service{Faults: NewFaults(), acts: map[string]int{}, mux: http.NewServeMux()}
+	service.mux.Handle("/faults", service.Faults)
+	service.mux.HandleFunc("GET /acts", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, service.Acts())
+	})
+	service.mux.HandleFunc("POST /", service.serve)
+
+	return service
+}
+
+// Call implements driver.Service.
+func (service *Service) Call(ctx context.Context, call driver.ServiceCall) (driver.ServiceAnswer, error) {
+	if service.Faults.Get().Outage {
+		return driver.ServiceAnswer{}, errors.NewNotProvisioned(errOutage, "")
+	}
+
+	act := service.act(call.RequestID)
+
+	if !service.Faults.Wait(ctx.Done()) || service.Faults.TakeDrop() {
+		return driver.ServiceAnswer{}, errors.Trace(errLost)
+	}
+
+	return driver.ServiceAnswer{
+		Status:      http.StatusOK,
+		ContentType: "application/json",
+		Body:        fmt.Appendf(nil, `{"Act":%d,"Bytes":%d}`, act, len(call.Body)),
+	}, nil
+}
+
+// Acts returns how often the service acted, by request ID.
+func (service *Service) Acts() map[string]int {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+
+	acts := make(map[string]int, len(service.acts))
+	for id, count := range service.acts {
+		acts[id] = count
+	}
+
+	return acts
+}
+
+// ServeHTTP implements http.Handler.
+func (service *Service) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	service.mux.ServeHTTP(writer, request)
+}
+
+func (service *Service) act(id string) int {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+
+	service.acts[id]++
+
+	total := 0
+	for _, count := range service.acts {
+		total += count
+	}
+
+	return total
+}
+
+func (service *Service) serve(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+
+	answer, err := service.Call(request.Context(), driver.ServiceCall{
+		RequestID:   request.Header.Get(driver.RequestIDHeader),
+		Path:        request.URL.Path,
+		ContentType: request.Header.Get("Content-Type"),
+		Body:        body,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+
+	writer.Header().Set("Content-Type", answer.ContentType)
+	writer.WriteHeader(answer.Status)
+	_, _ = writer.Write(answer.Body)
+}
--- /dev/null
+++ b/executor/run.go
@@ -0,0 +1,168 @@
+package executor
+
+import (
+	"sync"
+	"time"
+
+	"limpetrail/messenger"
+)
+
+// Run is one request at this sidecar, from arrival until its answer is no
+// longer kept.
+type Run struct {
+	Request *messenger.ExecuteRequest
+	// Deadline is when the caller no longer wants the answer.
+	Deadline time.Time
+
+	mutex sync.Mutex
+	// fate only moves forward: queued, running, then one of the final ones.
+	fate messenger.Fate
+	// events is the answer so far; it only grows.
+	events [][]byte
+	bytes  int
+	// end is the last frame, set exactly once with a final fate.
+	end *messenger.Frame
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	// followers counts the streams that read this run now.
+	followers int
+	// unfollowed is when the last follower left.
+	unfollowed time.Time
+	// stop ends the run's work at the backend server.
+	stop func()
+}
+
+// NewRun returns a queued run.
+func NewRun(request *messenger.ExecuteRequest, stop func()) *Run {
+	return &Run{
+		Request:    request,
+		Deadline:   time.Now().Add(time.Duration(request.GetRemainingMicros()) * time.Microsecond),
+		fate:       messenger.Fate_FATE_QUEUED,
+		changed:    make(chan struct{}),
+		unfollowed: time.Now(),
+		stop:       stop,
+	}
+}
+
+// Fate returns what is known about the run, and the length of its answer.
+func (run *Run) Fate() (messenger.Fate, uint64) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	return run.fate, uint64(len(run.events))
+}
+
+// Start marks the run as started. It returns false when the run was revoked
+// first; the caller must then not touch the backend server.
+func (run *Run) Start() bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	if run.end != nil {
+		return false
+	}
+
+	run.fate = messenger.Fate_FATE_RUNNING
+	run.notify()
+
+	return true
+}
+
+// Append adds events to the answer.
+func (run *Run) Append(events ...[]byte) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	for _, event := range events {
+		run.bytes += len(event)
+	}
+
+	run.events = append(run.events, events...)
+	run.notify()
+}
+
+// Finish sets the last frame, unless the run has one already.
+func (run *Run) Finish(fate messenger.Fate, end *messenger.Frame) bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	if run.end != nil {
+		return false
+	}
+
+	run.finish(fate, end)
+
+	return true
+}
+
+// Revoke ends the run if it has not started, and returns its fate.
+func (run *Run) Revoke() (messenger.Fate, uint64) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	if run.fate == messenger.Fate_FATE_QUEUED {
+		run.finish(messenger.Fate_FATE_NOT_RUN, &messenger.Frame{
+			Kind:   messenger.FrameKind_FRAME_KIND_REFUSED,
+			Reason: "revoked before it started",
+		})
+	}
+
+	return run.fate, uint64(len(run.events))
+}
+
+// Events returns the prefix of the answer, to resume the stream after it.
+func (run *Run) Events() [][]byte {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	return run.events[:len(run.events):len(run.events)]
+}
+
+// After returns the events from offset on, the last frame if there is one, and
+// a channel that is closed at the next change.
+func (run *Run) After(offset uint64) ([][]byte, *messenger.Frame, <-chan struct{}) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	length := uint64(len(run.events))
+	offset = min(offset, length)
+
+	return run.events[offset:length:length], run.end, run.changed
+}
+
+// Follow counts a reader until the returned function is called.
+func (run *Run) Follow() func() {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	run.followers++
+
+	return func() {
+		run.mutex.Lock()
+		defer run.mutex.Unlock()
+
+		run.followers--
+		run.unfollowed = time.Now()
+	}
+}
+
+// Abandoned tells whether nobody has read the unfinished run for that long.
+func (run *Run) Abandoned(limit time.Duration) bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	return run.end == nil && run.followers == 0 && time.Since(run.unfollowed) > limit
+}
+
+// finish sets the last frame, with the mutex held.
+func (run *Run) finish(fate messenger.Fate, end *messenger.Frame) {
+	end.Fate = fate
+	run.fate = fate
+	run.end = end
+	run.notify()
+}
+
+func (run *Run) notify() {
+	close(run.changed)
+	run.changed = make(chan struct{})
+}
--- /dev/null
+++ b/handler/doc.go
@@ -0,0 +1,3 @@
+// Package handler answers callers over HTTP, in the shapes that inference
+// clients speak. It turns requests into calls and outcomes into answers.
+package handler
--- /dev/null
+++ b/publisher/snapshot.go
@@ -0,0 +1,16 @@
+package publisher
+
+import (
+	"limpetrail/editor"
+	"limpetrail/keeper"
+)
+
+// DocumentKey is where the document lies in the key-value service.
+const DocumentKey = "limpetrail/document"
+
+// Snapshot is one revision of the document.
+type Snapshot struct {
+	// Revision is the key's revision; 0 before any document is known.
+	Revision keeper.Revision
+	Index    *editor.Index
+}
--- /dev/null
+++ b/verifier/fleet_test.go
@@ -0,0 +1,262 @@
+package verifier
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/editor"
+	"limpetrail/keeper"
+	"limpetrail/locator"
+	"limpetrail/publisher"
+)
+
+// patience bounds the wait for a condition; no verdict depends on how much of
+// it is used.
+const patience = 30 * time.Second
+
+// binaries builds the commands once for all tests.
+var binaries = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "limpetrail-test-")
+	if err != nil {
+		return "", err
+	}
+
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", folder, "limpetrail/cmd/limpetrail", "limpetrail/cmd/standin")
+	build.Stderr = os.Stderr
+
+	return folder, build.Run()
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	if folder, err := binaries(); err == nil {
+		_ = os.RemoveAll(folder)
+	}
+
+	os.Exit(code)
+}
+
+// fleet is a set of processes that a test started.
+type fleet struct {
+	t        *testing.T
+	folder   string
+	binaries string
+	// processes holds every started process by name.
+	processes map[string]*process
+	// addresses holds the address of each process for its callers.
+	addresses map[string]string
+	instances []locator.Instance
+}
+
+type process struct {
+	command *exec.Cmd
+	// ended is closed when the process has been waited for.
+	ended chan struct{}
+	log   *bytes.Buffer
+}
+
+// newFleet starts the platform's stand-ins with the document in the
+// key-value service.
+func newFleet(t *testing.T, document editor.Document) *fleet {
+	t.Helper()
+
+	folder, err := binaries()
+	require.NoError(t, err)
+
+	fleet := &fleet{
+		t:         t,
+		folder:    t.TempDir(),
+		binaries:  folder,
+		processes: map[string]*process{},
+		addresses: map[string]string{},
+	}
+	t.Cleanup(fleet.stop)
+
+	fleet.standin("kv", "kv")
+	fleet.standin("instances", "instances")
+	fleet.publish(document)
+
+	return fleet
+}
+
+// standin starts a stand-in and waits for the address it prints.
+func (fleet *fleet) standin(name, kind string) {
+	fleet.t.Helper()
+
+	command := exec.CommandContext(fleet.t.Context(), filepath.Join(fleet.binaries, "standin"), kind)
+	out, err := command.StdoutPipe()
+	require.NoError(fleet.t, err)
+	fleet.start(name, command)
+
+	address, err := bufio.NewReader(out).ReadString('\n')
+	require.NoError(fleet.t, err)
+	fleet.addresses[name] = strings.TrimSpace(address)
+}
+
+// publish writes the document as the operators' tools do.
+func (fleet *fleet) publish(document editor.Document) {
+	fleet.t.Helper()
+
+	value, err := json.Marshal(document)
+	require.NoError(fleet.t, err)
+
+	fleet.post(fleet.addresses["kv"], keeper.PathSwap, keeper.Call{Key: publisher.DocumentKey, Value: value})
+}
+
+// sidecar starts a backend server of the kind and the sidecar beside it.
+func (fleet *fleet) sidecar(name, kind, service string) {
+	fleet.t.Helper()
+
+	standin := map[string]string{"Engine": "engine", "Service": "service"}[kind]
+	fleet.standin(name+"-backend", standin)
+
+	address := fleet.freeAddress()
+	fleet.role("sidecar", name, fmt.Sprintf(`
+[Instance]
+Name = %s
+DataCentre = dc1
+[Listen]
+Peers = %s
+Operations = %s
+[KeyValue]
+Address = %s
+[BackendServer]
+Kind = %s
+Address = %s
+Service = %s
+`, name, address, fleet.freeAddress(), fleet.addresses["kv"], kind, fleet.addresses[name+"-backend"], service))
+	fleet.addresses[name] = address
+	fleet.instances = append(fleet.instances, locator.Instance{Name: name, Address: address, DataCentre: "dc1", Service: service})
+	fleet.list()
+}
+
+// entry starts an entry.
+func (fleet *fleet) entry(name string) {
+	fleet.t.Helper()
+
+	address, peers := fleet.freeAddress(), fleet.freeAddress()
+	fleet.role("entry", name, fmt.Sprintf(`
+[Instance]
+Name = %s
+DataCentre = dc1
+[Listen]
+Callers = %s
+Peers = %s
+BalancerLag = 500ms
+[KeyValue]
+Address = %s
+[Instances]
+Address = %s
+`, name, address, peers, fleet.addresses["kv"], fleet.addresses["instances"]))
+	fleet.addresses[name] = address
+	fleet.instances = append(fleet.instances, locator.Instance{Name: name, Address: peers, DataCentre: "dc1", Entry: true})
+	fleet.list()
+}
+
+func (fleet *fleet) role(role, name, settings string) {
+	fleet.t.Helper()
+
+	path := filepath.Join(fleet.folder, name+".ini")
+	require.NoError(fleet.t, os.WriteFile(path, []byte(settings), 0o600))
+	fleet.start(name, exec.CommandContext(fleet.t.Context(), filepath.Join(fleet.binaries, "limpetrail"), role, "--settings", path))
+}
+
+func (fleet *fleet) start(name string, command *exec.Cmd) {
+	fleet.t.Helper()
+
+	process := &process{command: command, ended: make(chan struct{}), log: &bytes.Buffer{}}
+	command.Stderr = process.log
+	require.NoError(fleet.t, command.Start())
+	fleet.processes[name] = process
+
+	go func() {
+		defer close(process.ended)
+		// The exit status of a killed process is no fault of the test.
+		_ = command.Wait()
+	}()
+}
+
+// list writes the platform's list of instances.
+func (fleet *fleet) list() {
+	fleet.t.Helper()
+
+	body, err := json.Marshal(fleet.instances)
+	require.NoError(fleet.t, err)
+
+	request, err := http.NewRequestWithContext(fleet.t.Context(), http.MethodPut, "http://"+fleet.addresses["instances"]+"/v1/instances", bytes.NewReader(body))
+	require.NoError(fleet.t, err)
+	fleet.send(request)
+}
+
+func (fleet *fleet) post(address, path string, message any) {
+	fleet.t.Helper()
+
+	body, err := json.Marshal(message)
+	require.NoError(fleet.t, err)
+
+	request, err := http.NewRequestWithContext(fleet.t.Context(), http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	require.NoError(fleet.t, err)
+	fleet.send(request)
+}
+
+func (fleet *fleet) send(request *http.Request) {
+	fleet.t.Helper()
+
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(fleet.t, err)
+	defer response.Body.Close()
+
+	body, err := io.ReadAll(response.Body)
+	require.NoError(fleet.t, err)
+	require.Equal(fleet.t, http.StatusOK, response.StatusCode, string(body))
+}
+
+// signal sends a signal to a process that this test started.
+func (fleet *fleet) signal(name string, signal syscall.Signal) {
+	fleet.t.Helper()
+	require.NoError(fleet.t, fleet.processes[name].command.Process.Signal(signal))
+}
+
+// freeAddress returns a loopback address that nobody listens on now.
+func (fleet *fleet) freeAddress() string {
+	fleet.t.Helper()
+
+	listener, err := (&net.ListenConfig{}).Listen(fleet.t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(fleet.t, err)
+	defer listener.Close()
+
+	return listener.Addr().String()
+}
+
+func (fleet *fleet) stop() {
+	for _, process := range fleet.processes {
+		// A frozen process must be woken to be ended.
+		_ = process.command.Process.Signal(syscall.SIGCONT)
+		_ = process.command.Process.Kill()
+	}
+
+	for name, process := range fleet.processes {
+		<-process.ended
+
+		if fleet.t.Failed() {
+			fleet.t.Logf("log of %s:\n%s", name, process.log)
+		}
+	}
+}
--- /dev/null
+++ b/verifier/path_test.go
@@ -0,0 +1,56 @@
+package verifier
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/editor"
+)
+
+// exampleDocument has one firm of each kind of service.
+func exampleDocument() editor.Document {
+	return editor.Document{
+		Firms:      []editor.Firm{{Name: "kilimanjaro", Staff: []string{"asha"}, Share: 1}},
+		Workspaces: []editor.Workspace{{Name: "briefings", Firm: "kilimanjaro"}},
+		Models:     []editor.Model{{Name: "forecast", Versions: []editor.Version{{Name: "v1", Weights: "forecast-v1"}}}},
+		Services: []editor.Service{
+			{Name: "briefing", Kind: editor.ServiceKindModel, Model: "forecast", Version: "v1", Replicas: 1, Idempotent: true},
+			{Name: "order", Kind: editor.ServiceKindPlain, Replicas: 1},
+		},
+	}
+}
+
+func TestCompletionIsStreamedThroughSeparateProcesses(t *testing.T) {
+	fleet := newFleet(t, exampleDocument())
+	fleet.sidecar("sidecar-1", "Engine", "briefing")
+	fleet.entry("entry-1")
+
+	body := `{"model":"briefing","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Pollen in Moshi?"}]}`
+	answer := newCaller(fleet, "briefings").eventually(http.StatusOK, "entry-1", "/v1/chat/completions", body)
+
+	text, done := answer.tokens(t)
+	require.True(t, done)
+	require.Equal(t, wanted(body, 20), text)
+}
+
+func TestCompletionSurvivesKillOfOneOfTwoSidecars(t *testing.T) {
+	fleet := newFleet(t, exampleDocument())
+	fleet.sidecar("sidecar-1", "Engine", "briefing")
+	fleet.sidecar("sidecar-2", "Engine", "briefing")
+	fleet.entry("entry-1")
+
+	caller := newCaller(fleet, "briefings")
+	body := `{"model":"briefing","max_tokens":4,"prompt":"Pollen in Moshi?"}`
+	caller.eventually(http.StatusOK, "entry-1", "/v1/completions", body)
+
+	fleet.signal("sidecar-1", syscall.SIGKILL)
+
+	for range 10 {
+		answer := caller.post("entry-1", "/v1/completions", body)
+		require.Equal(t, http.StatusOK, answer.status, answer.body)
+		require.Contains(t, answer.body, wanted(body, 4))
+	}
+}
