--- a/app/entry.go
+++ b/app/entry.go
@@ -14,6 +14,7 @@
 	"limpetrail/kernel"
 	"limpetrail/loader"
 	"limpetrail/locator"
+	"limpetrail/messenger"
 	"limpetrail/publisher"
 	"limpetrail/router"
 )
@@ -32,6 +33,8 @@
 	Dialer    *dialer.Dialer
 	List      locator.List
 	Routes    []handler.Routes
+	// Services are what peers may call.
+	Services []messenger.Service
 }
 
 // Run serves until the context ends, then lets running requests finish.
@@ -43,18 +46,24 @@
 		return errors.Annotate(err, "listening for callers")
 	}
 
+	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", entry.Settings.Listen.Peers)
+	if err != nil {
+		return errors.Annotate(err, "listening for peers")
+	}
+
 	server := &http.Server{Handler: entry.handler(), ReadHeaderTimeout: headerTimeout}
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 
 	go entry.Publisher.Run(ctx)
 	go entry.locate(ctx)
 	go func() { served <- server.Serve(listener) }()
+	go func() { served <- servePeers(context.WithoutCancel(ctx), peers, entry.Services) }()
 
 	entry.Log.WithField("Callers", listener.Addr()).Info("Serving.")
 
 	select {
 	case err := <-served:
-		return errors.Annotate(err, "serving callers")
+		return errors.Annotate(err, "serving")
 	case <-ctx.Done():
 		entry.Log.Info("Stopping.")
 
--- a/app/providers.go
+++ b/app/providers.go
@@ -18,6 +18,7 @@
 	"limpetrail/kernel"
 	"limpetrail/loader"
 	"limpetrail/locator"
+	"limpetrail/messenger"
 	"limpetrail/router"
 )
 
@@ -116,3 +117,15 @@
 
 	return executor.NewExecutor(ctx, common, admission, options...), nil
 }
+
+func newEntryServices(timeLine *messenger.TimeLine) []messenger.Service {
+	return []messenger.Service{timeLine}
+}
+
+func newSidecarServices(server *executor.Server, timeLine *messenger.TimeLine) []messenger.Service {
+	return []messenger.Service{server, timeLine}
+}
+
+func newTimeLine(common kernel.Common) *messenger.TimeLine {
+	return messenger.NewTimeLine(common.Recorder)
+}
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -5,10 +5,7 @@
 	"net"
 
 	"github.com/juju/errors"
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
-	"limpetrail/dialer"
 	"limpetrail/executor"
 	"limpetrail/kernel"
 	"limpetrail/loader"
@@ -20,7 +17,8 @@
 	kernel.Common
 	Settings loader.Sidecar
 	Executor *executor.Executor
-	Server   *executor.Server
+	// Services are what peers may call.
+	Services []messenger.Service
 }
 
 // Run serves until the context ends, then drains: new work is refused and
@@ -31,11 +29,6 @@
 		return errors.Annotate(err, "listening for peers")
 	}
 
-	mux := drpcmux.New()
-	if err := messenger.DRPCRegisterSidecar(mux, sidecar.Server); err != nil {
-		return errors.Trace(err)
-	}
-
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
@@ -49,7 +42,5 @@
 
 	sidecar.Log.WithField("Peers", listener.Addr()).Info("Serving.")
 
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.ManagerOptions()})
-
-	return errors.Annotate(server.Serve(serving, listener), "serving peers")
+	return servePeers(serving, listener, sidecar.Services)
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -23,6 +23,8 @@
 		newDialer,
 		newDispatcher,
 		newRoutes,
+		newTimeLine,
+		newEntryServices,
 		publisher.NewPublisher,
 		handler.NewInference,
 		wire.Struct(new(Entry), "*"),
@@ -36,6 +38,8 @@
 		newAdmitter,
 		newExecutor,
 		executor.NewServer,
+		newTimeLine,
+		newSidecarServices,
 		wire.Struct(new(Sidecar), "*"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -36,6 +36,8 @@
 	dispatcher := newDispatcher(common, settings, router, dialer)
 	inference := handler.NewInference(common, dispatcher, publisherPublisher)
 	v := newRoutes(inference)
+	timeLine := newTimeLine(common)
+	v2 := newEntryServices(timeLine)
 	entry := &Entry{
 		Common:    common,
 		Settings:  settings,
@@ -44,6 +46,7 @@
 		Dialer:    dialer,
 		List:      list,
 		Routes:    v,
+		Services:  v2,
 	}
 	return entry, nil
 }
@@ -60,11 +63,13 @@
 		return nil, err
 	}
 	server := executor.NewServer(executorExecutor)
+	timeLine := newTimeLine(common)
+	v := newSidecarServices(server, timeLine)
 	sidecar := &Sidecar{
 		Common:   common,
 		Settings: settings,
 		Executor: executorExecutor,
-		Server:   server,
+		Services: v,
 	}
 	return sidecar, nil
 }
--- a/executor/server.go
+++ b/executor/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"storj.io/drpc"
 
 	"limpetrail/messenger"
 	"limpetrail/recorder"
@@ -15,13 +16,21 @@
 	Executor *Executor
 }
 
-var _ messenger.DRPCSidecarServer = (*Server)(nil)
+var (
+	_ messenger.DRPCSidecarServer = (*Server)(nil)
+	_ messenger.Service           = (*Server)(nil)
+)
 
 // NewServer returns a server for the executor.
 func NewServer(executor *Executor) *Server {
 	return &Server{Executor: executor}
 }
 
+// RegisterService implements messenger.Service.
+func (server *Server) RegisterService(mux drpc.Mux) error {
+	return messenger.DRPCRegisterSidecar(mux, server)
+}
+
 // frameSender is what both streaming calls send on.
 type frameSender interface {
 	Context() context.Context
@@ -106,13 +115,6 @@
 	return &messenger.DrainReply{Clock: server.now(), Running: load.GetRunningOnline() + load.GetRunningBatch()}, nil
 }
 
-// Events returns this process's part of the time line.
-func (server *Server) Events(_ context.Context, request *messenger.EventsRequest) (*messenger.EventsReply, error) {
-	server.observe(request.GetClock())
-
-	return messenger.NewEventsReply(server.Executor.Recorder, request), nil
-}
-
 // follow streams a run's events from the offset on, with a progress frame
 // whenever there is nothing else to send for a heartbeat.
 func (server *Server) follow(run *Run, offset uint64, stream frameSender) error {
