Check settings strictly and bound the use of the key-value service

Cause: the INI library passes over unknown sections and keys, so a misspelt setting would be ignored; and every part called the key-value service without deadline, budget or breaker, so an outage would be met by a stampede.

Ruled out: the library's StrictMapTo, which reports one bad value and no unknown key.

--- a/app/providers.go
+++ b/app/providers.go
@@ -45,12 +45,22 @@
 }
 
 func newEntryStore(common kernel.Common, settings loader.Entry) (keeper.Store, error) {
-	factory, err := keeper.Adapters.Find(settings.KeyValue.Adapter)
+	return newStore(common, settings.KeyValue, settings.Calls)
+}
+
+// newStore puts the process's client in front of the platform's adapter.
+func newStore(common kernel.Common, platform loader.Platform, calls keeper.Settings) (keeper.Store, error) {
+	factory, err := keeper.Adapters.Find(platform.Adapter)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	store, err := factory(common, platform.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 
-	return factory(common, settings.KeyValue.Address)
+	return keeper.NewClient(common, store, calls), nil
 }
 
 func newList(common kernel.Common, settings loader.Entry) (locator.List, error) {
--- /dev/null
+++ b/keeper/client_test.go
@@ -0,0 +1,129 @@
+package keeper_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/emulator"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+)
+
+func newClient(store keeper.Store) *keeper.Client {
+	return keeper.NewClient(kernel.Discard("test"), store, keeper.DefaultSettings())
+}
+
+func TestClientStopsCallsInOutageAndReturnsByTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore()
+		client := newClient(store)
+		store.Faults.Set(emulator.Switches{Outage: true})
+
+		for range client.Settings.Failures {
+			_, err := client.Get(t.Context(), "key")
+			require.Error(t, err)
+			require.NotErrorIs(t, err, keeper.ErrUnavailable)
+		}
+
+		start := time.Now()
+		_, applied, err := client.CompareAndSwap(t.Context(), "key", 0, nil)
+		require.ErrorIs(t, err, keeper.ErrUnavailable)
+		require.Equal(t, keeper.WriteRefused, applied)
+		require.Zero(t, time.Since(start), "a stopped call waits for nothing")
+		require.False(t, client.Available())
+
+		store.Faults.Set(emulator.Switches{})
+		time.Sleep(2 * client.Settings.FirstProbe)
+
+		_, err = client.Get(t.Context(), "key")
+		require.NoError(t, err)
+		require.True(t, client.Available())
+	})
+}
+
+func TestClientEndsCallsOfSilentServiceByDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore()
+		client := newClient(store)
+		store.Faults.Set(emulator.Switches{Silent: true})
+
+		start := time.Now()
+		_, applied, err := client.CompareAndSwap(t.Context(), "key", 0, nil)
+		require.Error(t, err)
+		require.Equal(t, keeper.WriteUnknown, applied)
+		require.Equal(t, client.Settings.CallTimeout, time.Since(start))
+	})
+}
+
+func TestBudgetLeavesRoomForClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const burst = 8
+
+		budget := keeper.NewBudget(0.001, burst)
+		taken := map[keeper.Priority]int{}
+
+		for _, priority := range []keeper.Priority{keeper.PriorityBackground, keeper.PriorityProgress, keeper.PriorityClaim} {
+			for {
+				ctx, cancel := context.WithTimeout(keeper.WithPriority(t.Context(), priority), time.Millisecond)
+				err := budget.Take(ctx)
+				cancel()
+
+				if err != nil {
+					break
+				}
+
+				taken[priority]++
+			}
+		}
+
+		require.Equal(t, map[keeper.Priority]int{
+			keeper.PriorityBackground: burst / 2,
+			keeper.PriorityProgress:   burst / 4,
+			keeper.PriorityClaim:      burst / 4,
+		}, taken)
+	})
+}
+
+func TestWriteSettlesLostAnswers(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		lost    int
+		present string
+		applied keeper.Applied
+		value   string
+	}{
+		"no answer lost":                  {applied: keeper.WriteApplied, value: "mine"},
+		"answer lost after taking effect": {lost: 1, applied: keeper.WriteApplied, value: "mine"},
+		"both answers lost":               {lost: 2, applied: keeper.WriteApplied, value: "mine"},
+		"another was first":               {present: "other", applied: keeper.WriteRefused, value: "other"},
+		"another was first, answer lost":  {present: "other", lost: 1, applied: keeper.WriteRefused, value: "other"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := emulator.NewStore()
+
+				if scenario.present != "" {
+					_, _, err := store.CompareAndSwap(t.Context(), "key", 0, []byte(scenario.present))
+					require.NoError(t, err)
+				}
+
+				store.Faults.Set(emulator.Switches{DropAnswers: scenario.lost})
+
+				_, applied, err := keeper.Write(t.Context(), store, keeper.Proposal{
+					Key:   "key",
+					Value: []byte("mine"),
+					Mine:  func(value []byte) bool { return string(value) == "mine" },
+				})
+				require.NoError(t, err)
+				require.Equal(t, scenario.applied, applied)
+
+				entry, err := store.Get(t.Context(), "key")
+				require.NoError(t, err)
+				require.Equal(t, scenario.value, string(entry.Value))
+			})
+		})
+	}
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -5,17 +5,20 @@
 
 	"limpetrail/dispatcher"
 	"limpetrail/executor"
+	"limpetrail/keeper"
 )
 
-// Entry is the settings of an entry. Sections are the fields, keys the fields
-// of those.
+// Entry is the settings of an entry: each field is a section of the INI file,
+// and each field of that a key.
 type Entry struct {
 	Instance  Instance
 	Listen    EntryListen
 	KeyValue  Platform
 	Instances Platform
-	Dispatch  dispatcher.Settings
-	Log       Log
+	// Calls bounds the use of the key-value service.
+	Calls    keeper.Settings
+	Dispatch dispatcher.Settings
+	Log      Log
 }
 
 // Sidecar is the settings of a sidecar.
@@ -24,57 +27,78 @@
 	Listen        SidecarListen
 	KeyValue      Platform
 	BackendServer BackendServer
-	Execute       executor.Settings
-	Log           Log
+	// Calls bounds the use of the key-value service.
+	Calls   keeper.Settings
+	Execute executor.Settings
+	Log     Log
 }
 
 // Instance names a process.
 type Instance struct {
-	Name       string `doc:"Name of this instance, unique in the fleet."`
-	DataCentre string `doc:"Data centre of this instance."`
+	// Name of this instance, unique in the fleet.
+	Name string `required:"true"`
+	// DataCentre is where this instance runs.
+	DataCentre string `required:"true"`
 }
 
 // EntryListen is where an entry listens.
 type EntryListen struct {
-	Callers string `doc:"Host and port for callers, operators, health and metrics."`
-	Peers   string `doc:"Host and port for the system's own processes."`
+	// Callers is the host and port for callers, operators, health and metrics.
+	Callers string `required:"true"`
+	// Peers is the host and port for the system's own processes.
+	Peers string `required:"true"`
 	// BalancerLag is how long the balancer goes on sending after the health
 	// page says leaving.
-	BalancerLag time.Duration `doc:"Time the balancer goes on sending after health says leaving."`
+	BalancerLag time.Duration
 }
 
 // SidecarListen is where a sidecar listens.
 type SidecarListen struct {
-	Peers      string `doc:"Host and port for the system's own processes."`
-	Operations string `doc:"Host and port for health and metrics."`
+	// Peers is the host and port for the system's own processes.
+	Peers string `required:"true"`
+	// Operations is the host and port for health and metrics.
+	Operations string `required:"true"`
 }
 
 // Platform is where one of the platform's services is reached.
 type Platform struct {
-	Adapter string `doc:"Name of the adapter."`
-	Address string `doc:"Host and port."`
+	// Adapter is the name of the adapter.
+	Adapter string `required:"true"`
+	// Address is the host and port.
+	Address string `required:"true"`
 }
 
 // BackendServer is what a sidecar stands beside.
 type BackendServer struct {
-	Kind    string `doc:"Engine or Service."`
-	Adapter string `doc:"Name of the adapter."`
-	Address string `doc:"Host and port."`
-	Service string `doc:"Service of the document that the backend server serves."`
-	Places  int    `doc:"Requests that may run at once before the limit is learned."`
+	// Kind is what the backend server is.
+	Kind string `allowed:"Engine,Service"`
+	// Adapter is the name of the adapter.
+	Adapter string `required:"true"`
+	// Address is the host and port.
+	Address string `required:"true"`
+	// Service is the service of the document that the backend server serves.
+	Service string `required:"true"`
+	// Places is how many requests may run at once before a limit is learned.
+	Places int
 }
 
 // Log is what is written to the log.
 type Log struct {
-	Level string `doc:"Least level written: debug, info, warn or error."`
+	// Level is the least level that is written.
+	Level string `allowed:"debug,info,warn,error"`
 }
 
+const defaultBalancerLag = 5 * time.Second
+
+const defaultPlaces = 16
+
 // DefaultEntry returns the defaults of an entry.
 func DefaultEntry() Entry {
 	return Entry{
-		Listen:    EntryListen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", BalancerLag: 5 * time.Second},
+		Listen:    EntryListen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", BalancerLag: defaultBalancerLag},
 		KeyValue:  Platform{Adapter: "http"},
 		Instances: Platform{Adapter: "http"},
+		Calls:     keeper.DefaultSettings(),
 		Dispatch:  dispatcher.DefaultSettings(),
 		Log:       Log{Level: "info"},
 	}
@@ -85,7 +109,8 @@
 	return Sidecar{
 		Listen:        SidecarListen{Peers: "127.0.0.1:9081", Operations: "127.0.0.1:9082"},
 		KeyValue:      Platform{Adapter: "http"},
-		BackendServer: BackendServer{Kind: "Engine", Adapter: "http", Places: 16},
+		BackendServer: BackendServer{Kind: "Engine", Adapter: "http", Places: defaultPlaces},
+		Calls:         keeper.DefaultSettings(),
 		Execute:       executor.DefaultSettings(),
 		Log:           Log{Level: "info"},
 	}
