Add the demo, the merged time line, status, metrics and their commands

Cause: a newcomer had nothing to run, and no way to see what the processes did; the settings check existed without a command.

Change: limpetrail demo runs stand-ins, sidecars and entries in one process; timeline, status, check, request, version and completion; /metrics by tally's Prometheus reporter with a registry of its own; an observer merges the events of all instances by their hybrid logical clocks.

--- a/app/providers.go
+++ b/app/providers.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"limpetrail/admitter"
 	"limpetrail/dialer"
@@ -19,10 +18,20 @@
 	"limpetrail/loader"
 	"limpetrail/locator"
 	"limpetrail/messenger"
+	"limpetrail/meter"
+	"limpetrail/observer"
 	"limpetrail/router"
 )
 
-func newCommon(instance loader.Instance, level loader.Log) (kernel.Common, error) {
+func newEntryMeter(settings loader.Entry) *meter.Meter {
+	return meter.NewMeter(settings.Instance.Name, settings.Instance.DataCentre)
+}
+
+func newSidecarMeter(settings loader.Sidecar) *meter.Meter {
+	return meter.NewMeter(settings.Instance.Name, settings.Instance.DataCentre)
+}
+
+func newCommon(instance loader.Instance, level loader.Log, metrics *meter.Meter) (kernel.Common, error) {
 	parsed, err := logrus.ParseLevel(level.Level)
 	if err != nil {
 		return kernel.Common{}, errors.Annotate(err, "log level")
@@ -33,15 +42,15 @@
 	logger.SetFormatter(kernel.Formatter{})
 	logger.SetLevel(parsed)
 
-	return kernel.NewCommon(instance.Name, instance.DataCentre, logger, tally.NoopScope), nil
+	return kernel.NewCommon(instance.Name, instance.DataCentre, logger, metrics.Scope), nil
 }
 
-func newEntryCommon(settings loader.Entry) (kernel.Common, error) {
-	return newCommon(settings.Instance, settings.Log)
+func newEntryCommon(settings loader.Entry, metrics *meter.Meter) (kernel.Common, error) {
+	return newCommon(settings.Instance, settings.Log, metrics)
 }
 
-func newSidecarCommon(settings loader.Sidecar) (kernel.Common, error) {
-	return newCommon(settings.Instance, settings.Log)
+func newSidecarCommon(settings loader.Sidecar, metrics *meter.Meter) (kernel.Common, error) {
+	return newCommon(settings.Instance, settings.Log, metrics)
 }
 
 func newEntryStore(common kernel.Common, settings loader.Entry) (keeper.Store, error) {
@@ -84,8 +93,8 @@
 	return dispatcher.NewDispatcher(common, routes, connections, dispatcher.WithSettings(settings.Dispatch))
 }
 
-func newRoutes(inference *handler.Inference) []handler.Routes {
-	return []handler.Routes{inference}
+func newRoutes(inference *handler.Inference, operators *observer.Observer, metrics *meter.Meter) []handler.Routes {
+	return []handler.Routes{inference, operators, metrics}
 }
 
 func newAdmitter(settings loader.Sidecar) admitter.Admitter {
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,12 +10,14 @@
 	"limpetrail/executor"
 	"limpetrail/handler"
 	"limpetrail/loader"
+	"limpetrail/observer"
 	"limpetrail/publisher"
 )
 
 // NewEntry wires an entry from its settings.
 func NewEntry(settings loader.Entry) (*Entry, error) {
 	panic(wire.Build(
+		newEntryMeter,
 		newEntryCommon,
 		newEntryStore,
 		newList,
@@ -27,6 +29,7 @@
 		newEntryServices,
 		publisher.NewPublisher,
 		handler.NewInference,
+		observer.NewObserver,
 		wire.Struct(new(Entry), "*"),
 	))
 }
@@ -34,6 +37,7 @@
 // NewSidecar wires a sidecar from its settings. Its runs end with the context.
 func NewSidecar(ctx context.Context, settings loader.Sidecar) (*Sidecar, error) {
 	panic(wire.Build(
+		newSidecarMeter,
 		newSidecarCommon,
 		newAdmitter,
 		newExecutor,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -11,6 +11,7 @@
 	"limpetrail/executor"
 	"limpetrail/handler"
 	"limpetrail/loader"
+	"limpetrail/observer"
 	"limpetrail/publisher"
 )
 
@@ -18,7 +19,8 @@
 
 // NewEntry wires an entry from its settings.
 func NewEntry(settings loader.Entry) (*Entry, error) {
-	common, err := newEntryCommon(settings)
+	meter := newEntryMeter(settings)
+	common, err := newEntryCommon(settings, meter)
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +37,8 @@
 	}
 	dispatcher := newDispatcher(common, settings, router, dialer)
 	inference := handler.NewInference(common, dispatcher, publisherPublisher)
-	v := newRoutes(inference)
+	observerObserver := observer.NewObserver(common, list, dialer, publisherPublisher, router)
+	v := newRoutes(inference, observerObserver, meter)
 	timeLine := newTimeLine(common)
 	v2 := newEntryServices(timeLine)
 	entry := &Entry{
@@ -53,7 +56,8 @@
 
 // NewSidecar wires a sidecar from its settings. Its runs end with the context.
 func NewSidecar(ctx context.Context, settings loader.Sidecar) (*Sidecar, error) {
-	common, err := newSidecarCommon(settings)
+	meter := newSidecarMeter(settings)
+	common, err := newSidecarCommon(settings, meter)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/documenter/main.go
+++ b/cmd/documenter/main.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"github.com/juju/errors"
 
@@ -24,28 +23,32 @@
 This page is generated from the comments and defaults in the source.
 `
 
-const pageMode = 0o600
+// The command runs by go generate in a folder below the module's root.
+const (
+	root     = ".."
+	page     = root + "/docs/SETTINGS.md"
+	pageMode = 0o600
+)
 
 func main() {
-	root := os.Args[1]
-	if err := run(root); err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "documenter:", err)
 		os.Exit(1)
 	}
 }
 
-func run(root string) error {
-	page := &bytes.Buffer{}
-	page.WriteString(introduction)
+func run() error {
+	text := &bytes.Buffer{}
+	text.WriteString(introduction)
 
 	writer := documenter.NewDocumenter(root)
-	if err := writer.Write(page, "limpetrail entry", loader.DefaultEntry()); err != nil {
+	if err := writer.Write(text, "limpetrail entry", loader.DefaultEntry()); err != nil {
 		return errors.Trace(err)
 	}
 
-	if err := writer.Write(page, "limpetrail sidecar", loader.DefaultSidecar()); err != nil {
+	if err := writer.Write(text, "limpetrail sidecar", loader.DefaultSidecar()); err != nil {
 		return errors.Trace(err)
 	}
 
-	return errors.Trace(os.WriteFile(filepath.Join(root, "docs", "SETTINGS.md"), page.Bytes(), pageMode))
+	return errors.Trace(os.WriteFile(page, text.Bytes(), pageMode))
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
 )
 
 // Commander runs one command line.
@@ -34,7 +35,17 @@
 	application.Terminate(nil)
 
 	commands := map[string]command{}
-	for _, add := range []func(*kingpin.Application) command{commander.entry, commander.sidecar} {
+	for _, add := range []func(*kingpin.Application) command{
+		commander.entry,
+		commander.sidecar,
+		commander.check,
+		commander.request,
+		commander.timeLine,
+		commander.status,
+		commander.demo,
+		commander.version,
+		commander.completion,
+	} {
 		added := add(application)
 		commands[added.clause.FullCommand()] = added
 	}
@@ -46,11 +57,23 @@
 		return ExitUsage
 	}
 
-	if err := commands[chosen].run(ctx); err != nil {
-		fmt.Fprintln(commander.Err, "limpetrail:", err)
+	return commander.finish(commands[chosen].run(ctx))
+}
 
-		return ExitFailed
+// finish prints the error of a command and returns the exit code for it.
+func (commander *Commander) finish(err error) int {
+	if err == nil {
+		return ExitOK
 	}
 
-	return ExitOK
+	fmt.Fprintln(commander.Err, "limpetrail:", err)
+
+	switch {
+	case errors.Is(err, errRefused):
+		return ExitRefused
+	case errors.Is(err, errors.NotValid):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
 }
--- a/commander/exit_code.go
+++ b/commander/exit_code.go
@@ -1,5 +1,7 @@
 package commander
 
+import "github.com/juju/errors"
+
 // Exit codes of the command.
 const (
 	// ExitOK means that all was done.
@@ -8,4 +10,9 @@
 	ExitFailed = 1
 	// ExitUsage means that the arguments or settings are wrong.
 	ExitUsage = 2
+	// ExitRefused means that an entry answered and refused.
+	ExitRefused = 3
 )
+
+// errRefused is the cause of a command that an entry refused.
+const errRefused = errors.ConstError("refused")
--- /dev/null
+++ b/commander/operations.go
@@ -0,0 +1,210 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"runtime/debug"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"limpetrail/handler"
+	"limpetrail/loader"
+	"limpetrail/observer"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// entryFlag adds the flag that every command against an entry has.
+func entryFlag(clause *kingpin.CmdClause) *string {
+	return clause.Flag("entry", "Host and port of an entry.").Default("127.0.0.1:8080").Envar("LIMPETRAIL_ENTRY").String()
+}
+
+// outputFlag adds the flag of commands whose output scripts may read.
+func outputFlag(clause *kingpin.CmdClause) *string {
+	return clause.Flag("output", "Form of the output.").Default(outputText).Enum(outputText, outputJSON)
+}
+
+func (commander *Commander) check(application *kingpin.Application) command {
+	clause := application.Command("check", "Check a settings file without starting anything.")
+	role := clause.Arg("role", "Role the file is for.").Required().Enum("entry", "sidecar")
+	path := clause.Arg("file", "INI file.").Required().String()
+
+	return command{clause: clause, run: func(context.Context) error {
+		var err error
+
+		if *role == "entry" {
+			settings := loader.DefaultEntry()
+			err = loader.Load(*path, &settings)
+		} else {
+			settings := loader.DefaultSidecar()
+			err = loader.Load(*path, &settings)
+		}
+
+		if err != nil {
+			return errors.WithType(err, errors.NotValid)
+		}
+
+		fmt.Fprintf(commander.Out, "%s: valid settings of a %s\n", *path, *role)
+
+		return nil
+	}}
+}
+
+func (commander *Commander) request(application *kingpin.Application) command {
+	clause := application.Command("request", "Send a completion and print its answer as it comes.")
+	entry := entryFlag(clause)
+	workspace := clause.Flag("workspace", "Workspace of the caller.").Required().String()
+	service := clause.Flag("service", "Service to ask.").Required().String()
+	tokens := clause.Flag("max-tokens", "Most tokens of the answer.").Default("64").Int()
+	prompt := clause.Arg("prompt", "Text to complete.").Required().String()
+
+	return command{clause: clause, run: func(ctx context.Context) error {
+		body, err := json.Marshal(map[string]any{"model": *service, "prompt": *prompt, "max_tokens": *tokens, "stream": true})
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		caller := client{entry: *entry, headers: map[string]string{handler.WorkspaceHeader: *workspace}}
+
+		response, err := caller.open(ctx, http.MethodPost, "/v1/completions", strings.NewReader(string(body)))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer response.Body.Close()
+
+		return commander.printStream(response)
+	}}
+}
+
+func (commander *Commander) timeLine(application *kingpin.Application) command {
+	clause := application.Command("timeline", "Show the events of all processes in one order.")
+	entry := entryFlag(clause)
+	output := outputFlag(clause)
+	request := clause.Flag("request", "Only this request.").String()
+	job := clause.Flag("job", "Only this job.").String()
+	limit := clause.Flag("limit", "Most events, newest first to stay.").Default("200").Int()
+
+	return command{clause: clause, run: func(ctx context.Context) error {
+		query := url.Values{"request": {*request}, "job": {*job}, "limit": {fmt.Sprint(*limit)}}
+
+		text, err := client{entry: *entry}.do(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		return commander.print(*output, text, func(out io.Writer) error { return printTimeLine(out, text) })
+	}}
+}
+
+func (commander *Commander) status(application *kingpin.Application) command {
+	clause := application.Command("status", "Show what an entry knows and decides by.")
+	entry := entryFlag(clause)
+	output := outputFlag(clause)
+
+	return command{clause: clause, run: func(ctx context.Context) error {
+		text, err := client{entry: *entry}.do(ctx, http.MethodGet, "/v1/status", nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		return commander.print(*output, text, func(out io.Writer) error { return printStatus(out, text) })
+	}}
+}
+
+func (commander *Commander) version(application *kingpin.Application) command {
+	clause := application.Command("version", "Print the version.")
+
+	return command{clause: clause, run: func(context.Context) error {
+		build, found := debug.ReadBuildInfo()
+		if !found {
+			return errors.NotFoundf("build information")
+		}
+
+		fmt.Fprintln(commander.Out, "limpetrail", build.Main.Version, build.GoVersion)
+
+		return nil
+	}}
+}
+
+func (commander *Commander) completion(application *kingpin.Application) command {
+	clause := application.Command("completion", "Print a script that completes commands in a shell.")
+	shell := clause.Arg("shell", "Shell.").Required().Enum("bash", "zsh")
+
+	return command{clause: clause, run: func(context.Context) error {
+		templates := map[string]string{
+			"bash": kingpin.BashCompletionTemplate,
+			"zsh":  kingpin.ZshCompletionTemplate,
+		}
+
+		context, err := application.ParseContext(nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		application.UsageWriter(commander.Out)
+
+		return errors.Trace(application.UsageForContextWithTemplate(context, 0, templates[*shell]))
+	}}
+}
+
+// print writes JSON as it came, or the text form of it.
+func (commander *Commander) print(output string, text []byte, asText func(io.Writer) error) error {
+	if output == outputJSON {
+		_, err := commander.Out.Write(text)
+
+		return errors.Trace(err)
+	}
+
+	return asText(commander.Out)
+}
+
+func printTimeLine(out io.Writer, text []byte) error {
+	answer := observer.TimeLine{}
+	if err := json.Unmarshal(text, &answer); err != nil {
+		return errors.Trace(err)
+	}
+
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, event := range answer.Events {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n",
+			event.Stamp.Time().Format(time.RFC3339Nano), event.Instance, event.Part, event.Kind,
+			event.RequestID+event.JobID, strings.Join(event.Details, " "))
+	}
+
+	if len(answer.Missing) > 0 {
+		fmt.Fprintln(table, "no answer from", strings.Join(answer.Missing, ", "))
+	}
+
+	return errors.Trace(table.Flush())
+}
+
+func printStatus(out io.Writer, text []byte) error {
+	status := observer.Status{}
+	if err := json.Unmarshal(text, &status); err != nil {
+		return errors.Trace(err)
+	}
+
+	fmt.Fprintf(out, "%s in %s, document revision %d\n", status.Instance, status.DataCentre, status.Revision)
+
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REPLICA\tSERVICE\tDATA CENTRE\tONLINE\tQUEUED\tBATCH\tLIMIT\tLEAVING")
+
+	for _, replica := range status.Replicas {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%t\n", replica.Name, replica.Service, replica.DataCentre,
+			replica.Load.RunningOnline, replica.Load.QueuedOnline, replica.Load.RunningBatch, replica.Load.Limit,
+			replica.Leaving || replica.Load.Draining)
+	}
+
+	return errors.Trace(table.Flush())
+}
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -30,7 +30,8 @@
 // NewService returns a service that has acted on nothing yet.
 func NewService() *Service {
 	service := &Service{Faults: NewFaults(), acts: map[string]int{}, mux: http.NewServeMux()}
-	service.mux.Handle("/faults", service.Faults)
+	service.mux.Handle("GET /faults", service.Faults)
+	service.mux.Handle("POST /faults", service.Faults)
 	service.mux.HandleFunc("GET /acts", func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, service.Acts())
 	})
--- a/loader/doc.go
+++ b/loader/doc.go
@@ -2,4 +2,4 @@
 // documented struct for each role. Unknown keys and bad values are faults.
 package loader
 
-//go:generate go run limpetrail/cmd/documenter ..
+//go:generate go run limpetrail/cmd/documenter
--- /dev/null
+++ b/observer/observer.go
@@ -0,0 +1,182 @@
+package observer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"limpetrail/classifier"
+	"limpetrail/dialer"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/locator"
+	"limpetrail/messenger"
+	"limpetrail/publisher"
+	"limpetrail/recorder"
+	"limpetrail/router"
+)
+
+const (
+	askTimeout  = 2 * time.Second
+	askAtOnce   = 32
+	limitEvents = 1000
+)
+
+// Observer answers operators' questions at an entry.
+type Observer struct {
+	kernel.Common
+	List      locator.List
+	Dialer    *dialer.Dialer
+	Publisher *publisher.Publisher
+	Router    *router.Router
+}
+
+// NewObserver returns the operators' routes of an entry.
+func NewObserver(common kernel.Common, list locator.List, connections *dialer.Dialer, documents *publisher.Publisher, routes *router.Router) *Observer {
+	return &Observer{Common: common.ForPart("observer"), List: list, Dialer: connections, Publisher: documents, Router: routes}
+}
+
+// Register adds the operators' pages to a mux.
+func (observer *Observer) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/timeline", observer.timeLine)
+	mux.HandleFunc("GET /v1/status", observer.status)
+}
+
+// TimeLine is the answer to a question about events.
+type TimeLine struct {
+	// Events are in the order of their stamps.
+	Events []recorder.Event
+	// Missing names the instances that gave no answer.
+	Missing []string
+}
+
+// Status is what an entry knows and decides by.
+type Status struct {
+	Instance   string
+	DataCentre string
+	// Revision is that of the document in force here.
+	Revision keeper.Revision
+	Replicas []ReplicaStatus
+}
+
+// ReplicaStatus is an entry's view of one replica.
+type ReplicaStatus struct {
+	router.Replica
+	Load router.Load
+}
+
+func (observer *Observer) timeLine(writer http.ResponseWriter, request *http.Request) {
+	limit, err := strconv.Atoi(request.URL.Query().Get("limit"))
+	if err != nil || limit <= 0 {
+		limit = limitEvents
+	}
+
+	query := recorder.Query{
+		RequestID: request.URL.Query().Get("request"),
+		JobID:     request.URL.Query().Get("job"),
+		Limit:     min(limit, limitEvents),
+	}
+
+	merged, err := observer.Ask(request.Context(), query)
+	if err != nil {
+		outcome := classifier.Refuse(err.Error(), askTimeout)
+		classifier.NewProblem(http.StatusServiceUnavailable, "", outcome).Write(writer)
+
+		return
+	}
+
+	writeJSON(writer, merged)
+}
+
+// Ask merges the matching events of every instance on the platform's list.
+func (observer *Observer) Ask(ctx context.Context, query recorder.Query) (TimeLine, error) {
+	instances, err := observer.List.Instances(ctx)
+	if err != nil {
+		return TimeLine{}, err
+	}
+
+	lists := make([][]recorder.Event, len(instances))
+	failed := make([]bool, len(instances))
+	group := errgroup.Group{}
+	group.SetLimit(askAtOnce)
+
+	for index, instance := range instances {
+		group.Go(func() error {
+			var err error
+
+			lists[index], err = observer.askInstance(ctx, instance, query)
+			failed[index] = err != nil
+
+			return nil
+		})
+	}
+
+	// The functions return no errors: a missing instance is part of the answer.
+	_ = group.Wait()
+
+	answer := TimeLine{Events: recorder.Merge(lists...)}
+	if len(answer.Events) > query.Limit {
+		answer.Events = answer.Events[len(answer.Events)-query.Limit:]
+	}
+
+	for index, instance := range instances {
+		if failed[index] {
+			answer.Missing = append(answer.Missing, instance.Name)
+		}
+	}
+
+	return answer, nil
+}
+
+func (observer *Observer) askInstance(ctx context.Context, instance locator.Instance, query recorder.Query) ([]recorder.Event, error) {
+	if instance.Name == observer.Instance {
+		return observer.Recorder.Find(query), nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	conn := observer.Dialer.Pooled(ctx, instance.Address)
+	defer conn.Close()
+
+	reply, err := messenger.NewDRPCTimeLineClient(conn).Events(ctx, &messenger.EventsRequest{
+		Clock:     uint64(observer.Recorder.Clock.Now()),
+		RequestId: query.RequestID,
+		JobId:     query.JobID,
+		Limit:     uint32(query.Limit),
+	})
+	if err != nil {
+		return nil, err
+	}
+
+	events := make([]recorder.Event, 0, len(reply.GetEvents()))
+	for _, event := range reply.GetEvents() {
+		events = append(events, event.RecorderEvent())
+	}
+
+	return events, nil
+}
+
+func (observer *Observer) status(writer http.ResponseWriter, _ *http.Request) {
+	status := Status{
+		Instance:   observer.Instance,
+		DataCentre: observer.DataCentre,
+		Revision:   observer.Publisher.Current().Revision,
+	}
+
+	for _, replica := range observer.Router.Replicas() {
+		status.Replicas = append(status.Replicas, ReplicaStatus{Replica: replica, Load: observer.Router.Load(replica.Name)})
+	}
+
+	writeJSON(writer, status)
+}
+
+func writeJSON(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	// The connection is the operator's; a failed write has no one left to tell.
+	_ = json.NewEncoder(writer).Encode(value)
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 )
 
@@ -58,6 +59,8 @@
 
 // Query selects events; empty fields match all.
 type Query struct {
+	// RequestID is that of a request or of one of its attempts, which is the
+	// request's followed by a dot and the replica; either finds all attempts.
 	RequestID string
 	JobID     string
 	// Limit bounds the answer to the newest events; 0 means all that are kept.
@@ -66,10 +69,17 @@
 
 // Matches tells whether the event is asked for.
 func (query Query) Matches(event Event) bool {
-	return (query.RequestID == "" || query.RequestID == event.RequestID) &&
+	return (query.RequestID == "" || requestOf(query.RequestID) == requestOf(event.RequestID)) &&
 		(query.JobID == "" || query.JobID == event.JobID)
 }
 
+// requestOf cuts the replica off an attempt's ID.
+func requestOf(id string) string {
+	request, _, _ := strings.Cut(id, ".")
+
+	return request
+}
+
 // Find returns the kept events that match, oldest first.
 func (recorder *Recorder) Find(query Query) []Event {
 	recorder.mutex.Lock()
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,63 @@
+package recorder_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"limpetrail/recorder"
+)
+
+func TestRecorderKeepsNewestEvents(t *testing.T) {
+	ring := recorder.NewRecorder("entry-1", recorder.WithCapacity(3))
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		ring.Record(recorder.Event{RequestID: id})
+	}
+
+	found := ring.Find(recorder.Query{})
+	require.Len(t, found, 3)
+	require.Equal(t, "c", found[0].RequestID)
+	require.Equal(t, "e", found[2].RequestID)
+	require.Less(t, found[0].Stamp, found[1].Stamp)
+}
+
+func TestQueryFindsAllAttemptsOfRequest(t *testing.T) {
+	ring := recorder.NewRecorder("entry-1")
+	ring.Record(recorder.Event{RequestID: "one", Kind: recorder.KindReceived})
+	ring.Record(recorder.Event{RequestID: "one.sidecar-1", Kind: recorder.KindStarted})
+	ring.Record(recorder.Event{RequestID: "two.sidecar-1", Kind: recorder.KindStarted})
+
+	require.Len(t, ring.Find(recorder.Query{RequestID: "one"}), 2)
+	require.Len(t, ring.Find(recorder.Query{RequestID: "one.sidecar-1"}), 2)
+}
+
+func TestClockOrdersCauseBeforeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clocks := []*recorder.Clock{recorder.NewClock(), recorder.NewClock(), recorder.NewClock()}
+
+		var last recorder.Stamp
+
+		for range rapid.IntRange(1, 50).Draw(t, "messages") {
+			sender := clocks[rapid.IntRange(0, 2).Draw(t, "sender")]
+			sender.Observe(last)
+			stamp := sender.Now()
+			require.Greater(t, stamp, last)
+			last = stamp
+		}
+	})
+}
+
+func TestClockIgnoresStampsFarAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := recorder.NewClock()
+		time.Sleep(time.Hour)
+		ahead := broken.Now()
+
+		clock := recorder.NewClock()
+		clock.Observe(ahead + recorder.Stamp(uint64(time.Hour.Milliseconds())<<16))
+		require.WithinDuration(t, time.Now(), clock.Now().Time(), time.Second)
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 
 	"limpetrail/kernel"
@@ -106,3 +107,26 @@
 
 // Observe takes in how an attempt went.
 func (router *Router) Observe(string, Result) {}
+
+// Replicas returns every known replica in order of name.
+func (router *Router) Replicas() []Replica {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+
+	all := []Replica{}
+	for _, replicas := range router.replicas {
+		all = append(all, replicas...)
+	}
+
+	slices.SortFunc(all, func(left, right Replica) int { return strings.Compare(left.Name, right.Name) })
+
+	return all
+}
+
+// Load returns what the replica's sidecar last said about itself.
+func (router *Router) Load(name string) Load {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+
+	return router.loads[name]
+}
--- a/verifier/fleet_test.go
+++ b/verifier/fleet_test.go
@@ -260,3 +260,13 @@
 		}
 	}
 }
+
+// writeFile writes a file into a folder of the test and returns its path.
+func writeFile(t *testing.T, name, text string) string {
+	t.Helper()
+
+	path := filepath.Join(t.TempDir(), name)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+
+	return path
+}
