--- a/verifier/demo_test.go
+++ b/verifier/demo_test.go
@@ -21,12 +21,12 @@
 	folder, err := binaries()
 	require.NoError(t, err)
 
-	settings := writeFile(t, "entry.ini", "[Instance]\nNmae = entry-1\n")
+	settings := writeFile(t, "entry.ini", "[Instance]\nTitle = entry-1\n")
 	command := exec.CommandContext(t.Context(), filepath.Join(folder, "limpetrail"), "check", "entry", settings)
 
 	out, err := command.CombinedOutput()
 	require.Error(t, err)
 	require.Equal(t, 2, command.ProcessState.ExitCode())
-	require.Contains(t, string(out), "[Instance] Nmae")
+	require.Contains(t, string(out), "[Instance] Title")
 	require.Contains(t, string(out), "[Instance] Name")
 }
