Let the demo wait for its entries

Cause: the rehearsal's first request took a refused connection for a failure; the entries listen a moment after they are started.

Change: the wait for the first answer covers refused connections too.

--- a/demonstrator/rehearsal.go
+++ b/demonstrator/rehearsal.go
@@ -81,18 +81,14 @@
 
 	for {
 		status, answer, err := rehearsal.post(ctx, 0, path, map[string]string{handler.WorkspaceHeader: workspace}, body)
-		if err != nil {
-			return "", errors.Trace(err)
-		}
-
-		if status == http.StatusOK {
+		if err == nil && status == http.StatusOK {
 			return answer, nil
 		}
 
 		select {
 		case <-time.After(readyPause):
 		case <-ctx.Done():
-			return "", errors.Errorf("status %d: %s", status, answer)
+			return "", errors.Errorf("status %d, error %v: %s", status, err, answer)
 		}
 	}
 }
