Claim keyed non-idempotent requests before they leave

Cause: a non-idempotent request that a client resends through another entry would run twice; nothing shared said that it had been sent.

Change: package claimer. A claim (digest of firm, service, key; digest of the body; attempt, incarnation) is recorded by compare-and-swap in one of 16384 shard records before the attempt leaves, its result after. Changes that wait for one shard in a process share a write. A copy replays the result, joins the attempt at its sidecar, or has that sidecar revoke it before the claim moves on; a sidecar that is gone or restarted gives MayHaveRun.

Ruled out: recognising a lost write by a mark in the record (marks would have to be kept beside the claims; applying the same change again recognises it anyway); one key a claim (the service promises no delete, so keys would grow for ever); telling NotRun when the service is lost after a refused attempt (a copy may have taken the claim over).

Figures: 2 Get and 2 CompareAndSwap a keyed order, 1 Get for a replay; 200 waiting changes of one shard from two processes in at most 10 writes (test).

--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,424 @@
+package claimer
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/classifier"
+	"limpetrail/emulator"
+	"limpetrail/executor"
+)
+
+func TestResendThroughAnotherEntryReplaysTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1", "replica-2")
+
+		for _, entry := range []string{"entry-1", "entry-2", "entry-3"} {
+			outcome, answer := send(fleet.entry(t, entry))
+			requireAnswer(t, outcome, answer)
+		}
+
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
+func TestSameKeyWithAnotherBodyConflicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		entry := fleet.entry(t, "entry-1")
+		send(entry)
+
+		outcome := entry.Do(t.Context(), orderCall(`{"Machine":"lift"}`), "monday", &read{})
+		require.True(t, outcome.Conflict)
+		require.Equal(t, classifier.NotRun, outcome.Fate)
+		require.Equal(t, 1, fleet.acts())
+
+		other := orderCall(`{"Machine":"lift"}`)
+		other.Firm = "another"
+		require.Equal(t, classifier.Answered, entry.Do(t.Context(), other, "monday", &read{}).Fate, "keys of firms are apart")
+	})
+}
+
+func TestClaimWriteAppliedButAnswerLost(t *testing.T) {
+	tests := map[string]int{"one answer lost": 1, "every answer lost until the timeout": 1000}
+
+	for name, drops := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(t, "replica-1", "replica-2")
+				fleet.store.Faults.Set(emulator.Switches{DropAnswers: drops})
+
+				first, answer := send(fleet.entry(t, "entry-1"))
+				fleet.store.Faults.Set(emulator.Switches{})
+
+				if drops == 1 {
+					requireAnswer(t, first, answer)
+				} else {
+					require.Equal(t, classifier.NotRun, first.Fate)
+					require.Zero(t, fleet.acts())
+				}
+
+				second, answer := send(fleet.entry(t, "entry-2"))
+				requireAnswer(t, second, answer)
+				require.Equal(t, 1, fleet.acts())
+			})
+		})
+	}
+}
+
+func TestTwoEntriesClaimAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1", "replica-2", "replica-3")
+		fleet.store.Faults.Set(emulator.Switches{Delay: 5 * time.Millisecond})
+
+		done := make(chan told, 3)
+
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			entry := fleet.entry(t, name)
+
+			go func() {
+				outcome, answer := send(entry)
+				done <- told{outcome, answer}
+			}()
+		}
+
+		for range 3 {
+			requireTold(t, <-done)
+		}
+
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
+func TestPausedClaimantIsRevokedBeforeItsClaimIsTakenOver(t *testing.T) {
+	tests := map[string]time.Duration{
+		"it wakes while it may still send": time.Second,
+		"it wakes later":                   time.Minute,
+		"its revocation was forgotten":     2 * executor.DefaultSettings().Retain,
+	}
+
+	for name, pause := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(t, "replica-1", "replica-2")
+				paused := fleet.entry(t, "entry-1")
+				paused.beforeSend = func(string) { time.Sleep(pause) }
+
+				done := make(chan told, 1)
+
+				go func() {
+					call := orderCall(orderBody)
+					call.Deadline = time.Now().Add(2 * pause)
+					answer := &read{}
+					outcome := paused.Do(context.Background(), call, "monday", answer)
+					done <- told{outcome, answer}
+				}()
+
+				synctest.Wait()
+
+				outcome, answer := send(fleet.entry(t, "entry-2"))
+				requireAnswer(t, outcome, answer)
+				requireTold(t, <-done)
+				require.Equal(t, 1, fleet.acts())
+			})
+		})
+	}
+}
+
+func TestRunningAttemptIsJoined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		service := fleet.sidecars["replica-1"].service
+		service.Faults.Set(emulator.Switches{Delay: 10 * time.Second})
+
+		done := make(chan told, 1)
+
+		go func() {
+			outcome, answer := send(fleet.entry(t, "entry-1"))
+			done <- told{outcome, answer}
+		}()
+
+		time.Sleep(5 * time.Second)
+
+		outcome, answer := send(fleet.entry(t, "entry-2"))
+		requireAnswer(t, outcome, answer)
+		requireTold(t, <-done)
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
+func TestLostSidecarLeavesTheRequestUnsettled(t *testing.T) {
+	const running = 10 * time.Second
+
+	tests := map[string]struct {
+		lose func(fleet *fleet)
+		// back undoes the loss where that is possible.
+		back func(fleet *fleet)
+	}{
+		"restarted": {lose: func(fleet *fleet) { fleet.restart("replica-1") }},
+		"unreachable": {
+			lose: func(fleet *fleet) { fleet.sidecars["replica-1"].setDown(true) },
+			back: func(fleet *fleet) { fleet.sidecars["replica-1"].setDown(false) },
+		},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(t, "replica-1")
+				fleet.sidecars["replica-1"].service.Faults.Set(emulator.Switches{Delay: running})
+
+				first := make(chan Outcome, 1)
+
+				go func() {
+					outcome, _ := send(fleet.entry(t, "entry-1"))
+					first <- outcome
+				}()
+
+				time.Sleep(running / 2)
+				test.lose(fleet)
+				require.Equal(t, classifier.MayHaveRun, (<-first).Fate)
+
+				outcome, _ := send(fleet.entry(t, "entry-2"))
+				require.Equal(t, classifier.MayHaveRun, outcome.Fate)
+
+				time.Sleep(running)
+
+				if test.back != nil {
+					test.back(fleet)
+
+					outcome, answer := send(fleet.entry(t, "entry-2"))
+					requireAnswer(t, outcome, answer)
+				}
+
+				require.Equal(t, 1, fleet.acts())
+			})
+		})
+	}
+}
+
+func TestServiceDown(t *testing.T) {
+	t.Run("before the claim", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := newFleet(t, "replica-1")
+			fleet.store.Faults.Set(emulator.Switches{Outage: true})
+
+			began := time.Now()
+			outcome, _ := send(fleet.entry(t, "entry-1"))
+			require.Equal(t, classifier.NotRun, outcome.Fate)
+			require.Positive(t, outcome.RetryAfter)
+			require.Zero(t, time.Since(began), "a refusal waits for nothing")
+			require.Zero(t, fleet.acts())
+		})
+	})
+
+	for name, fault := range map[string]emulator.Switches{"outage": {Outage: true}, "freeze": {Freeze: true}} {
+		t.Run("between claim and result: "+name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFleet(t, "replica-1")
+				entry := fleet.entry(t, "entry-1")
+				entry.beforeSend = func(string) { fleet.store.Faults.Set(fault) }
+
+				began := time.Now()
+				outcome, answer := send(entry)
+				requireAnswer(t, outcome, answer)
+				require.LessOrEqual(t, time.Since(began), DefaultSettings().ResultWait)
+
+				time.Sleep(time.Minute)
+				fleet.store.Faults.Set(emulator.Switches{})
+				entry.Wait()
+
+				// The record alone must be enough now.
+				fleet.restart("replica-1")
+				outcome, answer = send(fleet.entry(t, "entry-2"))
+				requireAnswer(t, outcome, answer)
+				require.Equal(t, 1, fleet.acts())
+			})
+		})
+	}
+}
+
+func TestResultWriteLostForGoodIsReadAtTheSidecar(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		settings := DefaultSettings()
+		settings.RecordFor = settings.ResultWait
+		entry := fleet.entry(t, "entry-1", WithSettings(settings))
+		entry.beforeSend = func(string) { fleet.store.Faults.Set(emulator.Switches{Outage: true}) }
+
+		outcome, answer := send(entry)
+		requireAnswer(t, outcome, answer)
+		entry.Wait()
+		fleet.store.Faults.Set(emulator.Switches{})
+
+		// The copy finds it at the sidecar and records it.
+		outcome, answer = send(fleet.entry(t, "entry-2"))
+		requireAnswer(t, outcome, answer)
+		fleet.restart("replica-1")
+		outcome, answer = send(fleet.entry(t, "entry-3"))
+		requireAnswer(t, outcome, answer)
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
+func TestCallerLeavesAndTheOrderGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		fleet.sidecars["replica-1"].service.Faults.Set(emulator.Switches{Delay: time.Second})
+
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second/2, leave)
+		fleet.entry(t, "entry-1").Do(ctx, orderCall(orderBody), "monday", &read{gone: true})
+
+		fleet.restart("replica-1")
+		outcome, answer := send(fleet.entry(t, "entry-2"))
+		requireAnswer(t, outcome, answer)
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
+func TestRefusedAttemptMovesOrFreesTheKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1", "replica-2")
+		for _, sidecar := range fleet.sidecars {
+			sidecar.executor.Drain()
+		}
+
+		outcome, _ := send(fleet.entry(t, "entry-1"))
+		require.Equal(t, classifier.NotRun, outcome.Fate)
+
+		fleet.restart("replica-1")
+
+		// The key is free again, also for another order.
+		outcome = fleet.entry(t, "entry-2").Do(t.Context(), orderCall(`{"Machine":"lift"}`), "monday", &read{})
+		require.Equal(t, classifier.Answered, outcome.Fate, outcome.Reason)
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
+func TestOutageAfterATakeoverIsNotToldAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		paused := fleet.entry(t, "entry-1")
+		paused.beforeSend = func(string) { time.Sleep(time.Second) }
+
+		first := make(chan Outcome, 1)
+
+		go func() {
+			outcome, _ := send(paused)
+			first <- outcome
+		}()
+
+		synctest.Wait()
+		outcome, answer := send(fleet.entry(t, "entry-2"))
+		requireAnswer(t, outcome, answer)
+		fleet.store.Faults.Set(emulator.Switches{Outage: true})
+
+		require.Equal(t, classifier.MayHaveRun, (<-first).Fate)
+	})
+}
+
+func TestClaimsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		entry := fleet.entry(t, "entry-1")
+		send(entry)
+
+		time.Sleep(ResultRetention - time.Minute)
+
+		outcome, answer := send(entry)
+		requireAnswer(t, outcome, answer)
+
+		time.Sleep(2 * time.Minute)
+
+		outcome, _ = send(entry)
+		require.Equal(t, classifier.MayHaveRun, outcome.Fate, "the result is dropped, the claim is not")
+		require.Equal(t, 1, fleet.acts())
+
+		time.Sleep(Retention - ResultRetention)
+
+		outcome, _ = send(entry)
+		require.Equal(t, classifier.Answered, outcome.Fate, "the key is new again")
+		require.Equal(t, 2, fleet.acts())
+	})
+}
+
+func TestFullRecordTakesNoNewClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		shard := newClaim(orderCall(orderBody), "monday").shard()
+		value, err := (&record{Claims: []Claim{{Key: strings.Repeat("x", MaxRecordBytes), At: time.Now().Unix()}}}).encode()
+		require.NoError(t, err)
+
+		_, _, err = fleet.store.CompareAndSwap(t.Context(), shard, 0, value)
+		require.NoError(t, err)
+
+		outcome, _ := send(fleet.entry(t, "entry-1"))
+		require.Equal(t, classifier.NotRun, outcome.Fate)
+		require.Positive(t, outcome.RetryAfter)
+		require.Zero(t, fleet.acts())
+	})
+}
+
+func TestChangesThatWaitForOneShardShareAWrite(t *testing.T) {
+	const orders = 200
+
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore()
+		store.Faults.Set(emulator.Switches{Delay: 5 * time.Millisecond})
+		committers := []*committer{newCommitter(store, time.Second), newCommitter(store, time.Second)}
+		failures := make(chan error, orders)
+
+		for order := range orders {
+			go func() {
+				claim := Claim{Key: strconv.Itoa(order), Attempt: "attempt", At: time.Now().Unix()}
+				_, err := committers[order%2].commit(t.Context(), "shard", begin(claim, ""))
+				failures <- err
+			}()
+		}
+
+		for range orders {
+			require.NoError(t, <-failures)
+		}
+
+		entry, err := store.Get(t.Context(), "shard")
+		require.NoError(t, err)
+
+		record, err := decodeRecord(entry.Value)
+		require.NoError(t, err)
+		require.Len(t, record.Claims, orders)
+		require.LessOrEqual(t, store.Calls()["CompareAndSwap"], 10)
+	})
+}
+
+func TestStaleIncarnationIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		entry := fleet.entry(t, "entry-1")
+		entry.Do(t.Context(), orderCall(orderBody), "sunday", &read{})
+		fleet.restart("replica-1")
+		// The idle connection is seen to be closed, so the next one is new.
+		synctest.Wait()
+
+		outcome, _ := send(entry)
+		require.Equal(t, classifier.Answered, outcome.Fate, outcome.Reason)
+		require.Equal(t, 2, fleet.acts())
+	})
+}
+
+func TestCallsOfAKeyedOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		send(fleet.entry(t, "entry-1"))
+		require.Equal(t, map[string]int{"Get": 2, "CompareAndSwap": 2}, fleet.store.Calls())
+
+		send(fleet.entry(t, "entry-2"))
+		require.Equal(t, map[string]int{"Get": 3, "CompareAndSwap": 2}, fleet.store.Calls(), "a replay writes nothing")
+	})
+}
