Serve plain services, keyed requests and answers read again

Cause: the entry served completions only; an answer whose connection was lost could not be read again; refusals of bad input were plain text or named one fault; unknown paths and methods got no problem document.

Change: POST /v1/services/{service}/{path...} passes status, content type and body back; Idempotency-Key takes requests to non-idempotent services through claimer; GET /v1/requests/{ID}?offset=N reads an answer on through any entry (request IDs tell the answer's form, events carry their index as id). Bad input is refused with every fault at once. MayHaveRun is 502 now and NotRun 503: a client that repeats every 503 by itself would repeat an order that may have run.

Ruled out: a "/" in the mux per method for 405 (the mux tells which methods a path takes); telling NotRun in refusals of a reading (it would be read as a word about the request that is read).

Proof: mutated by hand, each seen to fail: no flush, claims for idempotent services too, keys ignored, offset ignored, other firm's service allowed, NotRun for a bad offset, .. in paths, 503 for MayHaveRun, no 405, status of the service ignored, path not passed on, and towards the plain service an Idempotency-Key with GetBody set (TestOrderWhoseAnswerIsLostIsNotSentAgain). Unmutated: go test -race -count=5 ./handler and -count=3 ./verifier pass.

--- a/app/providers.go
+++ b/app/providers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/admitter"
+	"limpetrail/claimer"
 	"limpetrail/dialer"
 	"limpetrail/dispatcher"
 	"limpetrail/driver"
@@ -93,6 +94,10 @@
 	return dispatcher.NewDispatcher(common, routes, connections, dispatcher.WithSettings(settings.Dispatch))
 }
 
+func newClaimer(common kernel.Common, store keeper.Store, calls *dispatcher.Dispatcher) *claimer.Claimer {
+	return claimer.NewClaimer(common, store, calls)
+}
+
 func newRoutes(inference *handler.Inference, operators *observer.Observer, metrics *meter.Meter) []handler.Routes {
 	return []handler.Routes{inference, operators, metrics}
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -24,6 +24,7 @@
 		newRouter,
 		newDialer,
 		newDispatcher,
+		newClaimer,
 		newRoutes,
 		newTimeLine,
 		newEntryServices,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -36,7 +36,8 @@
 		return nil, err
 	}
 	dispatcher := newDispatcher(common, settings, router, dialer)
-	inference := handler.NewInference(common, dispatcher, publisherPublisher)
+	claimer := newClaimer(common, store, dispatcher)
+	inference := handler.NewInference(common, dispatcher, publisherPublisher, claimer)
 	observerObserver := observer.NewObserver(common, list, dialer, publisherPublisher, router)
 	v := newRoutes(inference, observerObserver, meter)
 	timeLine := newTimeLine(common)
--- /dev/null
+++ b/handler/completion.go
@@ -0,0 +1,66 @@
+package handler
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"limpetrail/dispatcher"
+	"limpetrail/editor"
+)
+
+// completionRequest is what the entry reads of a caller's body; the engine
+// reads the rest.
+type completionRequest struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+func (inference *Inference) complete(writer http.ResponseWriter, request *http.Request, shape shape) {
+	arrival := inference.arrive(writer, request, shape.newID())
+	arrival.wantJSON()
+	key := arrival.key()
+	body := arrival.body()
+	wanted := arrival.completion(body)
+	index := inference.Publisher.Current().Index
+	call := dispatcher.Call{}
+
+	if wanted.Model == "" {
+		arrival.workspace(index)
+	} else {
+		call = arrival.call(index, editor.ServiceKindModel, "model", wanted.Model)
+	}
+
+	if arrival.refused() {
+		return
+	}
+
+	call.Path = request.URL.Path
+	call.Body = body
+	inference.run(request.Context(), call, key, newCompletionSink(writer, shape, wanted))
+}
+
+// completion reads the body of a completion.
+func (arrival *arrival) completion(body []byte) completionRequest {
+	wanted := completionRequest{}
+
+	if arrival.status == http.StatusRequestEntityTooLarge {
+		return wanted
+	}
+
+	err := json.Unmarshal(body, &wanted)
+
+	var mistyped *json.UnmarshalTypeError
+
+	switch {
+	case errors.As(err, &mistyped) && mistyped.Field != "":
+		arrival.fault(http.StatusBadRequest, mistyped.Field, mistyped.Value, "give a "+mistyped.Type.String())
+	case err != nil:
+		arrival.fault(http.StatusBadRequest, "body", err.Error(), "send one JSON object")
+	case wanted.Model == "":
+		arrival.fault(http.StatusBadRequest, "model", "", "name the service to call")
+	}
+
+	return wanted
+}
--- a/handler/completion_sink.go
+++ b/handler/completion_sink.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -14,24 +16,29 @@
 // RequestIDHeader carries the ID under which an answer can be read again.
 const RequestIDHeader = "X-Request-Id"
 
+const eventStreamType = "text/event-stream"
+
 // completionSink writes a completion, streamed or whole.
 type completionSink struct {
 	writer http.ResponseWriter
 	shape  shape
 	wanted completionRequest
 
-	id     string
-	text   strings.Builder
+	id string
+	// created is the same in all chunks of an answer.
+	created time.Time
+	text    strings.Builder
+	// tokens is the number of events, those before a reader's offset included.
 	tokens int
 	// begun is set once the status line left, after which a refusal can only
 	// be an event of the stream.
 	begun bool
 }
 
-var _ dispatcher.Sink = (*completionSink)(nil)
+var _ sink = (*completionSink)(nil)
 
 func newCompletionSink(writer http.ResponseWriter, shape shape, wanted completionRequest) *completionSink {
-	return &completionSink{writer: writer, shape: shape, wanted: wanted}
+	return &completionSink{writer: writer, shape: shape, wanted: wanted, created: time.Now()}
 }
 
 // Begin implements dispatcher.Sink.
@@ -43,7 +50,7 @@
 		return nil
 	}
 
-	sink.writer.Header().Set("Content-Type", "text/event-stream")
+	sink.writer.Header().Set("Content-Type", eventStreamType)
 	sink.writer.Header().Set("Cache-Control", "no-cache")
 	sink.writer.WriteHeader(http.StatusOK)
 	sink.begun = true
@@ -53,6 +60,7 @@
 
 // Event implements dispatcher.Sink.
 func (sink *completionSink) Event(event []byte) error {
+	index := sink.tokens
 	sink.tokens++
 
 	if !sink.wanted.Stream {
@@ -61,7 +69,8 @@
 		return nil
 	}
 
-	return sink.send(sink.shape.chunk(sink.id, sink.wanted.Model, string(event)))
+	// The event's ID is its index, so that a caller knows where to read on.
+	return sink.send("id: "+strconv.Itoa(index)+"\n", sink.shape.chunk(sink.id, sink.wanted.Model, string(event), sink.created))
 }
 
 // End implements dispatcher.Sink.
@@ -73,18 +82,18 @@
 	}
 
 	if sink.wanted.Stream {
-		last := sink.shape.chunk(sink.id, sink.wanted.Model, "")
+		last := sink.shape.chunk(sink.id, sink.wanted.Model, "", sink.created)
 		last.Choices[0].FinishReason = &end.FinishReason
 		last.Usage = counts
 
-		if err := sink.send(last); err != nil {
+		if err := sink.send("", last); err != nil {
 			return err
 		}
 
 		return sink.write("data: [DONE]\n\n")
 	}
 
-	answer := sink.shape.whole(sink.id, sink.wanted.Model, sink.text.String())
+	answer := sink.shape.whole(sink.id, sink.wanted.Model, sink.text.String(), sink.created)
 	answer.Choices[0].FinishReason = &end.FinishReason
 	answer.Usage = counts
 	sink.begun = true
@@ -93,15 +102,10 @@
 	return errors.Trace(json.NewEncoder(sink.writer).Encode(answer))
 }
 
-// finish tells the caller of an outcome that is no answer.
-func (sink *completionSink) finish(id string, outcome classifier.Outcome) {
-	if outcome.Fate == classifier.Answered {
-		return
-	}
-
-	problem := classifier.NewProblem(http.StatusServiceUnavailable, id, outcome)
+// refuse implements sink. After the status line it can only be an event.
+func (sink *completionSink) refuse(problem classifier.Problem) {
 	if !sink.begun {
-		problem.Write(sink.writer)
+		writeProblem(sink.writer, problem)
 
 		return
 	}
@@ -115,13 +119,13 @@
 	_ = sink.write("event: error\ndata: " + string(body) + "\n\n")
 }
 
-func (sink *completionSink) send(chunk completion) error {
+func (sink *completionSink) send(prefix string, chunk completion) error {
 	body, err := json.Marshal(chunk)
 	if err != nil {
 		return errors.Trace(err)
 	}
 
-	return sink.write("data: " + string(body) + "\n\n")
+	return sink.write(prefix + "data: " + string(body) + "\n\n")
 }
 
 func (sink *completionSink) write(text string) error {
--- a/handler/shape.go
+++ b/handler/shape.go
@@ -1,6 +1,11 @@
 package handler
 
-import "time"
+import (
+	"strings"
+	"time"
+
+	"limpetrail/dispatcher"
+)
 
 // shape is the form of a completion's answer.
 type shape int
@@ -10,6 +15,33 @@
 	shapeText
 )
 
+// Prefixes of request IDs, which tell the form of the answer.
+const (
+	chatPrefix = "chat-"
+	textPrefix = "text-"
+)
+
+// newID returns a request ID for an answer of this form.
+func (shape shape) newID() string {
+	if shape == shapeChat {
+		return chatPrefix + dispatcher.NewRequestID()
+	}
+
+	return textPrefix + dispatcher.NewRequestID()
+}
+
+// shapeOf returns the form that a request ID tells.
+func shapeOf(id string) (shape, bool) {
+	switch {
+	case strings.HasPrefix(id, chatPrefix):
+		return shapeChat, true
+	case strings.HasPrefix(id, textPrefix):
+		return shapeText, true
+	default:
+		return 0, false
+	}
+}
+
 // choice is one alternative of an answer; limpetrail gives one.
 type choice struct {
 	Index        int      `json:"index"`
@@ -40,8 +72,8 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
-func (shape shape) whole(id, model, text string) completion {
-	answer := completion{ID: id, Created: time.Now().Unix(), Model: model}
+func (shape shape) whole(id, model, text string, created time.Time) completion {
+	answer := completion{ID: id, Created: created.Unix(), Model: model}
 
 	if shape == shapeChat {
 		answer.Object = "chat.completion"
@@ -54,8 +86,8 @@
 	return answer
 }
 
-func (shape shape) chunk(id, model, text string) completion {
-	answer := shape.whole(id, model, text)
+func (shape shape) chunk(id, model, text string, created time.Time) completion {
+	answer := shape.whole(id, model, text, created)
 
 	if shape == shapeChat {
 		answer.Object = "chat.completion.chunk"
