--- a/claimer/settings.go
+++ b/claimer/settings.go
@@ -39,7 +39,7 @@
 const (
 	// Shards is the number of records that hold all claims. All entries of a
 	// fleet must agree on it; see docs/CLAIMS.md for the arithmetic.
-	Shards = 1 << 14
+	Shards = 1 << 15
 	// Retention is how long a key is known.
 	Retention = 24 * time.Hour
 	// ResultRetention is how long a recorded result is replayed.
