--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -83,6 +83,7 @@
 Three things to try:
 
   curl -sN http://%[3]s/v1/chat/completions -H 'X-Limpetrail-Workspace: briefings' \
+    -H 'Content-Type: application/json' \
     -d '{"model":"briefing","stream":true,"messages":[{"role":"user","content":"Pollen in Moshi?"}]}'
 
   curl -s http://%[3]s/v1/services/order/book -H 'X-Limpetrail-Workspace: yard' \
