Try keyed orders over connections that go silent

Proof: with FirstFrame and Silence of an hour the table fails.

Seen: with a single replica, an order that is lost on a silent idle connection is revoked and refused as NotRun instead of being sent again there. That is true and stays so.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -153,6 +153,41 @@
 	})
 }
 
+func TestSilentConnectionIsLeftForANewOne(t *testing.T) {
+	tests := map[string]struct{ to, from bool }{
+		"to the sidecar":   {to: true},
+		"from the sidecar": {from: true},
+		"both ways":        {to: true, from: true},
+	}
+
+	for name, test := range tests {
+		for moment, after := range map[string]time.Duration{"before the order": 0, "while it runs": 5 * time.Second} {
+			t.Run(name+" "+moment, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newFleet(t, "replica-1", "replica-2")
+					entry := fleet.entry(t, "entry-1")
+					entry.Do(t.Context(), orderCall(orderBody), "sunday", &read{})
+
+					for _, sidecar := range fleet.sidecars {
+						sidecar.service.Faults.Set(emulator.Switches{Delay: 10 * time.Second})
+						time.AfterFunc(after, func() { sidecar.silence(test.to, test.from) })
+					}
+
+					if after == 0 {
+						synctest.Wait()
+					}
+
+					outcome, answer := send(entry)
+					require.Equal(t, classifier.Answered, outcome.Fate, outcome.Reason)
+					require.Contains(t, answer.body.String(), `"Bytes":23}`)
+					require.Equal(t, 1, answer.ended)
+					require.Equal(t, 2, fleet.acts())
+				})
+			})
+		}
+	}
+}
+
 func TestLostSidecarLeavesTheRequestUnsettled(t *testing.T) {
 	const running = 10 * time.Second
 
