Take a completion without a content type for JSON

Cause: clients that send no Content-Type were refused with 415; the header is optional (RFC 9110, 8.3), and a JSON parser judges the body in any case. Change: only a content type that is given and wrong is refused. Proof: the test got 415 before and passes now.

--- a/handler/arrival.go
+++ b/handler/arrival.go
@@ -84,9 +84,12 @@
 	return body
 }
 
-// wantJSON checks the content type.
+// wantJSON checks the content type; a request without one is taken for JSON.
 func (arrival *arrival) wantJSON() {
 	value := arrival.request.Header.Get("Content-Type")
+	if value == "" {
+		return
+	}
 
 	mediaType, _, err := mime.ParseMediaType(value)
 	if err != nil || mediaType != "application/json" {
--- a/handler/inference_test.go
+++ b/handler/inference_test.go
@@ -174,6 +174,14 @@
 	})
 }
 
+func TestCompletionWithoutContentTypeIsTakenForJSON(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite(t)
+		answer := site.send("entry-1", inquiry{path: "/v1/completions", body: `{"model":"reader"}`, headers: map[string]string{"Content-Type": ""}})
+		require.Equal(t, http.StatusOK, answer.status, answer.body)
+	})
+}
+
 func TestAnswerIsReadOnAfterACutConnection(t *testing.T) {
 	for name, after := range map[string]time.Duration{"while it runs": 0, "after its end": time.Minute} {
 		t.Run(name, func(t *testing.T) {
