Order from a workspace of its own in the process tests

Cause: with the request path's tests merged, newCaller's workspace is always the same, which the linter refuses. Change: the order tests' document has a workspace of its own.

--- a/verifier/order_test.go
+++ b/verifier/order_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"limpetrail/classifier"
+	"limpetrail/editor"
 	"limpetrail/emulator"
 	"limpetrail/handler"
 )
@@ -26,7 +27,10 @@
 func newOrderFleet(t *testing.T, sidecars ...string) *fleet {
 	t.Helper()
 
-	fleet := newFleet(t, exampleDocument())
+	document := exampleDocument()
+	document.Workspaces = append(document.Workspaces, editor.Workspace{Name: "yard", Firm: document.Firms[0].Name})
+
+	fleet := newFleet(t, document)
 	for _, name := range sidecars {
 		fleet.sidecar(name, "Service", "order")
 	}
@@ -38,7 +42,7 @@
 }
 
 func newOrderer(fleet *fleet, key string) *caller {
-	caller := newCaller(fleet, "briefings")
+	caller := newCaller(fleet, "yard")
 	caller.headers[handler.IdempotencyKeyHeader] = key
 
 	return caller
