Settle the fate of requests whose connection, sidecar or engine fails

Cause: read against the promises, the request path had these faults. A failed dial counted as may-have-run. A request refused for an old incarnation was not sent again at that replica. Finished and revoked IDs were forgotten by age or by bytes, after which a delayed copy could start. A non-idempotent batch request started again after a preemption. A stream that ended without a last token left its run without an end. Cancel at a silent engine had no bound, a silent engine stream was never given up. The last token and the last frame could be lost apart, and another replica then added a token. Net/http followed redirections. Every pooled connection was destroyed after one call, because the stream was cancelled before it was closed.

--- a/app/entry.go
+++ b/app/entry.go
@@ -46,18 +46,23 @@
 		return errors.Annotate(err, "listening for callers")
 	}
 
-	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", entry.Settings.Listen.Peers)
+	peers, err := listenPeers(ctx, entry.Settings.Listen.Peers)
 	if err != nil {
-		return errors.Annotate(err, "listening for peers")
+		return errors.Trace(err)
 	}
 
-	server := &http.Server{Handler: entry.handler(), ReadHeaderTimeout: headerTimeout}
+	// Peers and the followers of the platform go on while requests finish.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	departure := NewDeparture(entry.Settings.Listen.BalancerLag)
+	server := &http.Server{Handler: departure.Wrap(entry.handler()), ReadHeaderTimeout: headerTimeout}
 	served := make(chan error, 2)
 
-	go entry.Publisher.Run(ctx)
-	go entry.locate(ctx)
+	go entry.Publisher.Run(serving)
+	go entry.locate(serving)
 	go func() { served <- server.Serve(listener) }()
-	go func() { served <- servePeers(context.WithoutCancel(ctx), peers, entry.Services) }()
+	go func() { served <- servePeers(serving, peers, entry.Services) }()
 
 	entry.Log.WithField("Callers", listener.Addr()).Info("Serving.")
 
@@ -67,7 +72,7 @@
 	case <-ctx.Done():
 		entry.Log.Info("Stopping.")
 
-		return errors.Trace(server.Shutdown(context.WithoutCancel(ctx)))
+		return departure.Stop(serving, server)
 	}
 }
 
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/juju/errors"
 
@@ -21,12 +20,12 @@
 	Services []messenger.Service
 }
 
-// Run serves until the context ends, then drains: new work is refused and
-// what runs finishes.
+// Run serves until the context ends, then drains: new work is refused, what
+// runs finishes, and answers can be read for a short time.
 func (sidecar *Sidecar) Run(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", sidecar.Settings.Listen.Peers)
+	listener, err := listenPeers(ctx, sidecar.Settings.Listen.Peers)
 	if err != nil {
-		return errors.Annotate(err, "listening for peers")
+		return errors.Trace(err)
 	}
 
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -36,6 +35,7 @@
 		<-ctx.Done()
 		sidecar.Executor.Drain()
 		sidecar.Executor.Wait()
+		sidecar.Executor.Linger(serving)
 		stop()
 	}()
 	go sidecar.Executor.Tend(serving)
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
@@ -49,7 +48,7 @@
 // NewDialer returns a dialer over TCP.
 func NewDialer(options ...Option) *Dialer {
 	dialer := &Dialer{
-		DialContext: (&net.Dialer{}).DialContext,
+		DialContext: (&net.Dialer{Control: BoundUnacknowledged}).DialContext,
 		DialTimeout: defaultDialTimeout,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  defaultIdleTimeout,
@@ -63,12 +62,19 @@
 	return dialer
 }
 
-// Pooled returns a connection that takes an idle one from the pool, or opens
-// one, at its first call. Closing it gives it back.
-func (dialer *Dialer) Pooled(ctx context.Context, address string) drpc.Conn {
-	return dialer.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		return dialer.Fresh(ctx, address)
-	})
+// Take returns an idle connection from the pool, or opens one. The caller gives
+// it back with Give, or closes it. An error means that nothing was sent.
+func (dialer *Dialer) Take(ctx context.Context, address string) (drpcpool.Conn, error) {
+	if conn, found := dialer.pool.Take(address); found {
+		return conn, nil
+	}
+
+	return dialer.Fresh(ctx, address)
+}
+
+// Give puts a connection whose last call has ended well into the pool.
+func (dialer *Dialer) Give(address string, conn drpcpool.Conn) {
+	dialer.pool.Put(address, conn)
 }
 
 // Fresh opens a new connection, which the caller closes. It is the way to ask
@@ -82,6 +88,8 @@
 		return nil, errors.Annotatef(err, "dialling %s", address)
 	}
 
+	transport = NewBoundedConn(transport)
+
 	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: ManagerOptions()}), nil
 }
 
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -1,9 +1,11 @@
 package dispatcher
 
 import (
+	"context"
 	"time"
 
 	"limpetrail/messenger"
+	"limpetrail/router"
 )
 
 // Call is a request as the entry accepted it.
@@ -25,6 +27,10 @@
 	Deadline time.Time
 	// PrefixKeys are hashes of the prompt's leading blocks for the router.
 	PrefixKeys []uint64
+	// Permit is asked right before an attempt leaves; nil permits all. A call
+	// whose right to run is shared with others records the target here. An
+	// error keeps the attempt from leaving and ends the call.
+	Permit func(ctx context.Context, target Target) error
 }
 
 // End is what the last frame of an answer said.
@@ -44,3 +50,13 @@
 	Event(event []byte) error
 	End(end End) error
 }
+
+// Target is where an attempt of a call is about to go.
+type Target struct {
+	Replica router.Replica
+	// AttemptID is the ID that the sidecar will know the request by.
+	AttemptID string
+	// Incarnation is the number that the attempt carries; revoking it takes
+	// the same number.
+	Incarnation uint64
+}
--- /dev/null
+++ b/driver/http_client.go
@@ -0,0 +1,54 @@
+package driver
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+// newClient returns a client that sends each request exactly once. Every
+// request has a connection of its own: an idle one may have gone silent or be
+// closed while the request is on its way, and then nobody knows whether it
+// ran. Redirections are answers, not orders to send the request elsewhere.
+func newClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// send posts the body. A NotProvisioned error means that there was no
+// connection, so that no byte left; after any other error the request may have
+// been acted on.
+func send(ctx context.Context, client *http.Client, address, path string, body []byte, header http.Header) (*http.Response, error) {
+	if !strings.HasPrefix(path, "/") {
+		return nil, errors.NewNotProvisioned(nil, "path "+path+" does not begin with a slash")
+	}
+
+	connected := &atomic.Bool{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.NewNotProvisioned(err, "building the request")
+	}
+	// Without GetBody the transport cannot send the request a second time.
+	request.GetBody = nil
+	request.Header = header
+
+	response, err := client.Do(request)
+	if err != nil && !connected.Load() {
+		return nil, errors.NewNotProvisioned(err, "connecting")
+	}
+
+	return response, errors.Trace(err)
+}
--- a/driver/http_engine.go
+++ b/driver/http_engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -41,7 +40,7 @@
 
 // NewHTTPEngine returns an engine at the address, a host and port.
 func NewHTTPEngine(address string) *HTTPEngine {
-	return &HTTPEngine{Address: address, Client: &http.Client{Transport: &http.Transport{}}}
+	return &HTTPEngine{Address: address, Client: newClient()}
 }
 
 // Generate implements Engine.
@@ -97,14 +96,7 @@
 		return nil, errors.Trace(err)
 	}
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engine.Address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	// Without GetBody the transport cannot send the request a second time.
-	request.GetBody = nil
-
-	response, err := engine.Client.Do(request)
+	response, err := send(ctx, engine.Client, engine.Address, path, body, http.Header{"Content-Type": {"application/json"}})
 	if err != nil {
 		return nil, errors.Annotatef(err, "engine %s", path)
 	}
--- a/driver/http_service.go
+++ b/driver/http_service.go
@@ -1,11 +1,9 @@
 package driver
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 
 	"github.com/juju/errors"
 
@@ -36,30 +34,15 @@
 
 // NewHTTPService returns a service at the address, a host and port.
 func NewHTTPService(address string) *HTTPService {
-	return &HTTPService{Address: address, Client: &http.Client{Transport: &http.Transport{}}}
+	return &HTTPService{Address: address, Client: newClient()}
 }
 
 // Call implements Service.
 func (service *HTTPService) Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error) {
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	response, err := send(ctx, service.Client, service.Address, call.Path, call.Body, http.Header{
+		"Content-Type":  {call.ContentType},
+		RequestIDHeader: {call.RequestID},
 	})
-
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+service.Address+call.Path, bytes.NewReader(call.Body))
-	if err != nil {
-		return ServiceAnswer{}, errors.NewNotProvisioned(err, "building the call")
-	}
-	// Without GetBody the transport cannot send the call a second time.
-	request.GetBody = nil
-	request.Header.Set("Content-Type", call.ContentType)
-	request.Header.Set(RequestIDHeader, call.RequestID)
-
-	response, err := service.Client.Do(request)
-	if err != nil && !connected {
-		return ServiceAnswer{}, errors.NewNotProvisioned(err, "connecting to the service")
-	}
-
 	if err != nil {
 		return ServiceAnswer{}, errors.Annotate(err, "calling the service")
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,7 +19,8 @@
 type Executor struct {
 	kernel.Common
 	Settings Settings
-	// Incarnation differs at every start of the process; see NewExecutor.
+	// Incarnation differs at every start of the process; see NewExecutor. A
+	// request of this process's own carries it; peers carry Number.
 	Incarnation uint64
 	// Engine is nil when the backend server is a plain service.
 	Engine driver.Engine
@@ -27,26 +29,22 @@
 	Admitter admitter.Admitter
 
 	mutex sync.Mutex
-	// runs holds unfinished runs, finished ones whose answer is kept, and
-	// revoked IDs, which must outlast every delayed copy of their request.
-	runs map[string]*Run
-	// finished lists finished runs in order of their end.
-	finished []finishedRun
-	// retained is the sum of the bytes of finished.
-	retained int
+	// runs holds unfinished runs and the ended ones that the ledger remembers,
+	// revoked IDs among them.
+	runs     map[string]*Run
+	ledger   ledger
 	draining bool
-	// context ends all work; set by Serve.
+	// drained is when draining began.
+	drained time.Time
+	// reported is the load report that data frames share until it is old.
+	reported   *messenger.LoadReport
+	reportedAt time.Time
+	// context ends all work.
 	context context.Context //nolint:containedctx // Runs outlive the connection that brought them.
 	// active counts the runs that have not ended.
 	active sync.WaitGroup
 }
 
-type finishedRun struct {
-	id    string
-	bytes int
-	at    time.Time
-}
-
 // Option changes an Executor at construction.
 type Option func(*Executor)
 
@@ -66,15 +64,17 @@
 }
 
 // NewExecutor returns an executor whose work ends with the context. The
-// incarnation is the wall clock in nanoseconds: what counts is that no two
-// starts of a sidecar share it, not their order.
+// incarnation is random: what counts is that no two starts of a sidecar share
+// it, not their order.
 func NewExecutor(ctx context.Context, common kernel.Common, admission admitter.Admitter, options ...Option) *Executor {
+	ledger := newLedger(rand.Uint64())
 	executor := &Executor{
 		Common:      common.ForPart("executor"),
 		Settings:    DefaultSettings(),
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: ledger.base,
 		Admitter:    admission,
 		runs:        map[string]*Run{},
+		ledger:      ledger,
 		context:     ctx,
 	}
 	for _, option := range options {
@@ -84,22 +84,32 @@
 	return executor
 }
 
+// Number is what a request of a peer must carry now.
+func (executor *Executor) Number() uint64 {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+
+	return executor.ledger.window
+}
+
 // Submit records the request and starts to work on it, or joins the run of the
-// same ID. The error says why it will never run here; it is then NotRun.
+// same ID. The error says why it will never run here; it is then NotRun. Only
+// a request of this process's own may carry the bare incarnation.
 func (executor *Executor) Submit(request *messenger.ExecuteRequest) (*Run, error) {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
 
 	id := request.GetRequestId()
 
-	if request.GetIncarnation() != executor.Incarnation {
-		return nil, errors.Forbiddenf("request for another start of %s", executor.Instance)
-	}
-
+	// An ID that is known is joined whatever its number: it cannot start twice.
 	if run, found := executor.runs[id]; found {
 		return run, nil
 	}
 
+	if number := request.GetIncarnation(); number != executor.Incarnation && !executor.ledger.accepts(number) {
+		return nil, errors.Forbiddenf("request for another start of %s", executor.Instance)
+	}
+
 	if executor.draining {
 		return nil, errors.Forbiddenf("new work: %s is leaving", executor.Instance)
 	}
@@ -133,13 +143,15 @@
 }
 
 // Revoke makes sure that a request that has not started never will, also when
-// it has not arrived yet. With cancel a running one is stopped too.
-func (executor *Executor) Revoke(id string, incarnation uint64, cancel bool) (messenger.Fate, uint64) {
-	if incarnation != executor.Incarnation {
+// it has not arrived yet. With cancel a running one is stopped too. An ID that
+// is unknown under a number that is no longer accepted has the fate unknown:
+// it may have ended so long ago that it was forgotten.
+func (executor *Executor) Revoke(id string, number uint64, cancel bool) (messenger.Fate, uint64) {
+	run := executor.findOrBar(id, number)
+	if run == nil {
 		return messenger.Fate_FATE_UNKNOWN, 0
 	}
 
-	run := executor.findOrBar(id)
 	fate, offset := run.Revoke()
 	executor.event(recorder.KindRevoked, id, "Fate="+fate.String())
 
@@ -152,7 +164,7 @@
 
 // findOrBar returns the run of that ID; an unknown ID gets a revoked run, so
 // that a copy that arrives later is refused.
-func (executor *Executor) findOrBar(id string) *Run {
+func (executor *Executor) findOrBar(id string, number uint64) *Run {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
 
@@ -160,10 +172,15 @@
 		return run
 	}
 
+	if !executor.ledger.accepts(number) {
+		return nil
+	}
+
 	run := NewRun(&messenger.ExecuteRequest{RequestId: id}, func() {})
 	run.Revoke()
 	executor.runs[id] = run
-	executor.finished = append(executor.finished, finishedRun{id: id, at: time.Now()})
+	executor.ledger.add(id, run, 0)
+	executor.forget()
 
 	return run
 }
@@ -175,6 +192,7 @@
 
 	if !executor.draining {
 		executor.draining = true
+		executor.drained = time.Now()
 		executor.Log.Info("Draining.")
 		executor.event(recorder.KindDraining, "")
 	}
@@ -185,7 +203,48 @@
 	executor.active.Wait()
 }
 
-// Load returns the report that rides on every frame.
+// Linger waits until the answers of a drained sidecar had time to be read, and
+// its refusals time to be heard.
+func (executor *Executor) Linger(ctx context.Context) {
+	executor.mutex.Lock()
+	since := executor.drained
+	if last := executor.ledger.lastEnd(); last.After(since) {
+		since = last
+	}
+	executor.mutex.Unlock()
+
+	select {
+	case <-time.After(time.Until(since.Add(executor.Settings.Linger))):
+	case <-ctx.Done():
+	}
+}
+
+// frameLoad returns the report for a data frame, which is shared for a short
+// time because a stream sends one for every token.
+func (executor *Executor) frameLoad() *messenger.LoadReport {
+	executor.mutex.Lock()
+	fresh := executor.reported != nil &&
+		executor.reported.GetDraining() == executor.draining &&
+		time.Since(executor.reportedAt) < executor.Settings.LoadAge
+	reported := executor.reported
+	executor.mutex.Unlock()
+
+	if fresh {
+		return reported
+	}
+
+	report := executor.Load()
+
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+
+	executor.reported = report
+	executor.reportedAt = time.Now()
+
+	return report
+}
+
+// Load returns the present report; it rides on every frame.
 func (executor *Executor) Load() *messenger.LoadReport {
 	report := executor.Admitter.Report()
 
@@ -222,11 +281,8 @@
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
 
-	for len(executor.finished) > 0 && executor.expired(executor.finished[0]) {
-		executor.retained -= executor.finished[0].bytes
-		delete(executor.runs, executor.finished[0].id)
-		executor.finished = executor.finished[1:]
-	}
+	executor.ledger.turn(executor.Settings)
+	executor.forget()
 
 	for id, run := range executor.runs {
 		// A non-idempotent run goes on: stopping it would leave its effect
@@ -238,22 +294,23 @@
 	}
 }
 
-func (executor *Executor) expired(finished finishedRun) bool {
-	overfull := executor.retained > executor.Settings.RetainBytes && finished.bytes > 0
+// forget drops what need not be remembered, with the mutex held.
+func (executor *Executor) forget() {
+	if len(executor.ledger.records) > executor.Settings.Records {
+		executor.ledger.turn(executor.Settings)
+	}
 
-	return overfull || time.Since(finished.at) > executor.Settings.Retain
+	for _, id := range executor.ledger.forget(executor.Settings) {
+		delete(executor.runs, id)
+	}
 }
 
 func (executor *Executor) retain(id string, run *Run) {
 	executor.mutex.Lock()
 	defer executor.mutex.Unlock()
 
-	run.mutex.Lock()
-	bytes := run.bytes
-	run.mutex.Unlock()
-
-	executor.retained += bytes
-	executor.finished = append(executor.finished, finishedRun{id: id, bytes: bytes, at: time.Now()})
+	executor.ledger.add(id, run, run.size())
+	executor.forget()
 }
 
 func (executor *Executor) event(kind recorder.Kind, id string, details ...string) {
--- a/executor/run.go
+++ b/executor/run.go
@@ -22,7 +22,7 @@
 	bytes  int
 	// end is the last frame, set exactly once with a final fate.
 	end *messenger.Frame
-	// changed is closed and replaced at each change.
+	// changed is closed at the next change; nil while nobody waits for it.
 	changed chan struct{}
 	// followers counts the streams that read this run now.
 	followers int
@@ -38,7 +38,6 @@
 		Request:    request,
 		Deadline:   time.Now().Add(time.Duration(request.GetRemainingMicros()) * time.Microsecond),
 		fate:       messenger.Fate_FATE_QUEUED,
-		changed:    make(chan struct{}),
 		unfollowed: time.Now(),
 		stop:       stop,
 	}
@@ -68,17 +67,32 @@
 	return true
 }
 
-// Append adds events to the answer.
-func (run *Run) Append(events ...[]byte) {
+// Append adds events to the answer. It returns false when the answer has grown
+// past the limit; the events are kept all the same.
+func (run *Run) Append(limit int, events ...[]byte) bool {
 	run.mutex.Lock()
 	defer run.mutex.Unlock()
 
-	for _, event := range events {
-		run.bytes += len(event)
+	run.append(events)
+	run.notify()
+
+	return run.bytes <= limit
+}
+
+// Complete adds the last events together with the last frame, so that no
+// reader sees them apart.
+func (run *Run) Complete(end *messenger.Frame, events ...[]byte) bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	if run.end != nil {
+		return false
 	}
 
-	run.events = append(run.events, events...)
-	run.notify()
+	run.append(events)
+	run.finish(messenger.Fate_FATE_ANSWERED, end)
+
+	return true
 }
 
 // Finish sets the last frame, unless the run has one already.
@@ -127,6 +141,10 @@
 	length := uint64(len(run.events))
 	offset = min(offset, length)
 
+	if run.changed == nil {
+		run.changed = make(chan struct{})
+	}
+
 	return run.events[offset:length:length], run.end, run.changed
 }
 
@@ -162,7 +180,46 @@
 	run.notify()
 }
 
+func (run *Run) append(events [][]byte) {
+	for _, event := range events {
+		run.bytes += len(event)
+	}
+
+	run.events = append(run.events, events...)
+}
+
+// drop lets go of the answer. What ran and what did not stays known.
+func (run *Run) drop() {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	if run.fate == messenger.Fate_FATE_NOT_RUN {
+		return
+	}
+
+	run.events = nil
+	run.bytes = 0
+	run.end = &messenger.Frame{
+		Kind:   messenger.FrameKind_FRAME_KIND_REFUSED,
+		Fate:   messenger.Fate_FATE_MAY_HAVE_RUN,
+		Reason: "the answer is no longer kept",
+	}
+	run.Request = &messenger.ExecuteRequest{
+		RequestId:   run.Request.GetRequestId(),
+		Incarnation: run.Request.GetIncarnation(),
+	}
+}
+
+func (run *Run) size() int {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+
+	return run.bytes + len(run.Request.GetBody())
+}
+
 func (run *Run) notify() {
-	close(run.changed)
-	run.changed = make(chan struct{})
+	if run.changed != nil {
+		close(run.changed)
+		run.changed = nil
+	}
 }
--- a/executor/server.go
+++ b/executor/server.go
@@ -11,6 +11,9 @@
 	"limpetrail/recorder"
 )
 
+// maxFrameBytes bounds the events of one frame, but for a single larger one.
+const maxFrameBytes = 256 << 10
+
 // Server answers the sidecar's calls from entries.
 type Server struct {
 	Executor *Executor
@@ -44,7 +47,7 @@
 	return &messenger.HelloReply{
 		Clock:       server.now(),
 		Instance:    server.Executor.Instance,
-		Incarnation: server.Executor.Incarnation,
+		Incarnation: server.Executor.Number(),
 		Load:        server.Executor.Load(),
 	}, nil
 }
@@ -53,18 +56,28 @@
 func (server *Server) Execute(request *messenger.ExecuteRequest, stream messenger.DRPCSidecar_ExecuteStream) error {
 	server.observe(request.GetClock())
 
+	// The bare incarnation is for this process's own requests.
+	if request.GetIncarnation() == server.Executor.Incarnation {
+		return server.refuse(stream, messenger.Fate_FATE_NOT_RUN, "the request carries no number")
+	}
+
 	run, err := server.Executor.Submit(request)
 	if err != nil {
-		return server.send(stream, &messenger.Frame{
-			Kind:   messenger.FrameKind_FRAME_KIND_REFUSED,
-			Fate:   messenger.Fate_FATE_NOT_RUN,
-			Reason: err.Error(),
-		})
+		return server.refuse(stream, messenger.Fate_FATE_NOT_RUN, err.Error())
 	}
 
 	return server.follow(run, 0, stream)
 }
 
+func (server *Server) refuse(stream frameSender, fate messenger.Fate, reason string) error {
+	return server.send(stream, &messenger.Frame{
+		Kind:        messenger.FrameKind_FRAME_KIND_REFUSED,
+		Fate:        fate,
+		Reason:      reason,
+		Incarnation: server.Executor.Number(),
+	})
+}
+
 // Resume streams the rest of an answer from an offset. An unknown request ends
 // with the fate unknown: the asker revokes it to learn more.
 func (server *Server) Resume(request *messenger.ResumeRequest, stream messenger.DRPCSidecar_ResumeStream) error {
@@ -72,11 +85,7 @@
 
 	run := server.Executor.Find(request.GetRequestId())
 	if run == nil {
-		return server.send(stream, &messenger.Frame{
-			Kind:   messenger.FrameKind_FRAME_KIND_REFUSED,
-			Fate:   messenger.Fate_FATE_UNKNOWN,
-			Reason: "no such request here",
-		})
+		return server.refuse(stream, messenger.Fate_FATE_UNKNOWN, "no such request here")
 	}
 
 	server.Executor.event(recorder.KindResumed, request.GetRequestId())
@@ -94,7 +103,7 @@
 		Clock:       server.now(),
 		Fate:        fate,
 		Offset:      offset,
-		Incarnation: server.Executor.Incarnation,
+		Incarnation: server.Executor.Number(),
 	}, nil
 }
 
@@ -120,7 +129,8 @@
 func (server *Server) follow(run *Run, offset uint64, stream frameSender) error {
 	defer run.Follow()()
 
-	if err := server.send(stream, &messenger.Frame{Kind: messenger.FrameKind_FRAME_KIND_ACCEPTED}); err != nil {
+	accepted := &messenger.Frame{Kind: messenger.FrameKind_FRAME_KIND_ACCEPTED, Incarnation: server.Executor.Number()}
+	if err := server.send(stream, accepted); err != nil {
 		return err
 	}
 
@@ -130,12 +140,12 @@
 	for {
 		events, end, changed := run.After(offset)
 		if len(events) > 0 {
-			frame := &messenger.Frame{Kind: messenger.FrameKind_FRAME_KIND_DATA, Offset: offset, Events: events}
-			if err := server.send(stream, frame); err != nil {
+			frame := dataFrame(offset, events, end)
+			if err := server.sendData(stream, frame); err != nil {
 				return err
 			}
 
-			offset += uint64(len(events))
+			offset += uint64(len(frame.GetEvents()))
 
 			continue
 		}
@@ -156,6 +166,28 @@
 	}
 }
 
+// dataFrame returns a frame of bounded size with the first of the events. When
+// it holds the last ones of an answered request it says so.
+func dataFrame(offset uint64, events [][]byte, end *messenger.Frame) *messenger.Frame {
+	count, bytes := 1, len(events[0])
+	for count < len(events) && bytes+len(events[count]) <= maxFrameBytes {
+		bytes += len(events[count])
+		count++
+	}
+
+	frame := &messenger.Frame{Kind: messenger.FrameKind_FRAME_KIND_DATA, Offset: offset, Events: events[:count]}
+
+	if end != nil && end.GetFate() == messenger.Fate_FATE_ANSWERED && count == len(events) {
+		frame.Complete = true
+		frame.FinishReason = end.GetFinishReason()
+		frame.Status = end.GetStatus()
+		frame.ContentType = end.GetContentType()
+		frame.PromptTokens = end.GetPromptTokens()
+	}
+
+	return frame
+}
+
 func (server *Server) sendEnd(stream frameSender, end *messenger.Frame, offset uint64) error {
 	return server.send(stream, &messenger.Frame{
 		Kind:             end.GetKind(),
@@ -167,9 +199,18 @@
 		Status:           end.GetStatus(),
 		ContentType:      end.GetContentType(),
 		PromptTokens:     end.GetPromptTokens(),
+		Incarnation:      server.Executor.Number(),
+		Unreached:        end.GetUnreached(),
 	})
 }
 
+func (server *Server) sendData(stream frameSender, frame *messenger.Frame) error {
+	frame.Clock = server.now()
+	frame.Load = server.Executor.frameLoad()
+
+	return errors.Trace(stream.Send(frame))
+}
+
 func (server *Server) send(stream frameSender, frame *messenger.Frame) error {
 	frame.Clock = server.now()
 	frame.Load = server.Executor.Load()
--- a/executor/settings.go
+++ b/executor/settings.go
@@ -10,6 +10,24 @@
 	Retain time.Duration
 	// RetainBytes bounds the answers that are kept.
 	RetainBytes int
+	// Records bounds the ended requests that are remembered. Beyond it every
+	// request already on its way is refused as not run, and may come again.
+	Records int
+	// AnswerBytes bounds one answer.
+	AnswerBytes int
+	// Linger is how long a leaving sidecar lets its last answers be read and
+	// its refusals be heard before it exits.
+	Linger time.Duration
+	// LoadAge is how long data frames share one load report.
+	LoadAge time.Duration
+	// EngineSilence is how long an engine's stream may yield no token before
+	// it is given up.
+	EngineSilence time.Duration
+	// CancelTimeout bounds the wait for an engine to confirm a cancel.
+	CancelTimeout time.Duration
+	// ServiceSilence bounds one idempotent call of a plain service, which is
+	// then made again. Others may take until their deadline.
+	ServiceSilence time.Duration
 	// Abandon is how long an idempotent run goes on with nobody reading it.
 	Abandon time.Duration
 	// MaxRemaining bounds the time a request may ask for.
@@ -26,6 +44,13 @@
 		Heartbeat:        time.Second,
 		Retain:           5 * time.Minute,
 		RetainBytes:      16 << 20,
+		Records:          100_000,
+		AnswerBytes:      16 << 20,
+		Linger:           2 * time.Second,
+		LoadAge:          10 * time.Millisecond,
+		EngineSilence:    5 * time.Second,
+		CancelTimeout:    time.Second,
+		ServiceSilence:   30 * time.Second,
 		Abandon:          10 * time.Second,
 		MaxRemaining:     time.Hour,
 		EngineAttempts:   3,
--- a/executor/work.go
+++ b/executor/work.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"io"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,8 @@
 	verdictEnded verdict = iota
 	verdictPreempted
 	verdictBroken
+	// verdictUnreached means that the backend server took no connection.
+	verdictUnreached
 )
 
 // work takes the run through admission and the backend server to its end.
@@ -35,6 +38,8 @@
 		Deadline:  run.Deadline,
 	}
 
+	reached := false
+
 	for broken := 0; ; {
 		place, refusal := executor.Admitter.Enter(ctx, ticket)
 		if place == nil {
@@ -53,12 +58,24 @@
 		verdict, err := executor.stay(ctx, run, place)
 		place.Leave()
 
+		if verdict == verdictUnreached && !reached {
+			executor.finishRefused(run, messenger.Fate_FATE_NOT_RUN, &messenger.Frame{
+				Reason:           "the backend server takes no connection",
+				RetryAfterMicros: uint64(executor.Settings.Heartbeat.Microseconds()),
+				Unreached:        true,
+			})
+
+			return
+		}
+
+		reached = true
+
 		switch verdict {
 		case verdictEnded:
 			return
 		case verdictPreempted:
 			executor.event(recorder.KindCancelled, ticket.RequestID, "Cause=online work needs the room")
-		case verdictBroken:
+		case verdictBroken, verdictUnreached:
 			broken++
 			if !executor.mayResume(ctx, run, broken) {
 				executor.lose(run, err)
@@ -92,22 +109,23 @@
 		fate = messenger.Fate_FATE_MAY_HAVE_RUN
 	}
 
-	executor.finishRefused(run, fate, reason, retryAfter)
+	executor.finishRefused(run, fate, &messenger.Frame{
+		Reason:           reason,
+		RetryAfterMicros: uint64(retryAfter.Microseconds()),
+	})
 }
 
 // lose ends a run whose stream broke for good.
 func (executor *Executor) lose(run *Run, err error) {
-	executor.finishRefused(run, messenger.Fate_FATE_MAY_HAVE_RUN, "the backend server gave no whole answer: "+err.Error(), 0)
+	executor.finishRefused(run, messenger.Fate_FATE_MAY_HAVE_RUN, &messenger.Frame{
+		Reason: "the backend server gave no whole answer: " + err.Error(),
+	})
 }
 
-func (executor *Executor) finishRefused(run *Run, fate messenger.Fate, reason string, retryAfter time.Duration) {
-	finished := run.Finish(fate, &messenger.Frame{
-		Kind:             messenger.FrameKind_FRAME_KIND_REFUSED,
-		Reason:           reason,
-		RetryAfterMicros: uint64(retryAfter.Microseconds()),
-	})
-	if finished {
-		executor.event(recorder.KindRefused, run.Request.GetRequestId(), "Fate="+fate.String(), "Reason="+reason)
+func (executor *Executor) finishRefused(run *Run, fate messenger.Fate, end *messenger.Frame) {
+	end.Kind = messenger.FrameKind_FRAME_KIND_REFUSED
+	if run.Finish(fate, end) {
+		executor.event(recorder.KindRefused, run.Request.GetRequestId(), "Fate="+fate.String(), "Reason="+end.GetReason())
 	}
 }
 
@@ -120,42 +138,49 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	preempted := make(chan struct{})
+	preempted := executor.watchPreemption(ctx, cancel, run, place)
+	err := executor.generate(ctx, cancel, run, place)
+
+	switch {
+	case err == nil:
+		return verdictEnded, nil
+	case preempted.Load():
+		return verdictPreempted, nil
+	case errors.Is(err, errors.NotValid):
+		executor.lose(run, err)
+
+		return verdictEnded, nil
+	case errors.Is(err, errors.NotProvisioned):
+		return verdictUnreached, errors.Trace(err)
+	default:
+		return verdictBroken, errors.Trace(err)
+	}
+}
+
+// watchPreemption ends the stay when its place is taken back. A request that
+// is not idempotent keeps its place, since it must not start twice.
+func (executor *Executor) watchPreemption(ctx context.Context, cancel func(), run *Run, place admitter.Place) *atomic.Bool {
+	preempted := &atomic.Bool{}
+	if !run.Request.GetIdempotent() {
+		return preempted
+	}
 
 	go func() {
 		select {
 		case <-place.Preempted():
-			close(preempted)
+			preempted.Store(true)
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
 
-	err := executor.generate(ctx, run, place)
-
-	select {
-	case <-preempted:
-		if err != nil {
-			return verdictPreempted, nil
-		}
-	default:
-	}
-
-	if err != nil && errors.Is(err, errors.NotValid) {
-		executor.lose(run, err)
-
-		return verdictEnded, nil
-	}
-
-	if err != nil {
-		return verdictBroken, errors.Trace(err)
-	}
-
-	return verdictEnded, nil
+	return preempted
 }
 
-// generate streams tokens from the engine, after those of an earlier stay.
-func (executor *Executor) generate(ctx context.Context, run *Run, place admitter.Place) error {
+// generate streams tokens from the engine, after those of an earlier stay. A
+// stream that yields nothing for a while is given up: its connection may be
+// dead without either end noticing.
+func (executor *Executor) generate(ctx context.Context, cancel func(), run *Run, place admitter.Place) error {
 	request := run.Request
 	generation := driver.Generation{
 		ID:      request.GetRequestId(),
@@ -164,47 +189,96 @@
 		Adapter: request.GetAdapter(),
 	}
 
-	for _, event := range append(request.GetPrefix(), run.Events()...) {
+	for _, event := range slices.Concat(request.GetPrefix(), run.Events()) {
 		generation.Prefix = append(generation.Prefix, string(event))
 	}
 
+	watchdog := time.AfterFunc(executor.Settings.EngineSilence, cancel)
+	defer watchdog.Stop()
+
 	stream, err := executor.Engine.Generate(ctx, generation)
 	if err != nil {
+		executor.cancelStream(ctx, generation.ID, err)
+
 		return errors.Trace(err)
 	}
-
 	defer stream.Close()
 
+	next := len(generation.Prefix)
+
 	for {
 		token, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
+		if err == nil && token.Index > next {
+			err = errors.Errorf("the engine skipped from token %d to %d", next, token.Index)
+		}
+
+		if err == nil && token.Index < next {
+			continue
+		}
+
+		if err == nil && !executor.takeToken(run, place, token) {
+			err = errors.NotValidf("answer of more than %d bytes", executor.Settings.AnswerBytes)
 		}
 
 		if err != nil {
-			// The engine goes on with a stream that nobody reads, so it is told.
-			_ = executor.Engine.Cancel(context.WithoutCancel(ctx), generation.ID)
+			executor.cancelStream(ctx, generation.ID, err)
 
 			return errors.Trace(err)
 		}
 
-		place.Token()
-		run.Append([]byte(token.Text))
-
 		if token.Finish != "" {
-			executor.answer(run, &messenger.Frame{
-				Kind:         messenger.FrameKind_FRAME_KIND_ENDED,
-				FinishReason: token.Finish,
-				PromptTokens: uint32(token.PromptTokens),
-			})
-
 			return nil
 		}
+
+		next++
+
+		watchdog.Reset(executor.Settings.EngineSilence)
 	}
 }
 
-// call runs a plain service's call, once.
+// takeToken adds a token to the answer. It returns false when the answer is
+// too long.
+func (executor *Executor) takeToken(run *Run, place admitter.Place, token driver.Token) bool {
+	place.Token()
+
+	if token.Finish == "" {
+		return run.Append(executor.Settings.AnswerBytes, []byte(token.Text))
+	}
+
+	executor.answer(run, &messenger.Frame{
+		Kind:         messenger.FrameKind_FRAME_KIND_ENDED,
+		FinishReason: token.Finish,
+		PromptTokens: uint32(token.PromptTokens),
+	}, []byte(token.Text))
+
+	return true
+}
+
+// cancelStream tells the engine that nobody reads the stream any more; it
+// would go on otherwise. A stream that never began needs no word.
+func (executor *Executor) cancelStream(ctx context.Context, id string, cause error) {
+	if errors.Is(cause, errors.NotProvisioned) {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), executor.Settings.CancelTimeout)
+	defer cancel()
+
+	if err := executor.Engine.Cancel(ctx, id); err != nil {
+		executor.Log.WithError(err).WithField("RequestID", id).Warn("The engine confirmed no cancel.")
+	}
+}
+
+// call runs a plain service's call. An idempotent one that takes too long is
+// broken off, since its connection may be dead without either end noticing.
 func (executor *Executor) call(ctx context.Context, run *Run) (verdict, error) {
+	if run.Request.GetIdempotent() {
+		bounded, cancel := context.WithTimeout(ctx, executor.Settings.ServiceSilence)
+		defer cancel()
+
+		ctx = bounded
+	}
+
 	answer, err := executor.Service.Call(ctx, driver.ServiceCall{
 		RequestID:   run.Request.GetRequestId(),
 		Path:        run.Request.GetPath(),
@@ -214,25 +288,22 @@
 
 	switch {
 	case errors.Is(err, errors.NotProvisioned):
-		executor.finishRefused(run, messenger.Fate_FATE_NOT_RUN, "the backend server takes no connection", executor.Settings.Heartbeat)
-
-		return verdictEnded, nil
+		return verdictUnreached, errors.Trace(err)
 	case err != nil:
 		return verdictBroken, errors.Trace(err)
 	}
 
-	run.Append(answer.Body)
 	executor.answer(run, &messenger.Frame{
 		Kind:        messenger.FrameKind_FRAME_KIND_ENDED,
 		Status:      uint32(answer.Status),
 		ContentType: answer.ContentType,
-	})
+	}, slices.Collect(slices.Chunk(answer.Body, maxFrameBytes))...)
 
 	return verdictEnded, nil
 }
 
-func (executor *Executor) answer(run *Run, end *messenger.Frame) {
-	if run.Finish(messenger.Fate_FATE_ANSWERED, end) {
+func (executor *Executor) answer(run *Run, end *messenger.Frame, events ...[]byte) {
+	if run.Complete(end, events...) {
 		executor.event(recorder.KindAnswered, run.Request.GetRequestId())
 	}
 }
