--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
@@ -62,6 +63,14 @@
 	return dialer
 }
 
+// Pooled returns a connection that takes an idle one from the pool, or opens
+// one, at each call. It suits questions that may be asked again.
+func (dialer *Dialer) Pooled(ctx context.Context, address string) drpc.Conn {
+	return dialer.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		return dialer.Fresh(ctx, address)
+	})
+}
+
 // Take returns an idle connection from the pool, or opens one. The caller gives
 // it back with Give, or closes it. An error means that nothing was sent.
 func (dialer *Dialer) Take(ctx context.Context, address string) (drpcpool.Conn, error) {
