--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -36,8 +37,13 @@
 	engines    map[string]*emulator.Engine
 	services   map[string]*emulator.Service
 	executors  map[string]*executor.Executor
-	stops      map[string]func()
-	ended      sync.WaitGroup
+	// past holds every start of every sidecar.
+	past  []*executor.Executor
+	stops map[string]func()
+	ended sync.WaitGroup
+	// context ends the backend servers.
+	context context.Context
+	stop    func()
 }
 
 func newFleet(t *testing.T, change func(*dispatcher.Settings)) *fleet {
@@ -60,6 +66,7 @@
 		executors: map[string]*executor.Executor{},
 		stops:     map[string]func(){},
 	}
+	fleet.context, fleet.stop = context.WithCancel(context.Background())
 	t.Cleanup(fleet.close)
 
 	return fleet
@@ -72,6 +79,23 @@
 	fleet.replicas = append(fleet.replicas, router.Replica{Name: name, Address: name, Service: service})
 	fleet.dispatcher.Router.Update(fleet.replicas)
 	fleet.start(name)
+
+	engine := fleet.engines[name]
+	fleet.ended.Go(func() { engine.Run(fleet.context) })
+}
+
+// running returns the replica whose engine runs a stream.
+func (fleet *fleet) running() string {
+	for name, engine := range fleet.engines {
+		load, err := engine.Load(fleet.context)
+		require.NoError(fleet.t, err)
+
+		if load.Running > 0 {
+			return name
+		}
+	}
+
+	return ""
 }
 
 // start begins a new start of the sidecar beside its backend server.
@@ -81,10 +105,10 @@
 	sidecar := executor.NewExecutor(ctx, kernel.Discard(name), admitter.NewFixed(64),
 		executor.WithEngine(engine), executor.WithService(service))
 	fleet.executors[name] = sidecar
+	fleet.past = append(fleet.past, sidecar)
 	fleet.stops[name] = cancel
 	fleet.serve(ctx, name, executor.NewServer(sidecar))
 
-	fleet.ended.Go(func() { engine.Run(ctx) })
 	fleet.ended.Go(func() { sidecar.Tend(ctx) })
 }
 
@@ -109,6 +133,11 @@
 		stop()
 	}
 
+	for _, sidecar := range fleet.past {
+		sidecar.Wait()
+	}
+
+	fleet.stop()
 	fleet.network.Close()
 	fleet.dispatcher.Dialer.Close()
 	fleet.ended.Wait()
@@ -199,3 +228,12 @@
 	return nil
 }
 
+// fakeService registers a sidecar that a test made.
+type fakeService struct {
+	server messenger.DRPCSidecarServer
+}
+
+// RegisterService implements messenger.Service.
+func (service *fakeService) RegisterService(mux drpc.Mux) error {
+	return messenger.DRPCRegisterSidecar(mux, service.server)
+}
--- /dev/null
+++ b/executor/work_test.go
@@ -0,0 +1,305 @@
+package executor
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/admitter"
+	"limpetrail/classifier"
+	"limpetrail/driver"
+	"limpetrail/emulator"
+	"limpetrail/kernel"
+	"limpetrail/messenger"
+)
+
+const generationBody = `{"max_tokens":40,"prompt":"Pollen in Moshi?"}`
+
+func generationRequest(executor *Executor, idempotent bool) *messenger.ExecuteRequest {
+	return &messenger.ExecuteRequest{
+		RequestId:       "request-1",
+		Incarnation:     executor.Number(),
+		Body:            []byte(generationBody),
+		Idempotent:      idempotent,
+		RemainingMicros: uint64(time.Minute.Microseconds()),
+	}
+}
+
+func text(run *Run) string {
+	whole := strings.Builder{}
+	for _, event := range run.Events() {
+		whole.Write(event)
+	}
+
+	return whole.String()
+}
+
+func wholeText(count int) string {
+	whole := strings.Builder{}
+	for index := range count {
+		whole.WriteString(emulator.TokenText(emulator.Seed([]byte(generationBody)), index))
+	}
+
+	return whole.String()
+}
+
+// httpBackend serves a handler on an in-memory network.
+func httpBackend(t *testing.T, handler http.Handler) (*emulator.Network, func(*http.Client)) {
+	t.Helper()
+
+	network := emulator.NewNetwork()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+
+	go server.Serve(network.Listen("backend:1"))
+
+	t.Cleanup(func() {
+		network.Close()
+		server.Close()
+		time.Sleep(time.Minute)
+	})
+
+	return network, func(client *http.Client) {
+		client.Transport.(*http.Transport).DialContext = network.DialContext
+	}
+}
+
+func TestEngineStreamGoesOnWhenItsConnectionGoesSilent(t *testing.T) {
+	tests := []struct {
+		name       string
+		up, down   bool
+		idempotent bool
+		fate       messenger.Fate
+		starts     int
+		within     time.Duration
+	}{
+		{"both ways", true, true, true, messenger.Fate_FATE_ANSWERED, 2, 10 * time.Second},
+		{"towards the sidecar", false, true, true, messenger.Fate_FATE_ANSWERED, 2, 10 * time.Second},
+		{"towards the engine", true, false, true, messenger.Fate_FATE_ANSWERED, 1, time.Second},
+		{"not idempotent", true, true, false, messenger.Fate_FATE_MAY_HAVE_RUN, 1, 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				t.Cleanup(cancel)
+
+				backend := emulator.NewEngine(emulator.WithSteps(emulator.StepModel{Base: 10 * time.Millisecond}))
+				go backend.Run(ctx)
+
+				network, connect := httpBackend(t, emulator.NewEngineHandler(backend))
+				engine := driver.NewHTTPEngine("backend:1")
+				connect(engine.Client)
+
+				executor := NewExecutor(ctx, kernel.Discard("sidecar-1"), admitter.NewFixed(1), WithEngine(engine))
+				begun := time.Now()
+				run, err := executor.Submit(generationRequest(executor, test.idempotent))
+				require.NoError(t, err)
+
+				time.Sleep(205 * time.Millisecond)
+				network.Silence(test.up, test.down)
+				executor.Wait()
+
+				fate, _ := run.Fate()
+				require.Equal(t, test.fate, fate)
+				require.Less(t, time.Since(begun), test.within)
+				require.Equal(t, test.starts, backend.Starts("request-1"))
+
+				if test.fate == messenger.Fate_FATE_ANSWERED {
+					require.Equal(t, wholeText(40), text(run))
+				}
+			})
+		})
+	}
+}
+
+func TestIdempotentServiceCallIsRepeatedWhenItsConnectionGoesSilent(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		fate       messenger.Fate
+		acts       int
+	}{
+		{"idempotent", true, messenger.Fate_FATE_ANSWERED, 2},
+		{"not idempotent", false, messenger.Fate_FATE_MAY_HAVE_RUN, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				backend := emulator.NewService()
+				backend.Faults.Set(emulator.Switches{Delay: 100 * time.Millisecond})
+
+				network, connect := httpBackend(t, backend)
+				service := driver.NewHTTPService("backend:1")
+				connect(service.Client)
+
+				executor := newTestExecutor(t, DefaultSettings(), service)
+				request := orderRequest("order-1", executor.Number())
+				request.Idempotent = test.idempotent
+				request.RemainingMicros = uint64(time.Minute.Microseconds())
+
+				run, err := executor.Submit(request)
+				require.NoError(t, err)
+				time.Sleep(50 * time.Millisecond)
+				network.Silence(false, true)
+				executor.Wait()
+
+				fate, _ := run.Fate()
+				require.Equal(t, test.fate, fate)
+				require.Equal(t, test.acts, backend.Acts()["order-1"])
+			})
+		})
+	}
+}
+
+// scriptedEngine yields the given tokens and then the error.
+type scriptedEngine struct {
+	driver.Engine
+
+	streams [][]driver.Token
+	failure error
+	begun   int
+}
+
+func (engine *scriptedEngine) Generate(context.Context, driver.Generation) (driver.Stream, error) {
+	stream := &scriptedStream{tokens: engine.streams[min(engine.begun, len(engine.streams)-1)], failure: engine.failure}
+	engine.begun++
+
+	return stream, nil
+}
+
+func (engine *scriptedEngine) Cancel(ctx context.Context, _ string) error {
+	<-ctx.Done()
+
+	return errors.Trace(ctx.Err())
+}
+
+type scriptedStream struct {
+	tokens  []driver.Token
+	failure error
+}
+
+func (stream *scriptedStream) Next() (driver.Token, error) {
+	if len(stream.tokens) == 0 {
+		return driver.Token{}, stream.failure
+	}
+
+	token := stream.tokens[0]
+	stream.tokens = stream.tokens[1:]
+
+	return token, nil
+}
+
+func (*scriptedStream) Close() error { return nil }
+
+func TestAnswerIsWholeWhateverTheEngineSends(t *testing.T) {
+	tests := []struct {
+		name    string
+		streams [][]driver.Token
+		failure error
+		fate    messenger.Fate
+		text    string
+	}{
+		{
+			name:    "stream ends without a last token",
+			streams: [][]driver.Token{{{Index: 0, Text: "a"}}, {{Index: 1, Text: "b", Finish: "stop"}}},
+			failure: io.EOF, fate: messenger.Fate_FATE_ANSWERED, text: "ab",
+		},
+		{
+			name:    "stream never has a last token",
+			streams: [][]driver.Token{{}},
+			failure: io.EOF, fate: messenger.Fate_FATE_MAY_HAVE_RUN,
+		},
+		{
+			name:    "token sent twice",
+			streams: [][]driver.Token{{{Index: 0, Text: "a"}, {Index: 0, Text: "a"}, {Index: 1, Text: "b", Finish: "stop"}}},
+			failure: io.EOF, fate: messenger.Fate_FATE_ANSWERED, text: "ab",
+		},
+		{
+			name: "token left out",
+			streams: [][]driver.Token{
+				{{Index: 0, Text: "a"}, {Index: 2, Text: "c", Finish: "stop"}},
+				{{Index: 1, Text: "b"}, {Index: 2, Text: "c", Finish: "stop"}},
+			},
+			failure: io.EOF, fate: messenger.Fate_FATE_ANSWERED, text: "abc",
+		},
+		{
+			name:    "answer without end",
+			streams: [][]driver.Token{{{Index: 0, Text: strings.Repeat("a", 200)}, {Index: 1, Text: "b", Finish: "stop"}}},
+			failure: io.EOF, fate: messenger.Fate_FATE_MAY_HAVE_RUN, text: strings.Repeat("a", 200),
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := DefaultSettings()
+				settings.AnswerBytes = 100
+				engine := &scriptedEngine{streams: test.streams, failure: test.failure}
+				executor := NewExecutor(t.Context(), kernel.Discard("sidecar-1"), admitter.NewFixed(1), WithSettings(settings), WithEngine(engine))
+				run, err := executor.Submit(generationRequest(executor, true))
+				require.NoError(t, err)
+				executor.Wait()
+
+				fate, _ := run.Fate()
+				require.Equal(t, test.fate, fate)
+				require.Equal(t, test.text, text(run))
+			})
+		})
+	}
+}
+
+// preemptingAdmitter takes every place back at once.
+type preemptingAdmitter struct {
+	admitter.Admitter
+
+	entered int
+}
+
+func (admission *preemptingAdmitter) Enter(context.Context, admitter.Ticket) (admitter.Place, classifier.Outcome) {
+	admission.entered++
+
+	return &preemptedPlace{}, classifier.Outcome{}
+}
+
+type preemptedPlace struct{}
+
+func (*preemptedPlace) Preempted() <-chan struct{} {
+	preempted := make(chan struct{})
+	close(preempted)
+
+	return preempted
+}
+
+func (*preemptedPlace) Token() {}
+
+func (*preemptedPlace) Leave() {}
+
+func TestNonIdempotentRequestKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+
+		engine := emulator.NewEngine()
+		go engine.Run(ctx)
+
+		admission := &preemptingAdmitter{}
+		executor := NewExecutor(ctx, kernel.Discard("sidecar-1"), admission, WithEngine(engine))
+		request := generationRequest(executor, false)
+		request.Class = messenger.Class_CLASS_BATCH
+
+		run, err := executor.Submit(request)
+		require.NoError(t, err)
+		executor.Wait()
+
+		fate, _ := run.Fate()
+		require.Equal(t, messenger.Fate_FATE_ANSWERED, fate)
+		require.Equal(t, 1, admission.entered)
+		require.Equal(t, 1, engine.Starts("request-1"))
+	})
+}
