--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -237,3 +237,10 @@
 func (service *fakeService) RegisterService(mux drpc.Mux) error {
 	return messenger.DRPCRegisterSidecar(mux, service.server)
 }
+
+// addFake adds a replica whose sidecar a test made.
+func (fleet *fleet) addFake(ctx context.Context, name string, sidecar messenger.DRPCSidecarServer) {
+	fleet.replicas = append(fleet.replicas, router.Replica{Name: name, Address: name, Service: modelService})
+	fleet.dispatcher.Router.Update(fleet.replicas)
+	fleet.serve(ctx, name, &fakeService{server: sidecar})
+}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,69 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"limpetrail/retrier"
+)
+
+func TestBudgetNeverGivesMoreThanItsShare(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := rapid.SampledFrom([]float64{0.05, 0.1, 0.5}).Draw(rt, "share")
+		burst := float64(rapid.IntRange(1, 20).Draw(rt, "burst"))
+		budget := retrier.NewBudget(share, burst)
+		earned, spent := 0, 0
+
+		for _, success := range rapid.SliceOfN(rapid.Bool(), 1, 500).Draw(rt, "successes") {
+			if success {
+				budget.Earn()
+
+				earned++
+			} else if budget.Spend() {
+				spent++
+			}
+
+			require.LessOrEqual(t, float64(spent), burst+share*float64(earned)+1e-6)
+		}
+	})
+}
+
+func TestPauseStaysWithinItsBound(t *testing.T) {
+	backoff := retrier.Backoff{Base: 20 * time.Millisecond, Limit: 100 * time.Millisecond}
+	bounds := []time.Duration{20, 40, 80, 100, 100}
+
+	for attempt, bound := range bounds {
+		longest := time.Duration(0)
+
+		for range 1000 {
+			pause := backoff.Pause(attempt)
+			require.GreaterOrEqual(t, pause, time.Duration(0))
+			require.Less(t, pause, bound*time.Millisecond)
+
+			longest = max(longest, pause)
+		}
+
+		require.Greater(t, longest, bound*time.Millisecond/2)
+	}
+
+	require.Zero(t, retrier.Backoff{}.Pause(3))
+}
+
+func TestGroupIsBounded(t *testing.T) {
+	made := 0
+	group := retrier.NewGroup[int](3, func() *int {
+		made++
+
+		return &made
+	})
+
+	for key := range 100 {
+		group.Get(key)
+		group.Get(key)
+	}
+
+	require.Equal(t, 100, made)
+}
--- a/verifier/fleet_test.go
+++ b/verifier/fleet_test.go
@@ -63,6 +63,8 @@
 	// addresses holds the address of each process for its callers.
 	addresses map[string]string
 	instances []locator.Instance
+	// balancerLag is a setting of the entries that are started next.
+	balancerLag time.Duration
 }
 
 type process struct {
@@ -86,6 +88,8 @@
 		binaries:  folder,
 		processes: map[string]*process{},
 		addresses: map[string]string{},
+
+		balancerLag: 500 * time.Millisecond,
 	}
 	t.Cleanup(fleet.stop)
 
@@ -159,12 +163,12 @@
 [Listen]
 Callers = %s
 Peers = %s
-BalancerLag = 500ms
+BalancerLag = %s
 [KeyValue]
 Address = %s
 [Instances]
 Address = %s
-`, name, address, peers, fleet.addresses["kv"], fleet.addresses["instances"]))
+`, name, address, peers, fleet.balancerLag, fleet.addresses["kv"], fleet.addresses["instances"]))
 	fleet.addresses[name] = address
 	fleet.instances = append(fleet.instances, locator.Instance{Name: name, Address: peers, DataCentre: "dc1", Entry: true})
 	fleet.list()
