--- a/dispatcher/fate_test.go
+++ b/dispatcher/fate_test.go
@@ -16,22 +16,24 @@
 	"limpetrail/router"
 )
 
+type fateTest struct {
+	name       string
+	service    string
+	idempotent bool
+	replicas   []string
+	// before acts between a first request, which fills the pool and
+	// teaches the numbers, and the one that is judged.
+	before func(fleet *fleet)
+	// during acts before the tenth event.
+	during func(fleet *fleet)
+	fate   classifier.Fate
+	// starts is how often the backend servers began the request.
+	starts int
+	within time.Duration
+}
+
 func TestFateIsTrueWhenSidecarsFail(t *testing.T) {
-	tests := []struct {
-		name       string
-		service    string
-		idempotent bool
-		replicas   []string
-		// before acts between a first request, which fills the pool and
-		// teaches the numbers, and the one that is judged.
-		before func(fleet *fleet)
-		// during acts before the tenth event.
-		during func(fleet *fleet)
-		fate   classifier.Fate
-		// starts is how often the backend servers began the request.
-		starts int
-		within time.Duration
-	}{
+	tests := []fateTest{
 		{
 			name: "order moves from a replica that takes no connection", service: plainService,
 			replicas: []string{"replica-1", "replica-2"},
@@ -105,44 +107,48 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				fleet := newFleet(t, nil)
-				for _, name := range test.replicas {
-					fleet.add(name, test.service)
-				}
+			synctest.Test(t, test.run)
+		})
+	}
+}
 
-				for range 8 {
-					first := fleet.dispatcher.Do(t.Context(), fleet.call(test.service, true), &sink{})
-					require.Equal(t, classifier.Answered, first.Fate, first.Reason)
-				}
+func (test fateTest) run(t *testing.T) {
+	t.Helper()
 
-				if test.before != nil {
-					test.before(fleet)
-				}
+	fleet := newFleet(t, nil)
+	for _, name := range test.replicas {
+		fleet.add(name, test.service)
+	}
 
-				judged := &sink{at: map[int]func(){}}
-				if test.during != nil {
-					judged.at[10] = func() { test.during(fleet) }
-				}
+	for range 8 {
+		first := fleet.dispatcher.Do(t.Context(), fleet.call(test.service, true), &sink{})
+		require.Equal(t, classifier.Answered, first.Fate, first.Reason)
+	}
 
-				call := fleet.call(test.service, test.idempotent)
-				begun := time.Now()
-				outcome := fleet.dispatcher.Do(t.Context(), call, judged)
+	if test.before != nil {
+		test.before(fleet)
+	}
 
-				require.Equal(t, test.fate, outcome.Fate, outcome.Reason)
-				require.Less(t, time.Since(begun), test.within)
+	judged := &sink{at: map[int]func(){}}
+	if test.during != nil {
+		judged.at[10] = func() { test.during(fleet) }
+	}
 
-				if test.fate != classifier.Answered {
-					require.Positive(t, outcome.RetryAfter)
-				} else if test.service == modelService {
-					require.Equal(t, wholeAnswer(), judged.text.String())
-				}
+	call := fleet.call(test.service, test.idempotent)
+	begun := time.Now()
+	outcome := fleet.dispatcher.Do(t.Context(), call, judged)
 
-				time.Sleep(time.Minute)
-				require.Equal(t, test.starts, fleet.starts(call))
-			})
-		})
+	require.Equal(t, test.fate, outcome.Fate, outcome.Reason)
+	require.Less(t, time.Since(begun), test.within)
+
+	if test.fate != classifier.Answered {
+		require.Positive(t, outcome.RetryAfter)
+	} else if test.service == modelService {
+		require.Equal(t, wholeAnswer(), judged.text.String())
 	}
+
+	time.Sleep(time.Minute)
+	require.Equal(t, test.starts, fleet.starts(call))
 }
 
 func TestDeadlineSettlesTheFate(t *testing.T) {
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -42,7 +42,7 @@
 	stops map[string]func()
 	ended sync.WaitGroup
 	// context ends the backend servers.
-	context context.Context
+	context context.Context //nolint:containedctx // It ends what the bubble started.
 	stop    func()
 }
 
--- a/driver/http_client_test.go
+++ b/driver/http_client_test.go
@@ -103,7 +103,7 @@
 				backend := &countingService{answer: test.answer}
 				server := &http.Server{Handler: backend, ReadHeaderTimeout: time.Second}
 
-				go server.Serve(network.Listen("backend:1"))
+				go func() { _ = server.Serve(network.Listen("backend:1")) }()
 
 				defer time.Sleep(time.Minute)
 				defer server.Close()
--- a/executor/ledger_test.go
+++ b/executor/ledger_test.go
@@ -109,39 +109,20 @@
 
 			go executor.Tend(t.Context())
 
-			numbers := map[string]uint64{}
-			notRun := map[string]bool{}
-
+			history := &copies{executor: executor, numbers: map[string]uint64{}, notRun: map[string]bool{}}
 			for index := range ids {
-				numbers["order-"+strconv.Itoa(index)] = executor.Number()
+				history.numbers["order-"+strconv.Itoa(index)] = executor.Number()
 			}
 
 			for _, step := range steps {
-				id := "order-" + strconv.Itoa(step%ids)
-
-				switch {
-				case step < 35:
-					if run, err := executor.Submit(orderRequest(id, numbers[id])); err == nil {
-						synctest.Wait()
-
-						fate, _ := run.Fate()
-						notRun[id] = notRun[id] || fate == messenger.Fate_FATE_NOT_RUN
-					}
-				case step < 60:
-					fate, _ := executor.Revoke(id, numbers[id], false)
-					notRun[id] = notRun[id] || fate == messenger.Fate_FATE_NOT_RUN
-				case step < 80:
-					executor.Revoke("other-"+strconv.Itoa(step), executor.Number(), false)
-				default:
-					time.Sleep(time.Duration(step-79) * 10 * time.Second)
-				}
+				history.take("order-"+strconv.Itoa(step%ids), step)
 			}
 
 			synctest.Wait()
 
-			for id := range numbers {
+			for id := range history.numbers {
 				require.LessOrEqual(t, service.Acts()[id], 1, id)
-				require.False(t, notRun[id] && service.Acts()[id] > 0, "%s was said to be not run", id)
+				require.False(t, history.notRun[id] && service.Acts()[id] > 0, "%s was said to be not run", id)
 			}
 		})
 	})
@@ -169,3 +150,34 @@
 		require.Equal(t, messenger.Fate_FATE_MAY_HAVE_RUN, end.GetFate())
 	})
 }
+
+// copies is what was said about requests whose copies arrive at any time.
+type copies struct {
+	executor *Executor
+	numbers  map[string]uint64
+	// notRun holds the requests that were said to be not run.
+	notRun map[string]bool
+}
+
+// take lets a copy or a revocation arrive, floods the sidecar or lets time pass.
+func (copies *copies) take(id string, step int) {
+	switch {
+	case step < 35:
+		run, err := copies.executor.Submit(orderRequest(id, copies.numbers[id]))
+		if err != nil {
+			return
+		}
+
+		synctest.Wait()
+
+		fate, _ := run.Fate()
+		copies.notRun[id] = copies.notRun[id] || fate == messenger.Fate_FATE_NOT_RUN
+	case step < 60:
+		fate, _ := copies.executor.Revoke(id, copies.numbers[id], false)
+		copies.notRun[id] = copies.notRun[id] || fate == messenger.Fate_FATE_NOT_RUN
+	case step < 80:
+		copies.executor.Revoke("other-"+strconv.Itoa(step), copies.executor.Number(), false)
+	default:
+		time.Sleep(time.Duration(step-79) * 10 * time.Second)
+	}
+}
--- a/executor/work_test.go
+++ b/executor/work_test.go
@@ -57,7 +57,7 @@
 	network := emulator.NewNetwork()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 
-	go server.Serve(network.Listen("backend:1"))
+	go func() { _ = server.Serve(network.Listen("backend:1")) }()
 
 	t.Cleanup(func() {
 		network.Close()
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -33,7 +33,7 @@
 
 func TestPauseStaysWithinItsBound(t *testing.T) {
 	backoff := retrier.Backoff{Base: 20 * time.Millisecond, Limit: 100 * time.Millisecond}
-	bounds := []time.Duration{20, 40, 80, 100, 100}
+	bounds := []time.Duration{20 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond}
 
 	for attempt, bound := range bounds {
 		longest := time.Duration(0)
@@ -41,12 +41,12 @@
 		for range 1000 {
 			pause := backoff.Pause(attempt)
 			require.GreaterOrEqual(t, pause, time.Duration(0))
-			require.Less(t, pause, bound*time.Millisecond)
+			require.Less(t, pause, bound)
 
 			longest = max(longest, pause)
 		}
 
-		require.Greater(t, longest, bound*time.Millisecond/2)
+		require.Greater(t, longest, bound/2)
 	}
 
 	require.Zero(t, retrier.Backoff{}.Pause(3))
--- a/verifier/stop_test.go
+++ b/verifier/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -100,7 +101,7 @@
 func (load *load) request(address string) string {
 	// A body without GetBody keeps the client from hiding a cut connection by
 	// sending the request again.
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", io.NopCloser(strings.NewReader(loadBody)))
+	request, err := http.NewRequestWithContext(load.t.Context(), http.MethodPost, "http://"+address+"/v1/completions", io.NopCloser(strings.NewReader(loadBody)))
 	if err != nil {
 		return err.Error()
 	}
@@ -254,3 +255,30 @@
 		})
 	}
 }
+
+func TestPlannedStopOfIdleSidecars(t *testing.T) {
+	fleet := newFleet(t, exampleDocument())
+
+	for _, kind := range []string{"Engine", "Service"} {
+		name := "sidecar-" + kind
+		fleet.sidecar(name, kind, "briefing")
+		fleet.listening(name)
+		fleet.signal(name, syscall.SIGTERM)
+		<-fleet.processes[name].ended
+		require.Equal(t, 0, fleet.processes[name].command.ProcessState.ExitCode())
+	}
+}
+
+// listening waits until the process takes connections.
+func (fleet *fleet) listening(name string) {
+	fleet.t.Helper()
+
+	require.Eventually(fleet.t, func() bool {
+		conn, err := (&net.Dialer{}).DialContext(fleet.t.Context(), "tcp", fleet.addresses[name])
+		if err != nil {
+			return false
+		}
+
+		return conn.Close() == nil
+	}, patience, 10*time.Millisecond)
+}
