Show each mechanism of the request path by taking it out

Cause: a proof counts only when it was seen to fail.

Change: three cases that earlier mutations survived: new work after draining, an order over a pooled connection, may-have-run followed by a refusal elsewhere.

GetBody=nil alone can't be told apart while every call has a connection of its own.

--- a/dispatcher/fate_test.go
+++ b/dispatcher/fate_test.go
@@ -13,6 +13,7 @@
 	"limpetrail/dispatcher"
 	"limpetrail/emulator"
 	"limpetrail/messenger"
+	"limpetrail/recorder"
 	"limpetrail/router"
 )
 
@@ -52,6 +53,16 @@
 			before:   func(fleet *fleet) { fleet.kill("replica-1") },
 			fate:     classifier.NotRun, starts: 0, within: time.Second,
 		},
+		{
+			name: "order to a sidecar that vanished behind silent connections was not run", service: plainService,
+			replicas: []string{"replica-1"},
+			before: func(fleet *fleet) {
+				fleet.network.Silence(true, true)
+				fleet.stops["replica-1"]()
+				synctest.Wait()
+			},
+			fate: classifier.NotRun, starts: 0, within: time.Second,
+		},
 		{
 			name: "order moves from a draining sidecar", service: plainService,
 			replicas: []string{"replica-1", "replica-2"},
@@ -81,6 +92,16 @@
 			during:   func(fleet *fleet) { fleet.kill(fleet.running()) },
 			fate:     classifier.Answered, starts: 2, within: 5 * time.Second,
 		},
+		{
+			name: "kill and then a refusal elsewhere may have run", service: modelService, idempotent: true,
+			replicas: []string{"replica-1", "replica-2"},
+			during: func(fleet *fleet) {
+				fleet.kill(fleet.running())
+				fleet.executors["replica-1"].Drain()
+				fleet.executors["replica-2"].Drain()
+			},
+			fate: classifier.MayHaveRun, starts: 1, within: 5 * time.Second,
+		},
 		{
 			name: "kill of the only sidecar may have run", service: modelService,
 			replicas: []string{"replica-1"},
@@ -280,3 +301,28 @@
 		require.Equal(t, wholeAnswer(), whole.text.String())
 	})
 }
+
+func TestDrainingReplicaReceivesNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, nil)
+		fleet.add("replica-1", plainService)
+		fleet.add("replica-2", plainService)
+
+		for range 8 {
+			require.Equal(t, classifier.Answered, fleet.dispatcher.Do(t.Context(), fleet.call(plainService, false), &sink{}).Fate)
+		}
+
+		acts := len(fleet.services["replica-1"].Acts())
+		require.Positive(t, acts)
+
+		fleet.executors["replica-1"].Drain()
+
+		for range 50 {
+			require.Equal(t, classifier.Answered, fleet.dispatcher.Do(t.Context(), fleet.call(plainService, false), &sink{}).Fate)
+		}
+
+		require.Len(t, fleet.services["replica-1"].Acts(), acts)
+		// The first frame that says so is enough.
+		require.Equal(t, 1, fleet.events(recorder.KindRetried))
+	})
+}
