--- /dev/null
+++ b/dispatcher/dispatcher_benchmark_test.go
@@ -0,0 +1,172 @@
+package dispatcher_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"limpetrail/admitter"
+	"limpetrail/dialer"
+	"limpetrail/dispatcher"
+	"limpetrail/driver"
+	"limpetrail/executor"
+	"limpetrail/kernel"
+	"limpetrail/router"
+)
+
+// steppedEngine yields a token whenever the reader of the last one asks for
+// the next, so that each token crosses the whole path alone.
+type steppedEngine struct {
+	driver.Engine
+
+	tokens int
+	next   chan struct{}
+}
+
+func (engine *steppedEngine) Generate(context.Context, driver.Generation) (driver.Stream, error) {
+	return &steppedStream{engine: engine}, nil
+}
+
+type steppedStream struct {
+	engine *steppedEngine
+	index  int
+}
+
+// Next implements driver.Stream.
+func (stream *steppedStream) Next() (driver.Token, error) {
+	if stream.index == stream.engine.tokens {
+		return driver.Token{}, io.EOF
+	}
+
+	<-stream.engine.next
+
+	token := driver.Token{Index: stream.index, Text: "token "}
+	stream.index++
+
+	if stream.index == stream.engine.tokens {
+		token.Finish = "stop"
+	}
+
+	return token, nil
+}
+
+// Close implements driver.Stream.
+func (*steppedStream) Close() error { return nil }
+
+// steppingSink asks for the next token at each event.
+type steppingSink struct {
+	next chan struct{}
+}
+
+func (sink *steppingSink) Begin(string) error { return nil }
+
+func (sink *steppingSink) Event([]byte) error {
+	sink.next <- struct{}{}
+
+	return nil
+}
+
+func (sink *steppingSink) End(dispatcher.End) error { return nil }
+
+// BenchmarkPath compares a request straight to the engine with one through
+// dispatcher and sidecar over loopback, with 1 and with 200 tokens. The cost of
+// a token is the difference of the two over 199.
+func BenchmarkPath(b *testing.B) {
+	for _, tokens := range []int{1, 200} {
+		engine := &steppedEngine{tokens: tokens, next: make(chan struct{}, tokens+1)}
+
+		b.Run("direct/tokens="+strconv.Itoa(tokens), func(b *testing.B) {
+			b.ReportAllocs()
+
+			for b.Loop() {
+				engine.direct(b)
+			}
+		})
+
+		b.Run("path/tokens="+strconv.Itoa(tokens), func(b *testing.B) {
+			calls := newLoopback(b, engine)
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				engine.through(b, calls)
+			}
+		})
+	}
+}
+
+// direct reads the engine's tokens with nothing in between.
+func (engine *steppedEngine) direct(b *testing.B) {
+	b.Helper()
+
+	sink := &steppingSink{next: engine.next}
+	engine.next <- struct{}{}
+
+	stream, err := engine.Generate(b.Context(), driver.Generation{})
+	require.NoError(b, err)
+
+	for {
+		token, err := stream.Next()
+		require.NoError(b, err)
+		require.NoError(b, sink.Event([]byte(token.Text)))
+
+		if token.Finish != "" {
+			break
+		}
+	}
+
+	<-engine.next
+}
+
+// through sends one request along the whole path.
+func (engine *steppedEngine) through(b *testing.B, calls *dispatcher.Dispatcher) {
+	b.Helper()
+
+	engine.next <- struct{}{}
+
+	outcome := calls.Do(b.Context(), dispatcher.Call{
+		ID:         dispatcher.NewRequestID(),
+		Firm:       "kilimanjaro",
+		Service:    modelService,
+		Body:       []byte(body),
+		Idempotent: true,
+		Deadline:   time.Now().Add(time.Minute),
+	}, &steppingSink{next: engine.next})
+	require.Empty(b, outcome.Reason)
+
+	<-engine.next
+}
+
+// newLoopback starts a sidecar beside the engine and returns a dispatcher.
+func newLoopback(b *testing.B, engine driver.Engine) *dispatcher.Dispatcher {
+	b.Helper()
+
+	listener, err := (&net.ListenConfig{}).Listen(b.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+
+	mux := drpcmux.New()
+	sidecar := executor.NewExecutor(ctx, kernel.Discard("sidecar-1"), admitter.NewFixed(16), executor.WithEngine(engine))
+	require.NoError(b, executor.NewServer(sidecar).RegisterService(mux))
+
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.ManagerOptions()})
+	go func() { _ = server.Serve(ctx, dialer.NewBoundedListener(listener)) }()
+
+	common := kernel.Discard("entry-1")
+	routes := router.NewRouter(common)
+	routes.Update([]router.Replica{{Name: "replica-1", Address: listener.Addr().String(), Service: modelService}})
+
+	connections := dialer.NewDialer()
+	b.Cleanup(func() { connections.Close() })
+
+	return dispatcher.NewDispatcher(common, routes, connections)
+}
