--- a/executor/run.go
+++ b/executor/run.go
@@ -132,8 +132,8 @@
 	return run.events[:len(run.events):len(run.events)]
 }
 
-// After returns the events from offset on, the last frame if there is one, and
-// a channel that is closed at the next change.
+// After returns the events from offset on and the last frame if there is one,
+// or else a channel that is closed at the next change.
 func (run *Run) After(offset uint64) ([][]byte, *messenger.Frame, <-chan struct{}) {
 	run.mutex.Lock()
 	defer run.mutex.Unlock()
@@ -141,11 +141,15 @@
 	length := uint64(len(run.events))
 	offset = min(offset, length)
 
+	if offset < length || run.end != nil {
+		return run.events[offset:length:length], run.end, nil
+	}
+
 	if run.changed == nil {
 		run.changed = make(chan struct{})
 	}
 
-	return run.events[offset:length:length], run.end, run.changed
+	return nil, nil, run.changed
 }
 
 // Follow counts a reader until the returned function is called.
--- a/executor/server.go
+++ b/executor/server.go
@@ -137,11 +137,20 @@
 	ticker := time.NewTicker(server.Executor.Settings.Heartbeat)
 	defer ticker.Stop()
 
+	var reported *messenger.LoadReport
+
 	for {
 		events, end, changed := run.After(offset)
 		if len(events) > 0 {
 			frame := dataFrame(offset, events, end)
-			if err := server.sendData(stream, frame); err != nil {
+
+			// A report that this stream has sent already says nothing new.
+			if report := server.Executor.frameLoad(); report != reported {
+				frame.Load = report
+				reported = report
+			}
+
+			if err := server.transmit(stream, frame); err != nil {
 				return err
 			}
 
@@ -204,16 +213,15 @@
 	})
 }
 
-func (server *Server) sendData(stream frameSender, frame *messenger.Frame) error {
-	frame.Clock = server.now()
-	frame.Load = server.Executor.frameLoad()
+// send sends a frame with the present load.
+func (server *Server) send(stream frameSender, frame *messenger.Frame) error {
+	frame.Load = server.Executor.Load()
 
-	return errors.Trace(stream.Send(frame))
+	return server.transmit(stream, frame)
 }
 
-func (server *Server) send(stream frameSender, frame *messenger.Frame) error {
+func (server *Server) transmit(stream frameSender, frame *messenger.Frame) error {
 	frame.Clock = server.now()
-	frame.Load = server.Executor.Load()
 
 	return errors.Trace(stream.Send(frame))
 }
--- a/executor/settings.go
+++ b/executor/settings.go
@@ -47,7 +47,7 @@
 		Records:          100_000,
 		AnswerBytes:      16 << 20,
 		Linger:           2 * time.Second,
-		LoadAge:          10 * time.Millisecond,
+		LoadAge:          100 * time.Millisecond,
 		EngineSilence:    5 * time.Second,
 		CancelTimeout:    time.Second,
 		ServiceSilence:   30 * time.Second,
