Tell the router once for each pick how the replica did

Cause: the router now counts requests under way and needs exactly one Observe for each Pick; a replica that takes no connection counted as a refusal, which clears its failures, so that it was never ejected.

Change: each result says what it means for the replica. A caller that leaves or a passed deadline is no fault while the sidecar answers the revocation.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -39,13 +39,17 @@
 func (attempt *attempt) run(ctx context.Context) result {
 	conn, err := attempt.connect(ctx)
 	if err != nil {
-		return result{Outcome: attempt.refuse("replica " + attempt.replica.Name + " takes no connection"), free: true, blameless: ctx.Err() != nil}
+		return result{
+			Outcome: attempt.refuse("replica " + attempt.replica.Name + " takes no connection"),
+			free:    true,
+			health:  router.ResultFailed,
+		}
 	}
 
 	if err := attempt.permit(ctx); err != nil {
 		conn.Close()
 
-		return result{Outcome: attempt.refuse("no leave to run: " + err.Error()), final: true, blameless: true}
+		return result{Outcome: attempt.refuse("no leave to run: " + err.Error()), final: true, health: router.ResultRefused}
 	}
 
 	attempt.event(recorder.KindRouted, attempt.call.ID, "Replica="+attempt.replica.Name, "Incarnation="+formatUint(attempt.number))
@@ -63,7 +67,7 @@
 		if attempt.broken > attempt.Settings.Reconnects {
 			attempt.numbers.set(attempt.replica.Name, 0)
 
-			return result{Outcome: classifier.Lose("replica "+attempt.replica.Name+" vanished: "+err.Error(), attempt.comeBack())}
+			return attempt.lose("replica " + attempt.replica.Name + " vanished: " + err.Error())
 		}
 
 		attempt.pause(ctx)
@@ -180,32 +184,39 @@
 
 	switch reply.GetFate() {
 	case messenger.Fate_FATE_NOT_RUN:
-		return result{Outcome: attempt.refuse("revoked before it started"), free: true, repeat: true}, nil
+		return result{Outcome: attempt.refuse("revoked before it started"), free: true, repeat: true, health: router.ResultRefused}, nil
 	case messenger.Fate_FATE_RUNNING, messenger.Fate_FATE_ANSWERED:
-		return result{}, errors.Errorf("the request is at %s after all", attempt.replica.Name)
+		return result{}, errors.AlreadyExistsf("the request at %s", attempt.replica.Name)
 	case messenger.Fate_FATE_MAY_HAVE_RUN:
-		return result{Outcome: classifier.Lose("replica "+attempt.replica.Name+" gave no whole answer", attempt.comeBack())}, nil
+		return attempt.lose("replica " + attempt.replica.Name + " gave no whole answer"), nil
 	default:
-		return result{Outcome: classifier.Lose("replica "+attempt.replica.Name+" restarted", attempt.comeBack())}, nil
+		return attempt.lose("replica " + attempt.replica.Name + " restarted"), nil
 	}
 }
 
+// lose ends a request whose answer is lost with its replica.
+func (attempt *attempt) lose(reason string) result {
+	return result{Outcome: classifier.Lose(reason, attempt.comeBack()), health: router.ResultFailed}
+}
+
 // abandon ends a request whose deadline has passed or whose caller has left.
+// Neither is the replica's fault while its sidecar answers.
 func (attempt *attempt) abandon(ctx context.Context) result {
 	reason := "no whole answer in time"
-	left := errors.Is(ctx.Err(), context.Canceled)
-
-	if left {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		reason = "the caller left"
 	}
 
 	settled, err := attempt.revoke(context.WithoutCancel(ctx), attempt.call.Idempotent)
 	if err != nil {
-		settled = result{Outcome: classifier.Lose(reason, attempt.comeBack())}
+		settled = attempt.lose(reason)
+	}
+
+	if errors.Is(err, errors.AlreadyExists) {
+		settled.health = router.ResultRefused
 	}
 
 	settled.final = true
-	settled.blameless = left
 
 	return settled
 }
@@ -217,7 +228,7 @@
 		_, _ = attempt.revoke(context.WithoutCancel(ctx), true)
 	}
 
-	return result{Outcome: classifier.Lose("the caller left: "+err.Error(), 0), final: true, blameless: true}
+	return result{Outcome: classifier.Lose("the caller left: "+err.Error(), 0), final: true, health: router.ResultRefused}
 }
 
 // learn takes in a number that the sidecar sent, for this attempt too.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -77,17 +77,6 @@
 	return outcome
 }
 
-func (dispatcher *Dispatcher) observe(replica router.Replica, outcome classifier.Outcome) {
-	switch outcome.Fate {
-	case classifier.Answered:
-		dispatcher.Router.Observe(replica.Name, router.ResultAnswered)
-	case classifier.NotRun:
-		dispatcher.Router.Observe(replica.Name, router.ResultRefused)
-	case classifier.MayHaveRun:
-		dispatcher.Router.Observe(replica.Name, router.ResultFailed)
-	}
-}
-
 func (dispatcher *Dispatcher) report(replica router.Replica, load *messenger.LoadReport) {
 	if load == nil {
 		return
--- a/dispatcher/journey.go
+++ b/dispatcher/journey.go
@@ -41,8 +41,8 @@
 	repeat bool
 	// final means that no other attempt may follow.
 	final bool
-	// blameless means that the end says nothing about the replica.
-	blameless bool
+	// health is what the end says about the replica.
+	health router.Result
 }
 
 // run tries replicas until the call is answered or given up.
@@ -93,15 +93,12 @@
 		last = journey.attempt(ctx, replica)
 		journey.attempts++
 
-		if !last.blameless {
-			journey.observe(replica, last.Outcome)
-		}
-
 		if !last.repeat || ctx.Err() != nil {
 			break
 		}
 	}
 
+	journey.Router.Observe(replica.Name, last.health)
 	journey.excluded = append(journey.excluded, replica.Name)
 	journey.mayHaveRun = journey.mayHaveRun || last.Fate == classifier.MayHaveRun
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -11,6 +11,7 @@
 	"limpetrail/messenger"
 	"limpetrail/recorder"
 	"limpetrail/retrier"
+	"limpetrail/router"
 )
 
 // frameReader is the receiving side of both streaming calls.
@@ -203,7 +204,7 @@
 
 	attempt.event(recorder.KindAnswered, attempt.call.ID, "Replica="+attempt.replica.Name)
 
-	return &result{Outcome: classifier.Outcome{Fate: classifier.Answered}}, nil
+	return &result{Outcome: classifier.Outcome{Fate: classifier.Answered}, health: router.ResultAnswered}, nil
 }
 
 // refused turns the sidecar's refusal into a result. A sidecar that does not
@@ -222,11 +223,17 @@
 	switch frame.GetFate() {
 	case messenger.Fate_FATE_NOT_RUN:
 		draining := frame.GetLoad().GetDraining()
+		health := router.ResultRefused
+
+		if frame.GetUnreached() {
+			health = router.ResultFailed
+		}
 
 		return &result{
 			Outcome: classifier.Refuse(frame.GetReason(), retryAfter),
 			free:    draining || stale || frame.GetUnreached(),
 			repeat:  stale && !draining,
+			health:  health,
 		}, nil
 	case messenger.Fate_FATE_UNKNOWN:
 		settled, err := attempt.revoke(ctx, false)
@@ -236,6 +243,6 @@
 
 		return &settled, nil
 	default:
-		return &result{Outcome: classifier.Lose(frame.GetReason(), retryAfter)}, nil
+		return &result{Outcome: classifier.Lose(frame.GetReason(), retryAfter), health: router.ResultFailed}, nil
 	}
 }
