Claim keyed requests through the dispatcher's permit

Cause: the request path moved on: calls ask a permit right before an attempt leaves, and sidecars expect a number that rises while they run, so that no delayed copy outlives its revocation. The claimer chose its target by itself (Aim, DoAt) and bounded the right to send by a clock, which left a hole when a process was stopped between the check and the sending.

Claimants that revoke each other in turn use a new request ID each round.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -75,7 +75,6 @@
 		call:    call,
 		claim:   newClaim(call, key),
 		sink:    sink,
-		tried:   map[string]uint64{},
 	}
 
 	return order.run(ctx)
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -98,9 +98,9 @@
 
 func TestPausedClaimantIsRevokedBeforeItsClaimIsTakenOver(t *testing.T) {
 	tests := map[string]time.Duration{
-		"it wakes while it may still send": time.Second,
-		"it wakes later":                   time.Minute,
-		"its revocation was forgotten":     2 * executor.DefaultSettings().Retain,
+		"it wakes soon":                time.Second,
+		"it wakes later":               time.Minute,
+		"its revocation was forgotten": 3 * executor.DefaultSettings().Retain,
 	}
 
 	for name, pause := range tests {
@@ -131,6 +131,29 @@
 	}
 }
 
+func TestClaimantsThatRevokeEachOtherRunTheOrderOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		done := make(chan told, 2)
+
+		// The second takes over from the first and is paused longer, so that
+		// the first, once awake, takes over in its turn at the same replica.
+		for name, pause := range map[string]time.Duration{"entry-1": time.Second, "entry-2": 10 * time.Second} {
+			entry := fleet.entry(t, name)
+			entry.beforeSend = func(string) { time.Sleep(pause) }
+
+			time.AfterFunc(pause/20, func() {
+				outcome, answer := send(entry)
+				done <- told{outcome, answer}
+			})
+		}
+
+		requireTold(t, <-done)
+		requireTold(t, <-done)
+		require.Equal(t, 1, fleet.acts())
+	})
+}
+
 func TestRunningAttemptIsJoined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(t, "replica-1")
--- a/claimer/fleet_test.go
+++ b/claimer/fleet_test.go
@@ -37,8 +37,6 @@
 	mutex    sync.Mutex
 	executor *executor.Executor
 	stop     context.CancelFunc
-	// started tells one start of the sidecar from the next.
-	started int
 	// down refuses connections.
 	down bool
 	// connections are the open ones' ends, for cutting and silencing them.
@@ -103,9 +101,7 @@
 
 	ctx, cancel := context.WithCancel(fleet.context)
 	sidecar.stop = cancel
-	sidecar.started++
 	sidecar.executor = executor.NewExecutor(ctx, kernel.Discard(name), admitter.NewFixed(8), executor.WithService(sidecar.service))
-	sidecar.executor.Incarnation = uint64(sidecar.started)
 
 	go sidecar.executor.Tend(ctx)
 }
--- a/claimer/order.go
+++ b/claimer/order.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"limpetrail/classifier"
 	"limpetrail/dispatcher"
 	"limpetrail/recorder"
@@ -17,128 +20,137 @@
 	// claim is what this request wants to record.
 	claim Claim
 	sink  dispatcher.Sink
+	// own is the last claim of this request; its attempt may have been sent.
+	own Claim
 	// revoked is the attempt that the claim may be moved on from: its sidecar
 	// said that it has not run and never will.
 	revoked string
-	// tried holds the starts of the replicas that refused this request.
-	tried map[string]uint64
-	// refusal is why the last attempt did not run.
-	refusal classifier.Outcome
-}
-
-// hold is what a round of claiming found.
-type hold struct {
-	Claim
-	// target is nil unless this request may send the claim's attempt.
-	target *dispatcher.Target
-	// stuck is set when there is no replica to claim an attempt at, and no
-	// attempt of another request to join.
-	stuck bool
+	// held is the claim that kept an attempt from leaving, if there is one.
+	held Claim
+	// failure is why the claim could not be recorded.
+	failure error
 }
 
 // run goes through rounds of claiming, and of sending or joining. A further
 // round follows only after an attempt that is revoked for good.
 func (order *order) run(ctx context.Context) Outcome {
-	order.refusal = classifier.Refuse("no replica serves "+order.call.Service+" now", order.Settings.RetryAfter)
+	for round := range order.Settings.Rounds {
+		outcome := order.send(ctx, round)
+		if outcome.Fate != classifier.NotRun {
+			return Outcome{Outcome: outcome}
+		}
 
-	for range order.Settings.Rounds {
-		held, err := order.begin(ctx)
+		held, err := order.holder(ctx)
 
 		switch {
 		case err != nil:
 			return Outcome{Outcome: order.unclaimed(err)}
-		case held.Key != "" && held.Body != order.claim.Body:
+		case held.Key == "":
+			return Outcome{Outcome: outcome}
+		case held.Body != order.claim.Body:
 			return Outcome{Outcome: classifier.Refuse("the idempotency key was used with another request", 0), Conflict: true}
-		case held.stuck:
-			return Outcome{Outcome: order.giveUp(ctx)}
 		}
 
-		outcome := order.pursue(ctx, held)
+		outcome = order.join(ctx, held)
 		if outcome.Fate != classifier.NotRun {
 			return Outcome{Outcome: outcome}
 		}
 
-		order.refusal = outcome
 		order.revoked = held.Attempt
+		order.own = Claim{}
 	}
 
-	return Outcome{Outcome: order.giveUp(ctx)}
+	return Outcome{Outcome: classifier.Lose("copies of the request contend for the key", order.Settings.RetryAfter)}
 }
 
-// begin tries to claim the key for an attempt of this request.
-func (order *order) begin(ctx context.Context) (hold, error) {
-	started := time.Now()
-	wanted := order.claim
-	wanted.At = started.Unix()
+// send sends the call once its attempt is claimed. NotRun means that the last
+// claimed attempt, if any, is revoked for good.
+func (order *order) send(ctx context.Context, round int) classifier.Outcome {
+	order.held, order.failure = Claim{}, nil
+
+	call := order.call
+	call.Permit = order.permit
 
-	target, found := order.aim(ctx)
-	if found {
-		wanted.Attempt = dispatcher.AttemptID(order.call.ID, target.Replica.Name)
-		wanted.Incarnation = target.Incarnation
+	if round > 0 {
+		// The IDs of earlier rounds may be barred at their sidecars.
+		call.ID += "~" + strconv.Itoa(round)
 	}
 
+	return order.Dispatcher.Do(ctx, call, order.capture(ctx, &order.own))
+}
+
+func (order *order) capture(ctx context.Context, claim *Claim) *capture {
+	return &capture{sink: order.sink, record: func(result *Result) {
+		answered := *claim
+		answered.Result = result
+		order.record(ctx, answered)
+	}}
+}
+
+// permit claims the key for an attempt that is about to leave. A further call
+// of it means that the attempt before was not run.
+func (order *order) permit(ctx context.Context, target dispatcher.Target) error {
+	if order.own.Attempt != "" {
+		order.revoked = order.own.Attempt
+	}
+
+	wanted := order.claim
+	wanted.At = time.Now().Unix()
+	wanted.Attempt = target.AttemptID
+	wanted.Incarnation = target.Incarnation
+
 	claim, err := order.committer.commit(ctx, wanted.shard(), begin(wanted, order.revoked))
 	if err != nil {
-		return hold{}, err
-	}
+		order.failure = err
 
-	if !found {
-		return hold{Claim: claim, stuck: claim.Key == "" || claim.Attempt == order.revoked && !claim.Answered}, nil
+		return err
 	}
 
 	if claim.Attempt != wanted.Attempt {
-		return hold{Claim: claim}, nil
+		order.held = claim
+
+		return errors.AlreadyExistsf("claim of the key")
 	}
 
-	order.tried[target.Replica.Name] = target.Incarnation
+	order.own = claim
 	order.event(recorder.KindClaimed, claim.Attempt)
 	order.beforeSend(claim.Attempt)
 
-	// The right to send ends long before sidecars forget a revocation. Without
-	// it the attempt is treated like another's: joined, or revoked.
-	if time.Since(started) > order.Settings.SendWithin {
-		return hold{Claim: claim}, nil
-	}
-
-	return hold{Claim: claim, target: &target}, nil
+	return nil
 }
 
-// aim chooses a replica that has not refused this request, or another start of
-// one that has.
-func (order *order) aim(ctx context.Context) (dispatcher.Target, bool) {
-	exclude := make([]string, 0, len(order.tried))
-	for name := range order.tried {
-		exclude = append(exclude, name)
+// holder returns the claim that holds the key after a request was not sent, or
+// was refused everywhere. It gives up this request's own claim; the zero Claim
+// means that no copy holds the key.
+func (order *order) holder(ctx context.Context) (Claim, error) {
+	if order.failure != nil || order.held.Key != "" {
+		return order.held, order.failure
 	}
 
-	if target, found := order.Dispatcher.Aim(ctx, order.call, exclude); found || len(exclude) == 0 {
-		return target, found
+	look := order.claim
+	change := begin(look, "")
+
+	if order.own.Attempt != "" {
+		order.revoked = order.own.Attempt
 	}
 
-	target, found := order.Dispatcher.Aim(ctx, order.call, nil)
+	if order.revoked != "" {
+		change = release(look.Key, order.revoked)
+	}
 
-	return target, found && order.tried[target.Replica.Name] != target.Incarnation
+	return order.committer.commit(ctx, look.shard(), change)
 }
 
-// pursue takes the claim's attempt to its outcome. NotRun means that the
-// attempt is revoked for good.
-func (order *order) pursue(ctx context.Context, held hold) classifier.Outcome {
+// join replays the claim's answer or reads it at its sidecar. NotRun means that
+// the claim's attempt is revoked for good.
+func (order *order) join(ctx context.Context, held Claim) classifier.Outcome {
 	if held.Result != nil {
-		return order.replay(held.Claim)
+		return order.replay(held)
 	}
 
+	kept := classifier.Lose("the request was answered before; its answer is no longer kept", 0)
 	if held.Attempt == "" {
-		return classifier.Lose("the request was answered before; its answer is no longer kept", 0)
-	}
-
-	sink := &capture{sink: order.sink, record: func(result *Result) {
-		answered := held.Claim
-		answered.Result = result
-		order.record(ctx, answered)
-	}}
-
-	if held.target != nil {
-		return order.Dispatcher.DoAt(ctx, order.call, *held.target, sink)
+		return kept
 	}
 
 	order.event(recorder.KindJoined, held.Attempt, "Copy="+order.call.ID)
@@ -149,9 +161,9 @@
 		wanted.Incarnation = 0
 	}
 
-	outcome := order.Dispatcher.ReadBack(ctx, wanted, sink).Outcome
+	outcome := order.Dispatcher.ReadBack(ctx, wanted, order.capture(ctx, &held)).Outcome
 	if outcome.Fate == classifier.NotRun && held.Answered {
-		return classifier.Lose("the request was answered before; its answer is no longer kept", 0)
+		return kept
 	}
 
 	return outcome
@@ -167,37 +179,13 @@
 	return classifier.Outcome{Fate: classifier.Answered}
 }
 
-// unclaimed is the outcome when the key-value service gives no answer. Nothing
-// was sent in the first round. Later, a copy of the request may have taken the
-// claim over meanwhile, so no more is known.
+// unclaimed is the outcome when the key-value service gives no answer. Before
+// the first claim nothing was sent. Later, a copy of the request may have taken
+// the claim over meanwhile, so no more is known.
 func (order *order) unclaimed(err error) classifier.Outcome {
-	if order.revoked == "" {
+	if order.revoked == "" && order.own.Attempt == "" {
 		return classifier.Refuse("the claim cannot be recorded, so this copy of the request was not sent: "+err.Error(), order.Settings.RetryAfter)
 	}
 
 	return classifier.Lose("the claim cannot be read: "+err.Error(), order.Settings.RetryAfter)
 }
-
-// giveUp ends a request that no replica took. It is said to be not run only
-// when no copy of it holds the key; the key is free afterwards.
-func (order *order) giveUp(ctx context.Context) classifier.Outcome {
-	if order.revoked == "" {
-		return order.refusal
-	}
-
-	claim, err := order.committer.commit(ctx, order.claim.shard(), release(order.claim.Key, order.revoked))
-
-	switch {
-	case err != nil:
-		return order.unclaimed(err)
-	case claim.Key == "":
-		return order.refusal
-	}
-
-	outcome := order.pursue(ctx, hold{Claim: claim})
-	if outcome.Fate == classifier.NotRun {
-		return classifier.Lose("a copy of the request holds the key", order.Settings.RetryAfter)
-	}
-
-	return outcome
-}
--- a/claimer/settings.go
+++ b/claimer/settings.go
@@ -15,9 +15,7 @@
 	RecordFor time.Duration
 	// RecordPause lies between those tries.
 	RecordPause time.Duration
-	// SendWithin is how long after its claim an attempt may still be sent.
-	SendWithin time.Duration
-	// Rounds is how many targets and takeovers one request may go through.
+	// Rounds is how many takeovers one request may go through.
 	Rounds int
 	// RetryAfter is the time to come back while the service gives no answer.
 	RetryAfter time.Duration
@@ -30,7 +28,6 @@
 		ResultWait:    500 * time.Millisecond,
 		RecordFor:     5 * time.Minute,
 		RecordPause:   time.Second,
-		SendWithin:    5 * time.Second,
 		Rounds:        4,
 		RetryAfter:    2 * time.Second,
 	}
