--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -394,14 +394,3 @@
 		require.Equal(t, 2, fleet.acts())
 	})
 }
-
-func TestCallsOfAKeyedOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fleet := newFleet(t, "replica-1")
-		send(fleet.entry(t, "entry-1"))
-		require.Equal(t, map[string]int{"Get": 2, "CompareAndSwap": 2}, fleet.store.Calls())
-
-		send(fleet.entry(t, "entry-2"))
-		require.Equal(t, map[string]int{"Get": 3, "CompareAndSwap": 2}, fleet.store.Calls(), "a replay writes nothing")
-	})
-}
--- a/claimer/committer_test.go
+++ b/claimer/committer_test.go
@@ -85,3 +85,14 @@
 		require.LessOrEqual(t, store.Calls()["CompareAndSwap"], 10)
 	})
 }
+
+func TestCallsOfAKeyedOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, "replica-1")
+		send(fleet.entry(t, "entry-1"))
+		require.Equal(t, map[string]int{"Get": 2, "CompareAndSwap": 2}, fleet.store.Calls())
+
+		send(fleet.entry(t, "entry-2"))
+		require.Equal(t, map[string]int{"Get": 3, "CompareAndSwap": 2}, fleet.store.Calls(), "a replay writes nothing")
+	})
+}
