Find a gone replica by failures and name the attempt that ended an answer

Cause: a replica whose sidecar takes no connection must be ejected although the instance list still names it; and an answer that went on elsewhere is kept under another attempt than Begin said.

Change: a test of the ejection; End.AttemptID.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -35,6 +35,9 @@
 
 // End is what the last frame of an answer said.
 type End struct {
+	// AttemptID is the attempt whose sidecar keeps the end of the answer. It
+	// differs from the ID of Begin when the answer went on elsewhere.
+	AttemptID    string
 	FinishReason string
 	Status       int
 	MediaType    string
--- a/dispatcher/fate_test.go
+++ b/dispatcher/fate_test.go
@@ -166,6 +166,9 @@
 		require.Positive(t, outcome.RetryAfter)
 	} else if test.service == modelService {
 		require.Equal(t, wholeAnswer(), judged.text.String())
+
+		_, replica, _ := dispatcher.SplitAttemptID(judged.end.AttemptID)
+		require.Equal(t, 1, fleet.engines[replica].Starts(judged.end.AttemptID))
 	}
 
 	time.Sleep(time.Minute)
@@ -326,3 +329,28 @@
 		require.Equal(t, 1, fleet.events(recorder.KindRetried))
 	})
 }
+
+func TestGoneReplicaIsFoundByFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, nil)
+		fleet.add("replica-1", plainService)
+		fleet.add("replica-2", plainService)
+
+		for range 8 {
+			require.Equal(t, classifier.Answered, fleet.dispatcher.Do(t.Context(), fleet.call(plainService, false), &sink{}).Fate)
+		}
+
+		// The instance list goes on naming it.
+		fleet.kill("replica-1")
+
+		before := fleet.network.Dials("replica-1")
+
+		for range 100 {
+			require.Equal(t, classifier.Answered, fleet.dispatcher.Do(t.Context(), fleet.call(plainService, false), &sink{}).Fate)
+		}
+
+		// Some failures in a row eject it, and no time passes for a trial.
+		require.Less(t, fleet.network.Dials("replica-1")-before, 10)
+		require.Equal(t, 1, fleet.events(recorder.KindEjected))
+	})
+}
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -203,6 +203,7 @@
 	text  strings.Builder
 	count int
 	ended bool
+	end   dispatcher.End
 	// at is called before the event of that index is taken.
 	at map[int]func()
 }
@@ -222,8 +223,9 @@
 	return nil
 }
 
-func (sink *sink) End(dispatcher.End) error {
+func (sink *sink) End(end dispatcher.End) error {
 	sink.ended = true
+	sink.end = end
 
 	return nil
 }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -191,6 +191,7 @@
 	}
 
 	err := attempt.answer.sink.End(End{
+		AttemptID:    attempt.id,
 		FinishReason: frame.GetFinishReason(),
 		Status:       int(frame.GetStatus()),
 		MediaType:    frame.GetContentType(),
