Wire planner, fencer, prefix keys and the sidecar's health and metrics

Cause: parts that were built side by side stood unused; keeper.Write said that a write was refused when its first answer was lost and the breaker then kept the second attempt from being made, though the first may have taken effect.

Change: every process starts its duties from one list; the entry waits a bounded time for the results of keyed requests at its planned stop; the sidecar serves health and metrics; completions carry prefix keys of their messages or prompt. keeper.Write keeps an unknown write unknown.

Ruled out: prefix keys of the whole body: clients write the model and their options in any order before the text.

Measured: TestWriteStaysUnknownWhenItCannotBeSettled failed before and passes now. Twenty completions with one template, sent through two entry processes, meet one of three replicas.

--- a/app/entry.go
+++ b/app/entry.go
@@ -9,30 +9,32 @@
 	"github.com/juju/errors"
 	"github.com/urfave/negroni/v3"
 
+	"limpetrail/claimer"
 	"limpetrail/dialer"
 	"limpetrail/handler"
 	"limpetrail/kernel"
 	"limpetrail/loader"
 	"limpetrail/locator"
 	"limpetrail/messenger"
-	"limpetrail/publisher"
 	"limpetrail/router"
 )
 
 const (
 	instancesInterval = time.Second
 	headerTimeout     = 10 * time.Second
+	claimsPatience    = 5 * time.Second
 )
 
 // Entry is a process between callers and sidecars.
 type Entry struct {
 	kernel.Common
-	Settings  loader.Entry
-	Publisher *publisher.Publisher
-	Router    *router.Router
-	Dialer    *dialer.Dialer
-	List      locator.List
-	Routes    []handler.Routes
+	Settings loader.Entry
+	Router   *router.Router
+	Dialer   *dialer.Dialer
+	List     locator.List
+	Claimer  *claimer.Claimer
+	Routes   []handler.Routes
+	Duties   []Duty
 	// Services are what peers may call.
 	Services []messenger.Service
 }
@@ -59,7 +61,7 @@
 	server := &http.Server{Handler: departure.Wrap(entry.handler()), ReadHeaderTimeout: headerTimeout}
 	served := make(chan error, 2)
 
-	go entry.Publisher.Run(serving)
+	startDuties(serving, entry.Duties)
 	go entry.locate(serving)
 	go func() { served <- server.Serve(listener) }()
 	go func() { served <- servePeers(serving, peers, entry.Services) }()
@@ -72,7 +74,27 @@
 	case <-ctx.Done():
 		entry.Log.Info("Stopping.")
 
-		return departure.Stop(serving, server)
+		err := departure.Stop(serving, server)
+		entry.settleClaims()
+
+		return err
+	}
+}
+
+// settleClaims gives the last results of keyed requests the time to be
+// recorded. One that is not recorded can still be asked of its sidecar.
+func (entry *Entry) settleClaims() {
+	settled := make(chan struct{})
+
+	go func() {
+		entry.Claimer.Wait()
+		close(settled)
+	}()
+
+	select {
+	case <-settled:
+	case <-time.After(claimsPatience):
+		entry.Log.Warn("Results of keyed requests are left unrecorded.")
 	}
 }
 
--- a/app/providers.go
+++ b/app/providers.go
@@ -13,6 +13,7 @@
 	"limpetrail/dispatcher"
 	"limpetrail/driver"
 	"limpetrail/executor"
+	"limpetrail/fencer"
 	"limpetrail/handler"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
@@ -21,6 +22,8 @@
 	"limpetrail/messenger"
 	"limpetrail/meter"
 	"limpetrail/observer"
+	"limpetrail/planner"
+	"limpetrail/publisher"
 	"limpetrail/router"
 )
 
@@ -106,40 +109,82 @@
 	return admitter.NewFixed(settings.BackendServer.Places)
 }
 
-func newExecutor(ctx context.Context, common kernel.Common, settings loader.Sidecar, admission admitter.Admitter) (*executor.Executor, error) {
-	options := []executor.Option{executor.WithSettings(settings.Execute)}
+// backend is what the sidecar stands beside: exactly one of its fields is set.
+type backend struct {
+	engine  driver.Engine
+	service driver.Service
+}
+
+func newBackend(common kernel.Common, settings loader.Sidecar) (backend, error) {
 	server := settings.BackendServer
 
-	switch server.Kind {
-	case "Engine":
+	if server.Kind == "Engine" {
 		factory, err := driver.Adapters.Find(server.Adapter)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return backend{}, errors.Trace(err)
 		}
 
 		engine, err := factory(common, server.Address)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
 
-		options = append(options, executor.WithEngine(engine))
-	case "Service":
-		factory, err := driver.ServiceAdapters.Find(server.Adapter)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
+		return backend{engine: engine}, errors.Trace(err)
+	}
 
-		service, err := factory(common, server.Address)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
+	factory, err := driver.ServiceAdapters.Find(server.Adapter)
+	if err != nil {
+		return backend{}, errors.Trace(err)
+	}
 
-		options = append(options, executor.WithService(service))
-	default:
-		return nil, errors.NotValidf("BackendServer.Kind %q (allowed: Engine, Service)", server.Kind)
+	service, err := factory(common, server.Address)
+
+	return backend{service: service}, errors.Trace(err)
+}
+
+func newExecutor(ctx context.Context, common kernel.Common, settings loader.Sidecar, server backend, admission admitter.Admitter) *executor.Executor {
+	options := []executor.Option{executor.WithSettings(settings.Execute)}
+	if server.engine != nil {
+		options = append(options, executor.WithEngine(server.engine))
+	} else {
+		options = append(options, executor.WithService(server.service))
 	}
 
-	return executor.NewExecutor(ctx, common, admission, options...), nil
+	return executor.NewExecutor(ctx, common, admission, options...)
+}
+
+// newFencer returns nil beside a plain service, which takes no orders.
+func newFencer(common kernel.Common, server backend, store keeper.Store) *fencer.Fencer {
+	if server.engine == nil {
+		return nil
+	}
+
+	return fencer.NewFencer(common, server.engine, store)
+}
+
+func newServer(runs *executor.Executor, orders *fencer.Fencer) *executor.Server {
+	if orders == nil {
+		return executor.NewServer(runs)
+	}
+
+	return executor.NewServer(runs, executor.WithOrders(orders))
+}
+
+func newSidecarDuties(orders *fencer.Fencer) []Duty {
+	if orders == nil {
+		return nil
+	}
+
+	return []Duty{orders}
+}
+
+func newPlanner(common kernel.Common, settings loader.Entry, store keeper.Store, list locator.List, documents *publisher.Publisher, connections *dialer.Dialer) *planner.Planner {
+	return planner.NewPlanner(common, settings.Plan, store, list, documents, connections)
+}
+
+func newEntryDuties(documents *publisher.Publisher, plans *planner.Planner) []Duty {
+	return []Duty{documents, plans}
+}
+
+func newSidecarStore(common kernel.Common, settings loader.Sidecar) (keeper.Store, error) {
+	return newStore(common, settings.KeyValue, settings.Calls)
 }
 
 func newEntryServices(timeLine *messenger.TimeLine) []messenger.Service {
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 
 	"github.com/juju/errors"
 
@@ -9,6 +11,7 @@
 	"limpetrail/kernel"
 	"limpetrail/loader"
 	"limpetrail/messenger"
+	"limpetrail/meter"
 )
 
 // Sidecar is a process beside a backend server.
@@ -18,6 +21,8 @@
 	Executor *executor.Executor
 	// Services are what peers may call.
 	Services []messenger.Service
+	Duties   []Duty
+	Meter    *meter.Meter
 }
 
 // Run serves until the context ends, then drains: new work is refused, what
@@ -28,6 +33,11 @@
 		return errors.Trace(err)
 	}
 
+	operations, err := (&net.ListenConfig{}).Listen(ctx, "tcp", sidecar.Settings.Listen.Operations)
+	if err != nil {
+		return errors.Annotate(err, "listening for operations")
+	}
+
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
@@ -39,8 +49,30 @@
 		stop()
 	}()
 	go sidecar.Executor.Tend(serving)
+	go sidecar.serveOperations(serving, operations, ctx.Done())
+	startDuties(serving, sidecar.Duties)
 
 	sidecar.Log.WithField("Peers", listener.Addr()).Info("Serving.")
 
 	return servePeers(serving, listener, sidecar.Services)
 }
+
+// serveOperations answers health and metrics until the context ends.
+func (sidecar *Sidecar) serveOperations(ctx context.Context, listener net.Listener, leaving <-chan struct{}) {
+	mux := http.NewServeMux()
+	sidecar.Meter.Register(mux)
+
+	departure := NewDeparture(0)
+	server := &http.Server{Handler: departure.Wrap(mux), ReadHeaderTimeout: headerTimeout}
+
+	go func() {
+		<-leaving
+		departure.leaving.Store(true)
+		<-ctx.Done()
+		server.Close()
+	}()
+
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		sidecar.Log.WithError(err).Error("Health and metrics are not served.")
+	}
+}
--- a/app/wire.go
+++ b/app/wire.go
@@ -7,7 +7,6 @@
 
 	"github.com/google/wire"
 
-	"limpetrail/executor"
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/observer"
@@ -28,6 +27,8 @@
 		newRoutes,
 		newTimeLine,
 		newEntryServices,
+		newPlanner,
+		newEntryDuties,
 		publisher.NewPublisher,
 		handler.NewInference,
 		observer.NewObserver,
@@ -42,7 +43,11 @@
 		newSidecarCommon,
 		newAdmitter,
 		newExecutor,
-		executor.NewServer,
+		newBackend,
+		newSidecarStore,
+		newFencer,
+		newServer,
+		newSidecarDuties,
 		newTimeLine,
 		newSidecarServices,
 		wire.Struct(new(Sidecar), "*"),
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"limpetrail/executor"
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/observer"
@@ -24,33 +23,36 @@
 	if err != nil {
 		return nil, err
 	}
-	store, err := newEntryStore(common, settings)
-	if err != nil {
-		return nil, err
-	}
-	publisherPublisher := publisher.NewPublisher(common, store)
 	router := newRouter(common)
 	dialer := newDialer()
 	list, err := newList(common, settings)
 	if err != nil {
 		return nil, err
 	}
+	store, err := newEntryStore(common, settings)
+	if err != nil {
+		return nil, err
+	}
 	dispatcher := newDispatcher(common, settings, router, dialer)
 	claimer := newClaimer(common, store, dispatcher)
+	publisherPublisher := publisher.NewPublisher(common, store)
 	inference := handler.NewInference(common, dispatcher, publisherPublisher, claimer)
 	observerObserver := observer.NewObserver(common, list, dialer, publisherPublisher, router)
 	v := newRoutes(inference, observerObserver, meter)
+	planner := newPlanner(common, settings, store, list, publisherPublisher, dialer)
+	v2 := newEntryDuties(publisherPublisher, planner)
 	timeLine := newTimeLine(common)
-	v2 := newEntryServices(timeLine)
+	v3 := newEntryServices(timeLine)
 	entry := &Entry{
-		Common:    common,
-		Settings:  settings,
-		Publisher: publisherPublisher,
-		Router:    router,
-		Dialer:    dialer,
-		List:      list,
-		Routes:    v,
-		Services:  v2,
+		Common:   common,
+		Settings: settings,
+		Router:   router,
+		Dialer:   dialer,
+		List:     list,
+		Claimer:  claimer,
+		Routes:   v,
+		Duties:   v2,
+		Services: v3,
 	}
 	return entry, nil
 }
@@ -62,19 +64,28 @@
 	if err != nil {
 		return nil, err
 	}
+	appBackend, err := newBackend(common, settings)
+	if err != nil {
+		return nil, err
+	}
 	admitter := newAdmitter(settings)
-	executorExecutor, err := newExecutor(ctx, common, settings, admitter)
+	executor := newExecutor(ctx, common, settings, appBackend, admitter)
+	store, err := newSidecarStore(common, settings)
 	if err != nil {
 		return nil, err
 	}
-	server := executor.NewServer(executorExecutor)
+	fencer := newFencer(common, appBackend, store)
+	server := newServer(executor, fencer)
 	timeLine := newTimeLine(common)
 	v := newSidecarServices(server, timeLine)
+	v2 := newSidecarDuties(fencer)
 	sidecar := &Sidecar{
 		Common:   common,
 		Settings: settings,
-		Executor: executorExecutor,
+		Executor: executor,
 		Services: v,
+		Duties:   v2,
+		Meter:    meter,
 	}
 	return sidecar, nil
 }
--- a/executor/server.go
+++ b/executor/server.go
@@ -14,9 +14,17 @@
 // maxFrameBytes bounds the events of one frame, but for a single larger one.
 const maxFrameBytes = 256 << 10
 
+// OrderTaker guards the engine's orders and knows what it has loaded.
+type OrderTaker interface {
+	Take(ctx context.Context, request *messenger.OrderRequest) *messenger.OrderReply
+	Models() []string
+}
+
 // Server answers the sidecar's calls from entries.
 type Server struct {
 	Executor *Executor
+	// Orders is nil beside a plain service, which takes none.
+	Orders OrderTaker
 }
 
 var (
@@ -24,9 +32,22 @@
 	_ messenger.Service           = (*Server)(nil)
 )
 
+// ServerOption changes a Server at construction.
+type ServerOption func(*Server)
+
+// WithOrders sets who takes orders to the engine.
+func WithOrders(orders OrderTaker) ServerOption {
+	return func(server *Server) { server.Orders = orders }
+}
+
 // NewServer returns a server for the executor.
-func NewServer(executor *Executor) *Server {
-	return &Server{Executor: executor}
+func NewServer(executor *Executor, options ...ServerOption) *Server {
+	server := &Server{Executor: executor}
+	for _, option := range options {
+		option(server)
+	}
+
+	return server
 }
 
 // RegisterService implements messenger.Service.
@@ -44,12 +65,17 @@
 func (server *Server) Hello(_ context.Context, request *messenger.HelloRequest) (*messenger.HelloReply, error) {
 	server.observe(request.GetClock())
 
-	return &messenger.HelloReply{
+	reply := &messenger.HelloReply{
 		Clock:       server.now(),
 		Instance:    server.Executor.Instance,
 		Incarnation: server.Executor.Number(),
 		Load:        server.Executor.Load(),
-	}, nil
+	}
+	if server.Orders != nil {
+		reply.Models = server.Orders.Models()
+	}
+
+	return reply, nil
 }
 
 // Execute runs a request and streams its answer.
@@ -108,10 +134,17 @@
 }
 
 // Order passes an order to the engine.
-func (server *Server) Order(_ context.Context, request *messenger.OrderRequest) (*messenger.OrderReply, error) {
+func (server *Server) Order(ctx context.Context, request *messenger.OrderRequest) (*messenger.OrderReply, error) {
 	server.observe(request.GetClock())
 
-	return &messenger.OrderReply{Clock: server.now(), Reason: "orders are not taken yet"}, nil
+	if server.Orders == nil {
+		return &messenger.OrderReply{Clock: server.now(), Reason: "a plain service takes no orders"}, nil
+	}
+
+	reply := server.Orders.Take(ctx, request)
+	reply.Clock = server.now()
+
+	return reply, nil
 }
 
 // Drain makes the sidecar refuse new work.
--- a/handler/completion.go
+++ b/handler/completion.go
@@ -8,6 +8,7 @@
 
 	"limpetrail/dispatcher"
 	"limpetrail/editor"
+	"limpetrail/router"
 )
 
 // completionRequest is what the entry reads of a caller's body; the engine
@@ -15,6 +16,10 @@
 type completionRequest struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// Prompt and Messages are the text as sent, one of them; requests whose
+	// texts begin alike go to the same replica.
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
 }
 
 func (inference *Inference) complete(writer http.ResponseWriter, request *http.Request, shape shape) {
@@ -38,9 +43,19 @@
 
 	call.Path = request.URL.Path
 	call.Body = body
+	call.PrefixKeys = router.PrefixKeys(wanted.text())
 	inference.run(request.Context(), call, key, newCompletionSink(writer, shape, wanted))
 }
 
+// text is what the engine's prefix cache is keyed by.
+func (wanted completionRequest) text() []byte {
+	if len(wanted.Messages) > 0 {
+		return wanted.Messages
+	}
+
+	return wanted.Prompt
+}
+
 // completion reads the body of a completion.
 func (arrival *arrival) completion(body []byte) completionRequest {
 	wanted := completionRequest{}
--- a/keeper/client_test.go
+++ b/keeper/client_test.go
@@ -127,3 +127,36 @@
 		})
 	}
 }
+
+// losing loses the answer of the first write, and refuses to make any other.
+type losing struct {
+	*emulator.Store
+
+	writes int
+}
+
+func (store *losing) CompareAndSwap(ctx context.Context, key string, revision keeper.Revision, value []byte) (keeper.Entry, keeper.Applied, error) {
+	store.writes++
+	if store.writes > 1 {
+		return keeper.Entry{}, keeper.WriteRefused, keeper.ErrUnavailable
+	}
+
+	_, _, err := store.Store.CompareAndSwap(ctx, key, revision, value)
+	if err != nil {
+		return keeper.Entry{}, keeper.WriteRefused, err
+	}
+
+	return keeper.Entry{}, keeper.WriteUnknown, keeper.ErrUnavailable
+}
+
+func TestWriteStaysUnknownWhenItCannotBeSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, applied, err := keeper.Write(t.Context(), &losing{Store: emulator.NewStore()}, keeper.Proposal{
+			Key:   "key",
+			Value: []byte("mine"),
+			Mine:  func(value []byte) bool { return string(value) == "mine" },
+		})
+		require.Error(t, err)
+		require.Equal(t, keeper.WriteUnknown, applied)
+	})
+}
--- a/keeper/write.go
+++ b/keeper/write.go
@@ -39,9 +39,10 @@
 			return entry, WriteApplied, nil
 		case applied == WriteRefused && err == nil:
 			return settle(attempt, entry, proposal)
-		case applied == WriteRefused:
+		case applied == WriteRefused && attempt == 0:
 			return entry, WriteRefused, errors.Trace(err)
 		}
+		// A later attempt that was not made tells nothing about the first one.
 
 		last = err
 
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -6,6 +6,7 @@
 	"limpetrail/dispatcher"
 	"limpetrail/executor"
 	"limpetrail/keeper"
+	"limpetrail/planner"
 )
 
 // Entry is the settings of an entry: each field is a section of the INI file,
@@ -18,6 +19,7 @@
 	// Calls bounds the use of the key-value service.
 	Calls    keeper.Settings
 	Dispatch dispatcher.Settings
+	Plan     planner.Settings
 	Log      Log
 }
 
@@ -100,6 +102,7 @@
 		Instances: Platform{Adapter: "http"},
 		Calls:     keeper.DefaultSettings(),
 		Dispatch:  dispatcher.DefaultSettings(),
+		Plan:      planner.DefaultSettings(),
 		Log:       Log{Level: "info"},
 	}
 }
--- a/verifier/path_test.go
+++ b/verifier/path_test.go
@@ -1,13 +1,17 @@
 package verifier
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/dispatcher"
 	"limpetrail/editor"
+	"limpetrail/handler"
 )
 
 // exampleDocument has one firm of each kind of service.
@@ -36,6 +40,30 @@
 	require.Equal(t, wanted(body, 20), text)
 }
 
+func TestRequestsThatBeginAlikeMeetTheSameReplica(t *testing.T) {
+	fleet := newFleet(t, exampleDocument())
+	for _, name := range []string{"sidecar-1", "sidecar-2", "sidecar-3"} {
+		fleet.sidecar(name, "Engine", "briefing")
+	}
+
+	fleet.entry("entry-1")
+	fleet.entry("entry-2")
+
+	caller := newCaller(fleet, "briefings")
+	template := strings.Repeat("You write briefings for clinics. ", 10)
+	replicas := map[string]bool{}
+
+	for number := range 20 {
+		body := fmt.Sprintf(`{"model":"briefing","max_tokens":1,"prompt":"%s%d"}`, template, number)
+		entry := fmt.Sprintf("entry-%d", number%2+1)
+		answer := caller.eventually(http.StatusOK, entry, "/v1/completions", body)
+		_, replica, _ := dispatcher.SplitAttemptID(answer.header.Get(handler.RequestIDHeader))
+		replicas[replica] = true
+	}
+
+	require.Len(t, replicas, 1)
+}
+
 func TestCompletionSurvivesKillOfOneOfTwoSidecars(t *testing.T) {
 	fleet := newFleet(t, exampleDocument())
 	fleet.sidecar("sidecar-1", "Engine", "briefing")
