Make the engine stand-in an exact step model

Cause: admission is measured against continuous batching, and the stand-in gave a token to streams that arrived within a step, had no prefix cache and no bound on the streams of a step. Change: a step carries the streams it began with, its time grows with them and with the prompt tokens that a bounded LRU of prompt blocks lacks; streams beyond MaxStreams wait inside the engine; a cancel takes effect at the next step; the load report lags.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -23,23 +23,6 @@
 	TextFatal = "FATAL"
 )
 
-// StepModel gives the time of one step of continuous batching: every running
-// stream yields a token each step.
-type StepModel struct {
-	// Base is the time of a step that carries one stream.
-	Base time.Duration
-	// PerStream is added for each further stream.
-	PerStream time.Duration
-	// PerPromptToken is added for each prompt token of a stream's first step
-	// that the prefix cache does not hold.
-	PerPromptToken time.Duration
-}
-
-// DefaultStepModel is fast enough for tests and a demo.
-func DefaultStepModel() StepModel {
-	return StepModel{Base: 2 * time.Millisecond, PerStream: 50 * time.Microsecond, PerPromptToken: 2 * time.Microsecond}
-}
-
 // Engine stands in for a model engine with continuous batching. It knows no
 // priorities and admits requests as they come.
 type Engine struct {
@@ -48,8 +31,13 @@
 	// Restart is how long the engine is gone after a fatal request.
 	Restart time.Duration
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// streams are in order of arrival; the first MaxStreams of them run.
 	streams []*engineStream
+	cache   *prefixCache
+	// reported is the load report that callers see, made at reportedAt.
+	reported   driver.Load
+	reportedAt time.Time
 	// starts counts the streams started for each ID, for checks.
 	starts map[string]int
 	// fence is the highest fencing number seen.
@@ -96,6 +84,8 @@
 		option(engine)
 	}
 
+	engine.cache = newPrefixCache(engine.Steps.CacheBlocks)
+
 	return engine
 }
 
@@ -172,7 +162,12 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 
-	load := driver.Load{Running: len(engine.streams)}
+	if time.Since(engine.reportedAt) >= engine.Steps.ReportLag {
+		engine.reported = engine.measure()
+		engine.reportedAt = time.Now()
+	}
+
+	load := engine.reported
 	for model := range engine.models {
 		load.Models = append(load.Models, model)
 	}
@@ -180,6 +175,27 @@
 	return load, nil
 }
 
+// measure returns the present load, with the mutex held.
+func (engine *Engine) measure() driver.Load {
+	running := engine.width()
+	load := driver.Load{Running: running, Waiting: len(engine.streams) - running}
+
+	if engine.Steps.MaxStreams > 0 {
+		load.CacheShare = float64(running) / float64(engine.Steps.MaxStreams)
+	}
+
+	return load
+}
+
+// width returns how many streams a step carries now, with the mutex held.
+func (engine *Engine) width() int {
+	if engine.Steps.MaxStreams > 0 {
+		return min(len(engine.streams), engine.Steps.MaxStreams)
+	}
+
+	return len(engine.streams)
+}
+
 // Order implements driver.Engine.
 func (engine *Engine) Order(ctx context.Context, order driver.Order) error {
 	if !engine.Faults.Wait(ctx.Done()) {
@@ -239,18 +255,20 @@
 		return 0
 	}
 
-	pause := engine.Steps.Base + time.Duration(len(engine.streams)-1)*engine.Steps.PerStream
-	for _, stream := range engine.streams {
+	prompt := 0
+
+	running := engine.streams[:engine.width()]
+	for _, stream := range running {
 		if !stream.prefilled {
 			stream.prefilled = true
-			pause += time.Duration(stream.promptTokens) * engine.Steps.PerPromptToken
+			prompt += len(stream.words) - engine.cache.read(blockNames(stream.words))
 		}
 	}
 
-	return pause
+	return engine.Steps.Step(len(running), prompt)
 }
 
-// step yields one token of each stream.
+// step yields one token of each stream that the step began with.
 func (engine *Engine) step() {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
@@ -260,7 +278,7 @@
 	}
 
 	for _, stream := range engine.streams {
-		if stream.fatal {
+		if stream.fatal && stream.prefilled {
 			engine.die()
 
 			return
@@ -268,7 +286,9 @@
 	}
 
 	for _, stream := range engine.streams {
-		stream.yield()
+		if stream.prefilled {
+			stream.yield()
+		}
 	}
 }
 
@@ -290,6 +310,8 @@
 		switch {
 		case stream.ended:
 		case stream.cancelled || stream.context.Err() != nil:
+			// What a cancelled stream has computed stays for its resumption.
+			engine.cache.hold(blockNames(stream.words))
 			stream.fail(errors.Trace(context.Canceled))
 		default:
 			kept = append(kept, stream)
@@ -309,10 +331,12 @@
 	next         int
 	maxTokens    int
 	promptTokens int
-	seed         string
-	fatal        bool
-	prefilled    bool
-	cancelled    bool
+	// words are the tokens of the prompt and those produced so far.
+	words     []string
+	seed      string
+	fatal     bool
+	prefilled bool
+	cancelled bool
 	// ended is set once tokens is closed.
 	ended bool
 }
@@ -324,13 +348,16 @@
 	// A body that is no JSON gets the default length.
 	_ = json.Unmarshal(generation.Body, &settings)
 
+	words := strings.Fields(string(generation.Body))
+
 	return &engineStream{
 		context:      ctx,
 		generation:   generation,
 		tokens:       make(chan driver.Token, streamBuffer),
 		next:         len(generation.Prefix),
 		maxTokens:    max(1, min(settings.MaxTokens, streamBuffer)),
-		promptTokens: len(strings.Fields(string(generation.Body))),
+		promptTokens: len(words),
+		words:        append(words, generation.Prefix...),
 		seed:         Seed(generation.Body),
 		fatal:        strings.Contains(string(generation.Body), TextFatal),
 	}
@@ -369,6 +396,7 @@
 func (stream *engineStream) yield() {
 	token := driver.Token{Index: stream.next, Text: TokenText(stream.seed, stream.next)}
 	stream.next++
+	stream.words = append(stream.words, token.Text)
 
 	if stream.next >= stream.maxTokens {
 		token.Finish = "length"
