--- /dev/null
+++ b/admitter/adaptive.go
@@ -0,0 +1,227 @@
+package admitter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"limpetrail/classifier"
+)
+
+// Adaptive learns how many requests its engine bears, lets online requests in
+// first, and gives batch what is left. It has no goroutine of its own: each
+// call of its places and each waiting ticket advances it.
+type Adaptive struct {
+	Settings Settings
+
+	mutex  sync.Mutex
+	policy Policy
+	random *rand.Rand
+	// online holds the waiting online tickets by firm. One waits only while
+	// every place within the limit is held by online requests.
+	online *FairQueue[string, *waiter]
+	// batch holds the waiting batch tickets by due time.
+	batch *SortedQueue[*waiter]
+	// places holds every place not yet left.
+	places map[*adaptivePlace]struct{}
+	// runningOnline and runningBatch count the places that have not been
+	// taken back: at most limit together, but for batch being taken back.
+	runningOnline int
+	runningBatch  int
+	// grants numbers the places.
+	grants uint64
+	learner
+}
+
+var _ Admitter = (*Adaptive)(nil)
+
+// NewAdaptive returns an admitter for one backend server.
+func NewAdaptive(options ...Option) *Adaptive {
+	adaptive := &Adaptive{
+		Settings: DefaultSettings(),
+		policy:   DefaultPolicy(),
+		online:   NewFairQueue[string, *waiter](),
+		batch:    NewSortedQueue(compareDue),
+		places:   map[*adaptivePlace]struct{}{},
+	}
+	for _, option := range options {
+		option(adaptive)
+	}
+
+	adaptive.random = rand.New(rand.NewPCG(adaptive.Settings.Seed, 0))
+	adaptive.learner = newLearner(adaptive.Settings)
+
+	return adaptive
+}
+
+// SetPolicy puts a policy in force for everything that waits or runs.
+func (adaptive *Adaptive) SetPolicy(policy Policy) {
+	adaptive.mutex.Lock()
+	defer adaptive.mutex.Unlock()
+
+	adaptive.policy = policy
+	adaptive.schedule(time.Now())
+}
+
+// Enter implements Admitter.
+func (adaptive *Adaptive) Enter(ctx context.Context, ticket Ticket) (Place, classifier.Outcome) {
+	waiter := adaptive.join(ctx, ticket)
+	expiry := time.NewTimer(time.Until(waiter.expiry))
+
+	defer expiry.Stop()
+
+	// A batch ticket looks for slack by itself, since nothing else may happen.
+	ticker := time.NewTicker(adaptive.Settings.Window)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-waiter.settled:
+		case <-ticker.C:
+			adaptive.tick()
+
+			continue
+		case <-expiry.C:
+			adaptive.giveUp(waiter, "no place at the backend server in time")
+		case <-ctx.Done():
+			adaptive.giveUp(waiter, "the request was cancelled while it waited")
+		}
+
+		if waiter.place == nil {
+			return nil, waiter.refusal
+		}
+
+		return waiter.place, classifier.Outcome{}
+	}
+}
+
+// Report implements Admitter.
+func (adaptive *Adaptive) Report() Report {
+	adaptive.mutex.Lock()
+	defer adaptive.mutex.Unlock()
+
+	return Report{
+		RunningOnline: adaptive.runningOnline,
+		QueuedOnline:  adaptive.online.Len(),
+		RunningBatch:  adaptive.runningBatch,
+		Limit:         adaptive.limit(),
+		FirstToken:    adaptive.firstToken,
+		BatchRoom:     max(0, adaptive.batchBound()-adaptive.runningBatch-adaptive.batch.Len()),
+	}
+}
+
+// join queues the ticket, or settles it at once.
+func (adaptive *Adaptive) join(ctx context.Context, ticket Ticket) *waiter {
+	adaptive.mutex.Lock()
+	defer adaptive.mutex.Unlock()
+
+	now := time.Now()
+	waiter := newWaiter(ticket, ticket.Deadline)
+
+	switch {
+	case ctx.Err() != nil || !now.Before(ticket.Deadline):
+		adaptive.refuse(waiter, "the deadline has passed", now)
+	case ticket.Batch && adaptive.batch.Len() >= adaptive.Settings.MaxQueued:
+		adaptive.refuse(waiter, "too many batch items wait here", now)
+	case ticket.Batch:
+		adaptive.batch.Push(waiter)
+	default:
+		adaptive.joinOnline(waiter, now)
+	}
+
+	adaptive.schedule(now)
+
+	return waiter
+}
+
+// joinOnline queues an online ticket unless it could not start in time.
+func (adaptive *Adaptive) joinOnline(waiter *waiter, now time.Time) {
+	ticket := waiter.ticket
+	share := adaptive.policy.share(ticket.Firm)
+	allowed := min(adaptive.policy.MaxWait, ticket.Deadline.Sub(now))
+	waiter.expiry = now.Add(allowed)
+
+	if adaptive.onlineRoom() > adaptive.online.Len() {
+		adaptive.online.Push(ticket.Firm, share, waiter)
+
+		return
+	}
+
+	wait := adaptive.waitFor(adaptive.online.Ahead(ticket.Firm, share), now)
+	if wait > allowed || adaptive.online.Len() >= adaptive.Settings.MaxQueued {
+		adaptive.refuse(waiter, "the queue is longer than the request may wait", now)
+
+		return
+	}
+
+	adaptive.online.Push(ticket.Firm, share, waiter)
+	adaptive.refuseOvertaken(now)
+}
+
+// refuseOvertaken refuses at once those whom a later arrival of another firm
+// has pushed back beyond the time they may wait.
+func (adaptive *Adaptive) refuseOvertaken(now time.Time) {
+	kept := 0
+
+	for _, waiter := range adaptive.online.All() {
+		if now.Add(adaptive.waitFor(kept, now)).After(waiter.expiry) {
+			adaptive.online.Remove(waiter)
+			adaptive.refuse(waiter, "requests of other firms go first", now)
+
+			continue
+		}
+
+		kept++
+	}
+}
+
+func (adaptive *Adaptive) tick() {
+	adaptive.mutex.Lock()
+	defer adaptive.mutex.Unlock()
+
+	adaptive.schedule(time.Now())
+}
+
+// giveUp refuses a waiter that is not settled yet. A place that it has been
+// given in the same moment stays its own.
+func (adaptive *Adaptive) giveUp(waiter *waiter, reason string) {
+	adaptive.mutex.Lock()
+	defer adaptive.mutex.Unlock()
+
+	if adaptive.online.Remove(waiter) || adaptive.batch.Remove(waiter) {
+		now := time.Now()
+		adaptive.refuse(waiter, reason, now)
+		adaptive.schedule(now)
+	}
+}
+
+func (adaptive *Adaptive) refuse(waiter *waiter, reason string, now time.Time) {
+	waiter.refusal = classifier.Refuse(reason, adaptive.retryAfter(now))
+	close(waiter.settled)
+}
+
+// retryAfter is the time in which the queue drains, and up to as much again
+// so that the refused do not come back together.
+func (adaptive *Adaptive) retryAfter(now time.Time) time.Duration {
+	drain := min(adaptive.Settings.MaxRetryAfter, adaptive.waitFor(adaptive.online.Len(), now))
+	drain = max(drain, adaptive.policy.MaxWait)
+
+	return drain + time.Duration(adaptive.random.Int64N(int64(drain)+1))
+}
+
+// leave takes a place out and passes its room on.
+func (adaptive *Adaptive) leave(place *adaptivePlace, now time.Time) {
+	delete(adaptive.places, place)
+
+	switch {
+	case place.taken:
+	case place.ticket.Batch:
+		adaptive.runningBatch--
+	default:
+		adaptive.runningOnline--
+		adaptive.observeStay(place, now)
+	}
+
+	adaptive.schedule(now)
+}
--- /dev/null
+++ b/admitter/learner.go
@@ -0,0 +1,234 @@
+package admitter
+
+import "time"
+
+const (
+	// harmShare is the share of a window's samples that may miss a target
+	// which is stated for 95 in 100.
+	harmShare = 0.05
+	// paceTokens is the length of the run of tokens over which the time between
+	// tokens is averaged: a single step that reads a long prompt is no harm.
+	paceTokens = 16
+	// minSamples is the least number of samples that harm is judged from.
+	minSamples = 4
+	// memory is the share of a window's samples that counts in the next one.
+	memory = 0.8
+	// queuedSteps is the number of engine steps after which a start that has
+	// no token is taken to wait inside the engine. Continuous batching begins
+	// a stream at the next step, so that its first token is within two.
+	queuedSteps = 3
+	// queuedShare is the share of such starts that shows that the engine is
+	// full; a few long prompts that take several steps do not.
+	queuedShare = 0.5
+	// limitCut and batchCut are the multiplicative decreases.
+	limitCut = 0.95
+	batchCut = 0.5
+	// batchGrowth is the additive increase of the batch share in a window, as
+	// a share of the limit.
+	batchGrowth = 0.05
+	// slowStart is the growth of the limit in a window before its first cut.
+	slowStart = 1.25
+	// stayWeight is the weight of the newest stay in the moving average.
+	stayWeight = 0.05
+	// firstTokenWeight is the weight of the newest first token in the report.
+	firstTokenWeight = 0.1
+)
+
+// learner holds what an Adaptive has learned about its engine. All samples are
+// counted, so that their order within a window makes no difference.
+type learner struct {
+	// bearable is the learned limit, at least 1.
+	bearable float64
+	// share is the learned bound of batch, at least 1.
+	share float64
+	// probed is set at the first cut, when the engine's bound is known.
+	probed bool
+	// step counts the engine's steps, as seen from the tokens of its streams.
+	step uint64
+	// windowEnd is when the present window is judged.
+	windowEnd time.Time
+	// intervals and firsts count samples of this and earlier windows against
+	// the policy's targets; starts those that waited inside the engine.
+	intervals, firsts, starts tally
+	// active is set when the window has seen a token.
+	active bool
+	// peak is the most places held at once in the window.
+	peak int
+	// cutAt is when the limit was last cut.
+	cutAt time.Time
+	// meanStay is the moving average of the time online requests hold a place;
+	// zero before the first.
+	meanStay time.Duration
+	// firstToken is the moving average of the time to the first online token.
+	firstToken time.Duration
+	// lastToken is when any stream last had a token, or began to wait for one
+	// with no other running.
+	lastToken time.Time
+	// stalledUntil is the end of the last silence of the engine.
+	stalledUntil time.Time
+}
+
+// tally counts samples and those that missed their target.
+type tally struct {
+	samples, missed float64
+}
+
+func (tally *tally) add(missed bool) {
+	tally.samples++
+
+	if missed {
+		tally.missed++
+	}
+}
+
+func (tally *tally) fade() {
+	tally.samples *= memory
+	tally.missed *= memory
+}
+
+// exceeds tells whether more than the share of the samples missed.
+func (tally *tally) exceeds(share float64) bool {
+	return tally.samples >= minSamples && tally.missed > share*tally.samples
+}
+
+func newLearner(settings Settings) learner {
+	return learner{bearable: float64(settings.Places), share: float64(settings.Places)}
+}
+
+// limit is how many requests the engine bears.
+func (learner *learner) limit() int { return max(1, int(learner.bearable)) }
+
+// batchCap is how many of them may be batch.
+func (learner *learner) batchCap() int { return max(1, int(learner.share)) }
+
+// observe takes in a token of a place.
+func (adaptive *Adaptive) observe(place *adaptivePlace, now time.Time) {
+	if place.tokens > 0 && place.lastStep == adaptive.step {
+		adaptive.step++
+	}
+
+	if now.Sub(adaptive.lastToken) > adaptive.policy.FirstToken {
+		adaptive.stalledUntil = now
+	}
+
+	adaptive.active = true
+	adaptive.lastToken = now
+	place.lastStep = adaptive.step
+	place.tokens++
+
+	switch {
+	case place.tokens == 1:
+		adaptive.observeFirst(place, now)
+		place.paceBegin = now
+	case place.tokens%paceTokens == 1:
+		adaptive.observePace(place, now)
+		place.paceBegin = now
+	}
+
+	if place.tokens == 1 || !now.Before(adaptive.windowEnd) {
+		adaptive.schedule(now)
+	}
+}
+
+// observePace takes in the time of the last run of tokens.
+func (adaptive *Adaptive) observePace(place *adaptivePlace, now time.Time) {
+	if place.paceBegin.After(adaptive.stalledUntil) {
+		adaptive.intervals.add(now.Sub(place.paceBegin) > paceTokens*adaptive.policy.TokenInterval)
+	}
+}
+
+func (adaptive *Adaptive) observeFirst(place *adaptivePlace, now time.Time) {
+	if !place.granted.After(adaptive.stalledUntil) {
+		return
+	}
+
+	adaptive.starts.add(adaptive.step-place.grantedStep > queuedSteps)
+
+	if place.ticket.Batch {
+		return
+	}
+
+	taken := now.Sub(place.granted)
+	adaptive.firstToken = average(adaptive.firstToken, taken, firstTokenWeight)
+	adaptive.firsts.add(taken > adaptive.policy.FirstToken)
+}
+
+// observeStay takes in how long an online request held its place, unless the
+// engine stood still meanwhile: that says nothing about its pace now.
+func (adaptive *Adaptive) observeStay(place *adaptivePlace, now time.Time) {
+	if place.granted.After(adaptive.stalledUntil) {
+		adaptive.meanStay = average(adaptive.meanStay, now.Sub(place.granted), stayWeight)
+	}
+}
+
+func average(mean, sample time.Duration, weight float64) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+
+	return mean + time.Duration(weight*float64(sample-mean))
+}
+
+// judge ends the window if it is over and moves the limits.
+func (adaptive *Adaptive) judge(now time.Time) {
+	if now.Before(adaptive.windowEnd) {
+		return
+	}
+
+	harm := adaptive.intervals.exceeds(harmShare) || adaptive.firsts.exceeds(harmShare)
+
+	switch {
+	case harm && adaptive.runningBatch > 0:
+		adaptive.share = max(1, batchCut*float64(adaptive.runningBatch))
+		adaptive.forget()
+	case harm || adaptive.starts.exceeds(queuedShare):
+		adaptive.bearable = max(1, limitCut*min(adaptive.bearable, float64(max(adaptive.peak, 1))))
+		adaptive.probed = true
+		adaptive.cutAt = now
+		adaptive.forget()
+	default:
+		adaptive.grow(now)
+	}
+
+	adaptive.intervals.fade()
+	adaptive.firsts.fade()
+	adaptive.starts.fade()
+	adaptive.active = false
+	adaptive.peak = adaptive.runningOnline + adaptive.runningBatch
+	adaptive.windowEnd = now.Add(adaptive.Settings.Window)
+}
+
+// forget drops the samples that a cut was made for.
+func (learner *learner) forget() {
+	learner.intervals, learner.firsts, learner.starts = tally{}, tally{}, tally{}
+}
+
+// grow raises the bounds that the window has used up.
+func (adaptive *Adaptive) grow(now time.Time) {
+	highest := float64(adaptive.Settings.MaxPlaces)
+
+	if adaptive.runningBatch >= adaptive.batchCap() {
+		adaptive.share = min(highest, adaptive.share+max(1, batchGrowth*adaptive.bearable))
+	}
+
+	if !adaptive.active || adaptive.peak < adaptive.limit() {
+		return
+	}
+
+	switch {
+	case !adaptive.probed:
+		adaptive.bearable = min(highest, adaptive.bearable*slowStart)
+	case now.Sub(adaptive.cutAt) > adaptive.Settings.Probe:
+		adaptive.bearable = min(highest, adaptive.bearable+1)
+	}
+}
+
+// waitFor predicts how long a ticket with that many ahead of it waits, from
+// the pace at which online places come free (Little's law).
+func (adaptive *Adaptive) waitFor(ahead int, now time.Time) time.Duration {
+	if silence := now.Sub(adaptive.lastToken); adaptive.step > 0 && silence > adaptive.policy.FirstToken {
+		return adaptive.Settings.MaxRetryAfter
+	}
+
+	return time.Duration(ahead+1) * adaptive.meanStay / time.Duration(adaptive.limit())
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -44,6 +44,8 @@
 	fence  uint64
 	orders []driver.Order
 	models map[string]bool
+	// stepTime is the length of the step in progress.
+	stepTime time.Duration
 	// deadUntil is when a died engine is back.
 	deadUntil time.Time
 	// wake is signalled when a stream arrives at an idle engine.
@@ -244,6 +246,14 @@
 	return append([]driver.Order{}, engine.orders...)
 }
 
+// StepTime returns the length of the step in progress, or of the last one.
+func (engine *Engine) StepTime() time.Duration {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+
+	return engine.stepTime
+}
+
 // nextStep returns the time of the coming step, or 0 when nothing runs.
 func (engine *Engine) nextStep() time.Duration {
 	engine.mutex.Lock()
@@ -265,7 +275,9 @@
 		}
 	}
 
-	return engine.Steps.Step(len(running), prompt)
+	engine.stepTime = engine.Steps.Step(len(running), prompt)
+
+	return engine.stepTime
 }
 
 // step yields one token of each stream that the step began with.
--- /dev/null
+++ b/measurer/result.go
@@ -0,0 +1,172 @@
+package measurer
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Result is what a run has measured after its warm-up.
+type Result struct {
+	Name string
+	// Span is the time over which requests counted.
+	Span        time.Duration
+	Answers     []Answer
+	BatchTokens int
+	BatchItems  int
+	Preemptions int
+	GiveWays    []GiveWay
+}
+
+// Answer is what became of one online request.
+type Answer struct {
+	Firm string
+	// At is when it arrived, from the beginning of the run.
+	At time.Duration
+	// FirstToken and LastToken are counted from the arrival; zero for none.
+	FirstToken time.Duration
+	LastToken  time.Duration
+	Tokens     int
+	// Whole is set when the last token arrived.
+	Whole bool
+	// Refusals are the times that the caller waited for each of them.
+	Refusals []time.Duration
+}
+
+// GiveWay is one batch stream cancelled for an online arrival.
+type GiveWay struct {
+	arrival time.Time
+	// Taken is the time from the arrival until the engine dropped the stream.
+	Taken time.Duration
+	// Step is the length of the engine's step in progress at the arrival.
+	Step time.Duration
+}
+
+func (result *Result) add(mutex *sync.Mutex, answer Answer) {
+	mutex.Lock()
+	defer mutex.Unlock()
+
+	result.Answers = append(result.Answers, answer)
+}
+
+// FirstToken returns a quantile of the time to first token of a firm's
+// answers; an empty firm means all.
+func (result *Result) FirstToken(firm string, quantile float64) time.Duration {
+	times := []time.Duration{}
+
+	for _, answer := range result.Answers {
+		if answer.FirstToken > 0 && (firm == "" || answer.Firm == firm) {
+			times = append(times, answer.FirstToken)
+		}
+	}
+
+	return quantileOf(times, quantile)
+}
+
+// Interval returns a quantile over the answers of the mean time between tokens.
+func (result *Result) Interval(quantile float64) time.Duration {
+	times := []time.Duration{}
+
+	for _, answer := range result.Answers {
+		if answer.Tokens > 1 {
+			times = append(times, (answer.LastToken-answer.FirstToken)/time.Duration(answer.Tokens-1))
+		}
+	}
+
+	return quantileOf(times, quantile)
+}
+
+// RefusalWait returns a quantile of the time that callers waited for refusals.
+func (result *Result) RefusalWait(quantile float64) time.Duration {
+	times := []time.Duration{}
+	for _, answer := range result.Answers {
+		times = append(times, answer.Refusals...)
+	}
+
+	return quantileOf(times, quantile)
+}
+
+// Refused is the share of requests with no whole answer that were refused.
+func (result *Result) Refused() float64 {
+	refused := 0
+
+	for _, answer := range result.Answers {
+		if !answer.Whole && len(answer.Refusals) > 0 {
+			refused++
+		}
+	}
+
+	return float64(refused) / float64(max(1, len(result.Answers)))
+}
+
+// Goodput is the whole answers a second with their first token in time.
+func (result *Result) Goodput(firstToken time.Duration) float64 {
+	good := 0
+
+	for _, answer := range result.Answers {
+		if answer.good(firstToken) {
+			good++
+		}
+	}
+
+	return float64(good) / result.Span.Seconds()
+}
+
+// OnlineTokens is the online tokens a second.
+func (result *Result) OnlineTokens() float64 {
+	tokens := 0
+	for _, answer := range result.Answers {
+		tokens += answer.Tokens
+	}
+
+	return float64(tokens) / result.Span.Seconds()
+}
+
+// BatchRate is the batch tokens a second.
+func (result *Result) BatchRate() float64 {
+	return float64(result.BatchTokens) / result.Span.Seconds()
+}
+
+// Recovered is the time after the given moment from which on every second of
+// arrivals has its first tokens in time, for 95 in 100.
+func (result *Result) Recovered(after, firstToken time.Duration) time.Duration {
+	arrived, good := map[time.Duration]int{}, map[time.Duration]int{}
+
+	for _, answer := range result.Answers {
+		if answer.At < after {
+			continue
+		}
+
+		second := (answer.At - after) / time.Second
+		arrived[second]++
+
+		if answer.good(firstToken) {
+			good[second]++
+		}
+	}
+
+	recovered := time.Duration(0)
+
+	for second, count := range arrived {
+		if float64(good[second]) < 0.95*float64(count) {
+			recovered = max(recovered, second+1)
+		}
+	}
+
+	return recovered * time.Second
+}
+
+func (answer Answer) good(firstToken time.Duration) bool {
+	return answer.Whole && answer.FirstToken <= firstToken
+}
+
+// quantileOf returns the nearest-rank quantile; zero of nothing.
+func quantileOf(times []time.Duration, quantile float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+
+	slices.Sort(times)
+
+	return times[int(quantile*float64(len(times)-1)+0.5)]
+}
