--- a/admitter/adaptive.go
+++ b/admitter/adaptive.go
@@ -135,6 +135,11 @@
 	return waiter
 }
 
+// queueMargin is the share of the time a request may wait that its predicted
+// wait may take up: places come free unevenly, and who waits in vain has
+// waited for a refusal.
+const queueMargin = 0.5
+
 // joinOnline queues an online ticket unless it could not start in time.
 func (adaptive *Adaptive) joinOnline(waiter *waiter, now time.Time) {
 	ticket := waiter.ticket
@@ -149,7 +154,7 @@
 	}
 
 	wait := adaptive.waitFor(adaptive.online.Ahead(ticket.Firm, share), now)
-	if wait > allowed || adaptive.online.Len() >= adaptive.Settings.MaxQueued {
+	if float64(wait) > queueMargin*float64(allowed) || adaptive.online.Len() >= adaptive.Settings.MaxQueued {
 		adaptive.refuse(waiter, "the queue is longer than the request may wait", now)
 
 		return
--- a/admitter/learner.go
+++ b/admitter/learner.go
@@ -8,26 +8,28 @@
 	harmShare = 0.05
 	// paceTokens is the length of the run of tokens over which the time between
 	// tokens is averaged: a single step that reads a long prompt is no harm.
-	paceTokens = 16
+	paceTokens = 48
 	// minSamples is the least number of samples that harm is judged from.
-	minSamples = 4
-	// memory is the share of a window's samples that counts in the next one.
-	memory = 0.8
+	minSamples = 8
+	// maxSamples is the number above which older samples lose half their weight.
+	maxSamples = 40
 	// queuedSteps is the number of engine steps after which a start that has
 	// no token is taken to wait inside the engine. Continuous batching begins
 	// a stream at the next step, so that its first token is within two.
 	queuedSteps = 3
 	// queuedShare is the share of such starts that shows that the engine is
 	// full; a few long prompts that take several steps do not.
-	queuedShare = 0.5
+	queuedShare = 0.3
 	// limitCut and batchCut are the multiplicative decreases.
-	limitCut = 0.95
+	limitCut = 0.9
 	batchCut = 0.5
 	// batchGrowth is the additive increase of the batch share in a window, as
 	// a share of the limit.
 	batchGrowth = 0.05
 	// slowStart is the growth of the limit in a window before its first cut.
-	slowStart = 1.25
+	slowStart = 1.5
+	// probeStep is the time between two raises of the limit above its ceiling.
+	probeStep = time.Second
 	// stayWeight is the weight of the newest stay in the moving average.
 	stayWeight = 0.05
 	// firstTokenWeight is the weight of the newest first token in the report.
@@ -49,13 +51,15 @@
 	windowEnd time.Time
 	// intervals and firsts count samples of this and earlier windows against
 	// the policy's targets; starts those that waited inside the engine.
-	intervals, firsts, starts tally
+	intervals, firsts, starts score
 	// active is set when the window has seen a token.
 	active bool
 	// peak is the most places held at once in the window.
 	peak int
-	// cutAt is when the limit was last cut.
-	cutAt time.Time
+	// ceiling is the limit that the engine was last seen to bear; above it the
+	// limit grows slowly, from growAt on. Zero before the first cut.
+	ceiling float64
+	growAt  time.Time
 	// meanStay is the moving average of the time online requests hold a place;
 	// zero before the first.
 	meanStay time.Duration
@@ -68,27 +72,29 @@
 	stalledUntil time.Time
 }
 
-// tally counts samples and those that missed their target.
-type tally struct {
+// score counts samples and those that missed their target.
+type score struct {
 	samples, missed float64
 }
 
-func (tally *tally) add(missed bool) {
-	tally.samples++
+func (score *score) add(missed bool) {
+	score.samples++
 
 	if missed {
-		tally.missed++
+		score.missed++
 	}
 }
 
-func (tally *tally) fade() {
-	tally.samples *= memory
-	tally.missed *= memory
+func (score *score) fade() {
+	if score.samples > maxSamples {
+		score.samples /= 2
+		score.missed /= 2
+	}
 }
 
 // exceeds tells whether more than the share of the samples missed.
-func (tally *tally) exceeds(share float64) bool {
-	return tally.samples >= minSamples && tally.missed > share*tally.samples
+func (score *score) exceeds(share float64) bool {
+	return score.samples >= minSamples && score.missed > share*score.samples
 }
 
 func newLearner(settings Settings) learner {
@@ -181,11 +187,12 @@
 	case harm && adaptive.runningBatch > 0:
 		adaptive.share = max(1, batchCut*float64(adaptive.runningBatch))
 		adaptive.forget()
-	case harm || adaptive.starts.exceeds(queuedShare):
-		adaptive.bearable = max(1, limitCut*min(adaptive.bearable, float64(max(adaptive.peak, 1))))
-		adaptive.probed = true
-		adaptive.cutAt = now
-		adaptive.forget()
+	case adaptive.starts.exceeds(queuedShare):
+		adaptive.cut()
+		adaptive.ceiling = adaptive.bearable
+		adaptive.growAt = now.Add(adaptive.Settings.Probe)
+	case harm:
+		adaptive.cut()
 	default:
 		adaptive.grow(now)
 	}
@@ -198,9 +205,16 @@
 	adaptive.windowEnd = now.Add(adaptive.Settings.Window)
 }
 
+// cut lowers the limit from what was in use.
+func (learner *learner) cut() {
+	learner.bearable = max(1, limitCut*min(learner.bearable, float64(max(learner.peak, 1))))
+	learner.probed = true
+	learner.forget()
+}
+
 // forget drops the samples that a cut was made for.
 func (learner *learner) forget() {
-	learner.intervals, learner.firsts, learner.starts = tally{}, tally{}, tally{}
+	learner.intervals, learner.firsts, learner.starts = score{}, score{}, score{}
 }
 
 // grow raises the bounds that the window has used up.
@@ -218,8 +232,13 @@
 	switch {
 	case !adaptive.probed:
 		adaptive.bearable = min(highest, adaptive.bearable*slowStart)
-	case now.Sub(adaptive.cutAt) > adaptive.Settings.Probe:
+	case adaptive.intervals.samples < 2*minSamples:
+		// The last change has not shown yet whether it does harm.
+	case adaptive.bearable < adaptive.ceiling || adaptive.ceiling == 0:
+		adaptive.bearable = min(highest, adaptive.bearable+1)
+	case now.After(adaptive.growAt):
 		adaptive.bearable = min(highest, adaptive.bearable+1)
+		adaptive.growAt = now.Add(probeStep)
 	}
 }
 
--- a/admitter/settings.go
+++ b/admitter/settings.go
@@ -13,7 +13,7 @@
 	MaxQueued int
 	// Window is the time over which harm is judged.
 	Window time.Duration
-	// Probe is the time after a cut of the limit before it grows again.
+	// Probe is the time after the engine was full before more is tried.
 	Probe time.Duration
 	// MaxRetryAfter bounds the time that a refusal names.
 	MaxRetryAfter time.Duration
--- a/measurer/result.go
+++ b/measurer/result.go
@@ -27,6 +27,8 @@
 	FirstToken time.Duration
 	LastToken  time.Duration
 	Tokens     int
+	// OwnPrompt is the number of prompt tokens that no other request shares.
+	OwnPrompt int
 	// Whole is set when the last token arrived.
 	Whole bool
 	// Refusals are the times that the caller waited for each of them.
@@ -122,38 +124,74 @@
 	return float64(tokens) / result.Span.Seconds()
 }
 
+// PromptTokens is the online prompt tokens a second that the prefix cache
+// cannot hold.
+func (result *Result) PromptTokens() float64 {
+	tokens := 0
+	for _, answer := range result.Answers {
+		tokens += answer.OwnPrompt
+	}
+
+	return float64(tokens) / result.Span.Seconds()
+}
+
 // BatchRate is the batch tokens a second.
 func (result *Result) BatchRate() float64 {
 	return float64(result.BatchTokens) / result.Span.Seconds()
 }
 
-// Recovered is the time after the given moment from which on every second of
-// arrivals has its first tokens in time, for 95 in 100.
-func (result *Result) Recovered(after, firstToken time.Duration) time.Duration {
-	arrived, good := map[time.Duration]int{}, map[time.Duration]int{}
+// recoveryWindow is the time over which arrivals are taken together to tell
+// whether the run is back to normal.
+const recoveryWindow = 5 * time.Second
+
+// Recovered is the time after an outage until the arrivals of a window are
+// answered in time as often as before it, to the share given.
+func (result *Result) Recovered(begin, end, firstToken time.Duration, share float64) time.Duration {
+	normal := result.goodShare(0, begin, firstToken)
+
+	for after := time.Duration(0); end+after+recoveryWindow <= begin+result.Span; after += time.Second {
+		if result.goodShare(end+after, end+after+recoveryWindow, firstToken) >= share*normal {
+			return after
+		}
+	}
+
+	return result.Span
+}
+
+// goodShare is the share of good answers to the arrivals between two moments.
+func (result *Result) goodShare(from, to, firstToken time.Duration) float64 {
+	arrived, good := 0, 0
 
 	for _, answer := range result.Answers {
-		if answer.At < after {
+		if answer.At < from || answer.At >= to {
 			continue
 		}
 
-		second := (answer.At - after) / time.Second
-		arrived[second]++
+		arrived++
 
 		if answer.good(firstToken) {
-			good[second]++
+			good++
 		}
 	}
 
-	recovered := time.Duration(0)
+	return float64(good) / float64(max(1, arrived))
+}
+
+// WaitedRefusals is the share of refusals that took longer than a moment.
+func (result *Result) WaitedRefusals() float64 {
+	refusals, waited := 0, 0
+
+	for _, answer := range result.Answers {
+		for _, wait := range answer.Refusals {
+			refusals++
 
-	for second, count := range arrived {
-		if float64(good[second]) < 0.95*float64(count) {
-			recovered = max(recovered, second+1)
+			if wait > time.Millisecond {
+				waited++
+			}
 		}
 	}
 
-	return recovered * time.Second
+	return float64(waited) / float64(max(1, refusals))
 }
 
 func (answer Answer) good(firstToken time.Duration) bool {
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -23,8 +23,9 @@
 // run is a scenario that is being measured.
 type run struct {
 	Scenario
-	engine *emulator.Engine
-	begin  time.Time
+	engine    *emulator.Engine
+	admission admitter.Admitter
+	begin     time.Time
 	// batchItems counts the batch items begun.
 	batchItems int
 
@@ -40,10 +41,11 @@
 	defer cancel()
 
 	run := &run{
-		Scenario: scenario,
-		engine:   emulator.NewEngine(emulator.WithSteps(scenario.Steps)),
-		begin:    time.Now(),
-		result:   &Result{Name: scenario.Name, Span: scenario.Length - scenario.Warmup},
+		Scenario:  scenario,
+		engine:    emulator.NewEngine(emulator.WithSteps(scenario.Steps)),
+		admission: scenario.Admitter(),
+		begin:     time.Now(),
+		result:    &Result{Name: scenario.Name, Span: scenario.Length - scenario.Warmup},
 	}
 
 	group := &sync.WaitGroup{}
@@ -102,14 +104,14 @@
 
 	defer cancel()
 
-	answer := Answer{Firm: request.firm, At: request.at}
+	answer := Answer{Firm: request.firm, At: request.at, OwnPrompt: request.ownPrompt}
 	ticket := admitter.Ticket{Firm: request.firm, Deadline: arrival.Add(run.Deadline)}
 
 	for ctx.Err() == nil {
 		asked := time.Now()
 		run.arrive(asked)
 
-		place, outcome := run.Admitter.Enter(ctx, ticket)
+		place, outcome := run.admission.Enter(ctx, ticket)
 		if place != nil {
 			run.generate(ctx, request, place, &answer)
 
@@ -196,7 +198,7 @@
 	ticket := admitter.Ticket{Batch: true, Deadline: run.begin.Add(batchDue), Due: run.begin.Add(batchDue)}
 
 	for whole := false; !whole && ctx.Err() == nil; {
-		place, _ := run.Admitter.Enter(ctx, ticket)
+		place, _ := run.admission.Enter(ctx, ticket)
 		if place == nil {
 			return
 		}
@@ -221,18 +223,25 @@
 		return false
 	}
 
+	returned := time.Now()
+
 	for {
+		asked := time.Now()
 		token, err := stream.Next()
-		if err != nil {
-			taken(time.Now())
-		}
 
-		time.Sleep(offset)
+		// The engine drops streams at the end of a step. One that is gone
+		// when it is asked for went with the token before.
+		if !asked.Equal(time.Now()) {
+			returned = time.Now()
+		}
 
 		if err != nil {
+			taken(returned)
+
 			return false
 		}
 
+		time.Sleep(offset)
 		place.Token()
 
 		generation.Prefix = append(generation.Prefix, token.Text)
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -38,7 +38,8 @@
 	OutageAt  time.Duration
 	OutageFor time.Duration
 	Steps     emulator.StepModel
-	Admitter  admitter.Admitter
+	// Admitter makes the admitter; it is called within the bubble.
+	Admitter func() admitter.Admitter
 }
 
 // EngineSteps is the engine of the measurements, of the order of a model of 14
