--- a/admitter/adaptive_test.go
+++ b/admitter/adaptive_test.go
@@ -314,17 +314,16 @@
 		}
 
 		time.Sleep(200 * time.Millisecond)
-		time.Sleep(time.Second)
 
 		light := 0
 
-		for _, id := range bench.ids()[:6] {
+		for _, id := range bench.ids() {
 			if id == "light" {
 				light++
 			}
 		}
 
-		require.Equal(t, 4, light, "two of three turns go to the firm with twice the share: %v", bench.ids())
+		require.Equal(t, 3, light, "of the first four turns, by tags 0.5, 1, 1 and 1.5: %v", bench.ids())
 	})
 }
 
@@ -468,7 +467,7 @@
 			place.Token()
 		}
 
-		if len(running) > 1 && count%8 == 0 {
+		if len(running) > 1 && count%4 == 0 {
 			running[0].Leave()
 			running = running[1:]
 		}
@@ -496,7 +495,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			inBubble(t, noReserve(), 1024, func(bench *bench) {
-				bench.stream(test.width, 200, 1500, test.step)
+				bench.stream(test.width, 200, 4000, test.step)
 
 				limit := bench.admitter.Report().Limit
 				require.GreaterOrEqual(t, limit, test.low)
--- a/admitter/learner.go
+++ b/admitter/learner.go
@@ -187,6 +187,10 @@
 	case harm && adaptive.runningBatch > 0:
 		adaptive.share = max(1, batchCut*float64(adaptive.runningBatch))
 		adaptive.forget()
+	case adaptive.peak > adaptive.limit():
+		// The last cut has not taken effect yet: online requests that hold a
+		// place keep it.
+		adaptive.forget()
 	case adaptive.starts.exceeds(queuedShare):
 		adaptive.cut()
 		adaptive.ceiling = adaptive.bearable
--- a/measurer/decisions_test.go
+++ b/measurer/decisions_test.go
@@ -93,6 +93,7 @@
 		online := measurer.Arrivals{Firm: "a", Rate: factor * capacity}
 		list = append(list,
 			scenario(fmt.Sprintf("overload %.1f", factor), 80, 0, online, adaptive(unchanged)),
+			scenario(fmt.Sprintf("overload %.1f, direct", factor), 80, 0, online, direct(1)),
 			scenario(fmt.Sprintf("overload %.1f, no age limit", factor), 80, 0, online, adaptive(noAgeLimit)))
 	}
 
@@ -223,20 +224,21 @@
 
 func overloadFigures(results map[string]*measurer.Result) []figure {
 	list := []figure{}
-	firstToken := admitter.DefaultPolicy().FirstToken
+	policy := admitter.DefaultPolicy()
 	peak := 0.0
 
 	for name, run := range results {
 		if strings.HasPrefix(name, "overload") {
-			peak = max(peak, run.Goodput(firstToken))
+			peak = max(peak, run.Goodput(policy))
 		}
 	}
 
 	for _, factor := range []string{"2.0", "10.0"} {
 		name := "overload " + factor
 		list = append(list,
-			figure{"goodput / peak", name, results[name].Goodput(firstToken) / peak, minGoodputShare, true, ""},
-			figure{"goodput / peak", name + ", no age limit", results[name+", no age limit"].Goodput(firstToken) / peak, minGoodputShare, true, "baseline"},
+			figure{"goodput / peak", name + ", direct", results[name+", direct"].Goodput(policy) / peak, minGoodputShare, true, "baseline"},
+			figure{"goodput / peak", name, results[name].Goodput(policy) / peak, minGoodputShare, true, ""},
+			figure{"goodput / peak", name + ", no age limit", results[name+", no age limit"].Goodput(policy) / peak, minGoodputShare, true, "baseline"},
 			figure{"longest wait for a refusal, s", name, results[name].RefusalWait(1).Seconds(), 0, false, redRefusals},
 			figure{"share of refusals that waited", name, results[name].WaitedRefusals(), 0, false, redRefusals})
 	}
@@ -247,7 +249,7 @@
 			red = "baseline"
 		}
 
-		took := results[name].Recovered(outageAt, outageAt+outage, firstToken, minGoodputShare)
+		took := results[name].Recovered(outageAt, outageAt+outage, policy, minGoodputShare)
 		list = append(list, figure{"back to normal after 30 s, s", name, took.Seconds(), recoveryShare * outage.Seconds(), false, red})
 	}
 
@@ -264,6 +266,7 @@
 // and asserts the targets that are met. The others have tests of their own.
 func TestDecisions(t *testing.T) {
 	results := results(t)
+	missed := []figure{}
 	text := &strings.Builder{}
 	table := tabwriter.NewWriter(text, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "\nDecision\tSetting\tFigure\tTarget\tMet")
@@ -280,8 +283,8 @@
 
 		fmt.Fprintf(table, "%s\t%s\t%.3f\t%s %.2f\t%s\n", figure.decision, figure.setting, figure.value, sign, figure.target, verdict)
 
-		if figure.red == "" {
-			require.True(t, figure.met(), "%+v", figure)
+		if figure.red == "" && !figure.met() {
+			missed = append(missed, figure)
 		}
 	}
 
@@ -291,11 +294,12 @@
 		run := results[scenario.Name]
 		fmt.Fprintf(table, "%s\t%d\t%v\t%v\t%v\t%.3f\t%.2f\t%.0f\t%.0f\t%d\t%.3f\n", run.Name, len(run.Answers),
 			run.FirstToken("", 0.5), run.FirstToken("", 0.99), run.Interval(0.95), run.Refused(),
-			run.Goodput(admitter.DefaultPolicy().FirstToken), run.OnlineTokens(), run.BatchRate(), run.Preemptions, run.WaitedRefusals())
+			run.Goodput(admitter.DefaultPolicy()), run.OnlineTokens(), run.BatchRate(), run.Preemptions, run.WaitedRefusals())
 	}
 
 	require.NoError(t, table.Flush())
 	t.Log(text.String())
+	require.Empty(t, missed)
 }
 
 // TestOnlineBesideBatch wants one setting of the reserve that meets both
--- a/measurer/result.go
+++ b/measurer/result.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"limpetrail/admitter"
 )
 
 // Result is what a run has measured after its warm-up.
@@ -71,7 +73,7 @@
 
 	for _, answer := range result.Answers {
 		if answer.Tokens > 1 {
-			times = append(times, (answer.LastToken-answer.FirstToken)/time.Duration(answer.Tokens-1))
+			times = append(times, answer.interval())
 		}
 	}
 
@@ -101,12 +103,12 @@
 	return float64(refused) / float64(max(1, len(result.Answers)))
 }
 
-// Goodput is the whole answers a second with their first token in time.
-func (result *Result) Goodput(firstToken time.Duration) float64 {
+// Goodput is the whole answers a second that kept both targets of the policy.
+func (result *Result) Goodput(policy admitter.Policy) float64 {
 	good := 0
 
 	for _, answer := range result.Answers {
-		if answer.good(firstToken) {
+		if answer.good(policy) {
 			good++
 		}
 	}
@@ -146,11 +148,11 @@
 
 // Recovered is the time after an outage until the arrivals of a window are
 // answered in time as often as before it, to the share given.
-func (result *Result) Recovered(begin, end, firstToken time.Duration, share float64) time.Duration {
-	normal := result.goodShare(0, begin, firstToken)
+func (result *Result) Recovered(begin, end time.Duration, policy admitter.Policy, share float64) time.Duration {
+	normal := result.goodShare(0, begin, policy)
 
 	for after := time.Duration(0); end+after+recoveryWindow <= begin+result.Span; after += time.Second {
-		if result.goodShare(end+after, end+after+recoveryWindow, firstToken) >= share*normal {
+		if result.goodShare(end+after, end+after+recoveryWindow, policy) >= share*normal {
 			return after
 		}
 	}
@@ -159,7 +161,7 @@
 }
 
 // goodShare is the share of good answers to the arrivals between two moments.
-func (result *Result) goodShare(from, to, firstToken time.Duration) float64 {
+func (result *Result) goodShare(from, to time.Duration, policy admitter.Policy) float64 {
 	arrived, good := 0, 0
 
 	for _, answer := range result.Answers {
@@ -169,7 +171,7 @@
 
 		arrived++
 
-		if answer.good(firstToken) {
+		if answer.good(policy) {
 			good++
 		}
 	}
@@ -194,8 +196,13 @@
 	return float64(waited) / float64(max(1, refusals))
 }
 
-func (answer Answer) good(firstToken time.Duration) bool {
-	return answer.Whole && answer.FirstToken <= firstToken
+// interval is the mean time between the answer's tokens.
+func (answer Answer) interval() time.Duration {
+	return (answer.LastToken - answer.FirstToken) / time.Duration(max(1, answer.Tokens-1))
+}
+
+func (answer Answer) good(policy admitter.Policy) bool {
+	return answer.Whole && answer.FirstToken <= policy.FirstToken && answer.interval() <= policy.TokenInterval
 }
 
 // quantileOf returns the nearest-rank quantile; zero of nothing.
