Steer the pace below its target and make every figure repeatable

Cause: the limit's swings ended 5 to 10% of the answers above the wanted time between tokens, and some figures differed from run to run because several goroutines acted in the same instant. Change: the limit is steered by 95% of the target; requests of the measuring driver act at moments of their own.

--- a/admitter/learner.go
+++ b/admitter/learner.go
@@ -9,6 +9,9 @@
 	// paceTokens is the length of the run of tokens over which the time between
 	// tokens is averaged: a single step that reads a long prompt is no harm.
 	paceTokens = 48
+	// paceMargin is the share of the wanted time between tokens that the limit
+	// is steered by, so that its swings end within the target.
+	paceMargin = 0.95
 	// minSamples is the least number of samples that harm is judged from.
 	minSamples = 8
 	// maxSamples is the number above which older samples lose half their weight.
@@ -139,7 +142,8 @@
 // observePace takes in the time of the last run of tokens.
 func (adaptive *Adaptive) observePace(place *adaptivePlace, now time.Time) {
 	if place.paceBegin.After(adaptive.stalledUntil) {
-		adaptive.intervals.add(now.Sub(place.paceBegin) > paceTokens*adaptive.policy.TokenInterval)
+		wanted := time.Duration(paceMargin * paceTokens * float64(adaptive.policy.TokenInterval))
+		adaptive.intervals.add(now.Sub(place.paceBegin) > wanted)
 	}
 }
 
--- a/app/providers.go
+++ b/app/providers.go
@@ -106,7 +106,7 @@
 }
 
 func newAdmitter(settings loader.Sidecar) admitter.Admitter {
-	return admitter.NewFixed(settings.BackendServer.Places)
+	return admitter.NewAdaptive(admitter.WithPlaces(settings.BackendServer.Places))
 }
 
 // backend is what the sidecar stands beside: exactly one of its fields is set.
--- a/emulator/prefix_cache.go
+++ b/emulator/prefix_cache.go
@@ -63,7 +63,7 @@
 	for cache.order.Len() > cache.capacity {
 		oldest := cache.order.Back()
 		cache.order.Remove(oldest)
-		delete(cache.blocks, oldest.Value.(uint64)) //nolint:errcheck,forcetypeassert // The list holds names only.
+		delete(cache.blocks, oldest.Value.(uint64))
 	}
 }
 
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -146,6 +146,7 @@
 
 	offset := time.Duration(request.number%onlineOffsets + 1)
 	time.Sleep(offset)
+	run.awaitEngine(ctx, offset)
 
 	stream, err := run.engine.Generate(ctx, driver.Generation{Body: request.body()})
 	if err != nil {
@@ -177,6 +178,15 @@
 	}
 }
 
+// awaitEngine holds a call to a frozen engine back, as the engine would do, and
+// sets the calls apart that go on together at its return.
+func (run *run) awaitEngine(ctx context.Context, offset time.Duration) {
+	now := time.Since(run.begin)
+	if now >= run.OutageAt && now < run.OutageAt+run.OutageFor {
+		pause(ctx, run.OutageAt+run.OutageFor-now+offset)
+	}
+}
+
 // work is one batch worker: it runs items until the context ends.
 func (run *run) work(ctx context.Context, worker int) {
 	offset := time.Duration(batchOffset + worker)
@@ -237,6 +247,7 @@
 
 		if err != nil {
 			taken(returned)
+			time.Sleep(offset)
 
 			return false
 		}
