--- a/emulator/instances.go
+++ b/emulator/instances.go
@@ -1,12 +1,16 @@
 package emulator
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"limpetrail/locator"
@@ -69,7 +73,37 @@
 		return
 	}
 
-	writeJSON(writer, instances)
+	body, err := json.Marshal(instances)
+	if err != nil {
+		refuse(writer, err)
+
+		return
+	}
+
+	tag := fmt.Sprintf(`"%x"`, xxhash.Sum64(body))
+	writer.Header().Set("ETag", tag)
+
+	if request.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+
+		return
+	}
+
+	writer.Header().Set("Content-Type", "application/json")
+
+	if !strings.Contains(request.Header.Get("Accept-Encoding"), "gzip") {
+		// The connection is the caller's; a failed write has no one left to tell.
+		_, _ = writer.Write(body)
+
+		return
+	}
+
+	writer.Header().Set("Content-Encoding", "gzip")
+
+	packed := gzip.NewWriter(writer)
+	defer packed.Close()
+
+	_, _ = packed.Write(body)
 }
 
 func (list *Instances) put(writer http.ResponseWriter, request *http.Request) {
--- /dev/null
+++ b/locator/http_list_test.go
@@ -0,0 +1,53 @@
+package locator_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/emulator"
+	"limpetrail/locator"
+)
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	standin := emulator.NewInstances(locator.Instance{Name: "sidecar-1"})
+	statuses := []int{}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		recorded := httptest.NewRecorder()
+		standin.ServeHTTP(recorded, request)
+		statuses = append(statuses, recorded.Code)
+
+		for name, values := range recorded.Header() {
+			writer.Header()[name] = values
+		}
+
+		writer.WriteHeader(recorded.Code)
+		_, _ = writer.Write(recorded.Body.Bytes())
+	}))
+	t.Cleanup(server.Close)
+
+	list := locator.NewHTTPList(server.Listener.Addr().String())
+	names := func() []string {
+		instances, err := list.Instances(t.Context())
+		require.NoError(t, err)
+
+		names := []string{}
+		for _, instance := range instances {
+			names = append(names, instance.Name)
+		}
+
+		return names
+	}
+
+	require.Equal(t, []string{"sidecar-1"}, names())
+	require.Equal(t, []string{"sidecar-1"}, names())
+	standin.Set(locator.Instance{Name: "sidecar-1"}, locator.Instance{Name: "sidecar-2"})
+	require.Equal(t, []string{"sidecar-1", "sidecar-2"}, names())
+	require.Equal(t, []int{http.StatusOK, http.StatusNotModified, http.StatusOK}, statuses)
+
+	standin.Faults.Set(emulator.Switches{Outage: true})
+	_, err := list.Instances(t.Context())
+	require.Error(t, err)
+}
