Give the test's processes ports of their own and count new requests

And once in a run of two, under load 15, TestPlannedStopOfEntryCutsNoRequest failed; its log was not kept. The likely cause, read from the test: eight more answers were awaited after the entry said leaving, and all eight could have been under way before it, with no farewell on them.

Change: the processes of a test run listen on a loopback host of their own, from which no outgoing connection takes ports, and no address is given out twice; sixteen answers are awaited, so that eight began afterwards.

--- a/verifier/fleet_test.go
+++ b/verifier/fleet_test.go
@@ -238,15 +238,33 @@
 	require.NoError(fleet.t, fleet.processes[name].command.Process.Signal(signal))
 }
 
+// loopbackHost is a loopback host of this test run's own. Connections to it
+// leave from 127.0.0.1, so that none takes the port of a process that is about
+// to start, and neither does another test run.
+var loopbackHost = sync.OnceValue(func() string {
+	id := os.Getpid()
+
+	return fmt.Sprintf("127.%d.%d.%d", 1+id>>15&0x7f, id>>7&0xff, 1+id&0x7f)
+})
+
+// handedOut holds the addresses of all processes; none is handed out twice.
+var handedOut sync.Map
+
 // freeAddress returns a loopback address that nobody listens on now.
 func (fleet *fleet) freeAddress() string {
 	fleet.t.Helper()
 
-	listener, err := (&net.ListenConfig{}).Listen(fleet.t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(fleet.t, err)
-	defer listener.Close()
+	for {
+		listener, err := (&net.ListenConfig{}).Listen(fleet.t.Context(), "tcp", net.JoinHostPort(loopbackHost(), "0"))
+		require.NoError(fleet.t, err)
+
+		address := listener.Addr().String()
+		listener.Close()
 
-	return listener.Addr().String()
+		if _, known := handedOut.LoadOrStore(address, true); !known {
+			return address
+		}
+	}
 }
 
 func (fleet *fleet) stop() {
--- a/verifier/stop_test.go
+++ b/verifier/stop_test.go
@@ -191,7 +191,8 @@
 		return status == http.StatusServiceUnavailable
 	}, patience, 5*time.Millisecond)
 	require.Equal(t, "leaving", word)
-	load.progress(loadClients)
+	// As many requests as there are clients were under way already.
+	load.progress(2 * loadClients)
 	require.Positive(t, load.closes.Load(), "no response asked for its connection to be closed")
 	load.send(fleet.addresses["entry-2"])
 
