Send one order twice in the demo

Cause: the demo's rehearsal did not show the promise that an order with a key runs once. Change: the same order goes through both entries with one key; the answers are equal and the stand-ins acted once.

--- a/demonstrator/rehearsal.go
+++ b/demonstrator/rehearsal.go
@@ -42,6 +42,7 @@
 
 	for _, step := range []step{
 		{"a chat request is answered whole", rehearsal.chat},
+		{"an order sent twice with the same key runs once", rehearsal.order},
 	} {
 		result, err := step.run(ctx)
 		if err != nil {
@@ -74,6 +75,43 @@
 	return strings.TrimSpace(answer), nil
 }
 
+// order sends the same order through both entries.
+func (rehearsal *Rehearsal) order(ctx context.Context) (string, error) {
+	headers := map[string]string{handler.WorkspaceHeader: "yard", handler.IdempotencyKeyHeader: "crane-monday"}
+	answers := []string{}
+
+	for entry := range rehearsal.Fleet.Addresses.Entries {
+		status, answer, err := rehearsal.post(ctx, entry, "/v1/services/order/book", headers, `{"Machine":"crane"}`)
+		if err != nil {
+			return "", errors.Trace(err)
+		}
+
+		if status != http.StatusOK {
+			return "", errors.Errorf("status %d: %s", status, answer)
+		}
+
+		answers = append(answers, answer)
+	}
+
+	if answers[0] != answers[1] {
+		return "", errors.Errorf("two answers: %v", answers)
+	}
+
+	acts := 0
+
+	for _, service := range rehearsal.Fleet.Services {
+		for _, count := range service.Acts() {
+			acts += count
+		}
+	}
+
+	if acts != 1 {
+		return "", errors.Errorf("ran %d times", acts)
+	}
+
+	return answers[0], nil
+}
+
 // eventually posts until the fleet has found itself and answers.
 func (rehearsal *Rehearsal) eventually(ctx context.Context, path, workspace, body string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyPatience)
