Validate and merge operators' edits as a whole

Cause: the document was written without checks, and a second operator's write replaced the first one's. Ruled out: a stored copy of each earlier revision (a second write for each edit, which can fail by itself); a base document sent by the client (the form would carry 230 KB). The history's differences, undone from the present document, give the base. Change: Decode and Validate list every fault at once; edits are merged item by item and field by field against the revision that was read, authorised by the present document and validated again; a mark settles lost answers and makes a resent edit the same edit; each call ends within a second, so a silent connection is left. The history keeps 64 changes within 128 KB.

--- a/editor/document.go
+++ b/editor/document.go
@@ -5,6 +5,8 @@
 // Document describes what should run. It is the output of the console and the
 // only configuration that operators write; field names are its format.
 type Document struct {
+	// Operators lists the shared operations staff, who may change all parts.
+	Operators  []string
 	Firms      []Firm
 	Workspaces []Workspace
 	Models     []Model
@@ -69,15 +71,15 @@
 	Firm string
 	Kind ServiceKind
 	// Model, Version and Adapter name what a model service runs.
-	Model   string `json:",omitempty"`
-	Version string `json:",omitempty"`
-	Adapter string `json:",omitempty"`
+	Model   string
+	Version string
+	Adapter string
 	// Replicas is how many backend servers are wanted.
 	Replicas int
 	// Idempotent allows that a request is run again after a failure.
 	Idempotent bool
 	// Policy names the policy; empty for the default one.
-	Policy string `json:",omitempty"`
+	Policy string
 }
 
 // Policy weighs online latency against batch throughput.
--- /dev/null
+++ b/editor/editor_test.go
@@ -0,0 +1,421 @@
+package editor_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"limpetrail/editor"
+	"limpetrail/emulator"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+)
+
+func sample() *editor.Document {
+	return &editor.Document{
+		Operators:  []string{"olga", "otto"},
+		Firms:      []editor.Firm{{Name: "north", Staff: []string{"nina"}, Share: 1}, {Name: "south", Staff: []string{"saul"}, Share: 1}},
+		Workspaces: []editor.Workspace{{Name: "clinics", Firm: "north"}, {Name: "depots", Firm: "south"}},
+		Models: []editor.Model{{
+			Name:     "text",
+			Versions: []editor.Version{{Name: "1", Weights: "text-1"}},
+			Adapters: []editor.Adapter{{Name: "pollen", Firm: "north", Weights: "pollen-1"}},
+		}},
+		Services: []editor.Service{
+			{Name: "briefing", Firm: "north", Kind: editor.ServiceKindModel, Model: "text", Version: "1", Replicas: 2},
+			{Name: "shared", Kind: editor.ServiceKindPlain, Replicas: 3},
+		},
+		Policies: []editor.Policy{{Name: "usual", FirstToken: editor.Duration(time.Second), TokenInterval: editor.Duration(time.Millisecond), MaxWait: editor.Duration(time.Second)}},
+	}
+}
+
+func newEditor(t *testing.T) (*editor.Editor, *emulator.Store) {
+	t.Helper()
+
+	store := emulator.NewStore()
+	edits := editor.NewEditor(kernel.Discard("entry"), store)
+	result := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Document: sample()})
+	require.Equal(t, editor.VerdictApplied, result.Verdict, result)
+	require.Equal(t, keeper.Revision(1), result.Revision)
+
+	return edits, store
+}
+
+func change(spoil func(document *editor.Document)) *editor.Document {
+	document := sample()
+	spoil(document)
+
+	return document
+}
+
+func TestEditsOfTwoOperators(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		first, second func(document *editor.Document)
+		verdict       editor.Verdict
+		field         string
+	}{
+		"different items": {
+			func(document *editor.Document) { document.Services[0].Replicas = 5 },
+			func(document *editor.Document) { document.Services[1].Replicas = 6 },
+			editor.VerdictApplied, "",
+		},
+		"different fields of one item": {
+			func(document *editor.Document) { document.Services[0].Replicas = 5 },
+			func(document *editor.Document) { document.Services[0].Idempotent = true },
+			editor.VerdictApplied, "",
+		},
+		"both add staff": {
+			func(document *editor.Document) { document.Firms[0].Staff = []string{"nina", "nora"} },
+			func(document *editor.Document) { document.Firms[0].Staff = []string{"nils", "nina"} },
+			editor.VerdictApplied, "",
+		},
+		"same field": {
+			func(document *editor.Document) { document.Services[0].Replicas = 5 },
+			func(document *editor.Document) { document.Services[0].Replicas = 6 },
+			editor.VerdictConflict, "Services[briefing].Replicas",
+		},
+		"same field, same value": {
+			func(document *editor.Document) { document.Services[0].Replicas = 5 },
+			func(document *editor.Document) { document.Services[0].Replicas = 5 },
+			editor.VerdictUnchanged, "",
+		},
+		"removed and changed": {
+			func(document *editor.Document) { document.Services = document.Services[1:] },
+			func(document *editor.Document) { document.Services[0].Replicas = 6 },
+			editor.VerdictConflict, "Services[briefing]",
+		},
+		"one list emptied, another item added": {
+			func(document *editor.Document) { document.Models[0].Adapters = nil },
+			func(document *editor.Document) {
+				document.Models[0].Adapters = append(document.Models[0].Adapters, editor.Adapter{Name: "new", Weights: "w"})
+			},
+			editor.VerdictApplied, "",
+		},
+		"added differently": {
+			func(document *editor.Document) {
+				document.Workspaces = append(document.Workspaces, editor.Workspace{Name: "new", Firm: "north"})
+			},
+			func(document *editor.Document) {
+				document.Workspaces = append(document.Workspaces, editor.Workspace{Name: "new", Firm: "south"})
+			},
+			editor.VerdictConflict, "Workspaces[new].Firm",
+		},
+		"each valid, together not": {
+			func(document *editor.Document) { document.Policies = nil },
+			func(document *editor.Document) { document.Services[0].Policy = "usual" },
+			editor.VerdictInvalid, "Services[briefing].Policy",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			edits, _ := newEditor(t)
+			first := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: 1, Document: change(scenario.first)})
+			require.Equal(t, editor.VerdictApplied, first.Verdict, first)
+
+			second := edits.Apply(t.Context(), editor.Edit{Operator: "otto", Revision: 1, Document: change(scenario.second)})
+			require.Equal(t, scenario.verdict, second.Verdict, second)
+
+			switch scenario.verdict {
+			case editor.VerdictConflict:
+				require.Equal(t, scenario.field, second.Conflicts[0].Field)
+				require.NotEqual(t, second.Conflicts[0].Mine, second.Conflicts[0].Theirs)
+			case editor.VerdictInvalid:
+				require.Equal(t, scenario.field, second.Faults[0].Field)
+			case editor.VerdictApplied:
+				record, _, err := edits.Read(t.Context())
+				require.NoError(t, err)
+				require.Len(t, record.History, 3)
+				base, err := edits.At(t.Context(), 1)
+				require.NoError(t, err)
+				require.Empty(t, editor.Diff(sample(), base))
+			default:
+				require.Empty(t, second.Differences)
+			}
+		})
+	}
+}
+
+func TestStaffChangeOnlyTheirFirm(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		change  func(document *editor.Document)
+		refused string
+	}{
+		"own service":       {func(document *editor.Document) { document.Services[0].Replicas = 4 }, ""},
+		"own workspace":     {func(document *editor.Document) { document.Workspaces[0].Name = "pharmacies" }, ""},
+		"own adapter":       {func(document *editor.Document) { document.Models[0].Adapters[0].Weights = "pollen-2" }, ""},
+		"own staff":         {func(document *editor.Document) { document.Firms[0].Staff = []string{"nina", "nora"} }, ""},
+		"own share":         {func(document *editor.Document) { document.Firms[0].Share = 9 }, "Firms[north]"},
+		"other staff":       {func(document *editor.Document) { document.Firms[1].Staff = []string{"nina"} }, "Firms[south]"},
+		"other workspace":   {func(document *editor.Document) { document.Workspaces[1].Firm = "north" }, "Workspaces[depots]"},
+		"given away":        {func(document *editor.Document) { document.Workspaces[0].Firm = "south" }, "Workspaces[clinics]"},
+		"shared service":    {func(document *editor.Document) { document.Services[1].Replicas = 0 }, "Services[shared]"},
+		"model version":     {func(document *editor.Document) { document.Models[0].Versions[0].Weights = "x" }, "Models[text]"},
+		"shared adapter":    {func(document *editor.Document) { document.Models[0].Adapters[0].Firm = "" }, "Models[text].Adapters[pollen]"},
+		"policy":            {func(document *editor.Document) { document.Policies[0].Reserve = 1 }, "Policies[usual]"},
+		"operators":         {func(document *editor.Document) { document.Operators = []string{"nina", "olga", "otto"} }, "Operators"},
+		"removal of others": {func(document *editor.Document) { document.Workspaces = document.Workspaces[:1] }, "Workspaces[depots]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			edits, _ := newEditor(t)
+			result := edits.Apply(t.Context(), editor.Edit{Operator: "nina", Revision: 1, Document: change(scenario.change)})
+
+			if scenario.refused == "" {
+				require.Equal(t, editor.VerdictApplied, result.Verdict, result)
+
+				return
+			}
+
+			require.Equal(t, editor.VerdictForbidden, result.Verdict, result)
+			require.Equal(t, scenario.refused, result.Faults[0].Field)
+		})
+	}
+}
+
+func TestEditWhileTheServiceFails(t *testing.T) {
+	wanted := change(func(document *editor.Document) { document.Firms[0].Share = 2 })
+
+	for name, scenario := range map[string]struct {
+		switches emulator.Switches
+		verdict  editor.Verdict
+	}{
+		"answer lost":         {emulator.Switches{DropAnswers: 1}, editor.VerdictApplied},
+		"several lost":        {emulator.Switches{DropAnswers: 3}, editor.VerdictApplied},
+		"every answer lost":   {emulator.Switches{DropAnswers: 1000}, editor.VerdictUnknown},
+		"service down":        {emulator.Switches{Outage: true}, editor.VerdictUnavailable},
+		"service silent":      {emulator.Switches{Silent: true}, editor.VerdictUnavailable},
+		"service slow":        {emulator.Switches{Delay: 900 * time.Millisecond}, editor.VerdictApplied},
+		"slow, and lost once": {emulator.Switches{Delay: 500 * time.Millisecond, DropAnswers: 1}, editor.VerdictApplied},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				edits, store := newEditor(t)
+				store.Faults.Set(scenario.switches)
+
+				edit := editor.Edit{Operator: "olga", Revision: 1, Document: wanted, Mark: "mark"}
+				result := edits.Apply(t.Context(), edit)
+				require.Equal(t, scenario.verdict, result.Verdict, result)
+
+				// The same edit sent again ends as applied, and once only.
+				store.Faults.Set(emulator.Switches{})
+				result = edits.Apply(t.Context(), edit)
+				require.Equal(t, editor.VerdictApplied, result.Verdict, result)
+
+				record, _, err := edits.Read(t.Context())
+				require.NoError(t, err)
+				require.Len(t, record.History, 2)
+			})
+		})
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	edits, store := newEditor(t)
+
+	for share := 2; share < 202; share++ {
+		result := edits.Apply(t.Context(), editor.Edit{
+			Operator: "olga", Revision: keeper.Revision(share - 1),
+			Document: change(func(document *editor.Document) { document.Firms[0].Share = share }),
+		})
+		require.Equal(t, editor.VerdictApplied, result.Verdict, result)
+	}
+
+	record, revision, err := edits.Read(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, keeper.Revision(201), revision)
+	require.Len(t, record.History, 64)
+
+	result := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: 3, Document: sample()})
+	require.Equal(t, editor.VerdictStale, result.Verdict)
+
+	entry, err := store.Get(t.Context(), editor.DocumentKey)
+	require.NoError(t, err)
+	require.Less(t, len(entry.Value), keeper.MaxValueBytes)
+}
+
+// Operators race through entries of their own while answers are lost. Each
+// adds workspaces of its own and sets one contended field; whatever was
+// acknowledged is in the document, or in its history below a later change.
+func TestNoAcknowledgedEditIsLost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		drops := rapid.SliceOfN(rapid.IntRange(0, 3), 6, 6).Draw(rt, "drops")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 200), 12, 12).Draw(rt, "pauses")
+
+		synctest.Test(t, func(t *testing.T) {
+			_, store := newEditor(t)
+			race := &race{store: store}
+			ended := make(chan struct{})
+
+			for operator := range 3 {
+				go func() {
+					race.operate(t.Context(), operator, pauses[4*operator:4*operator+4])
+					ended <- struct{}{}
+				}()
+			}
+
+			for _, drop := range drops {
+				store.Faults.Set(emulator.Switches{DropAnswers: drop})
+				time.Sleep(50 * time.Millisecond)
+			}
+
+			for range 3 {
+				<-ended
+			}
+
+			race.check(t)
+		})
+	})
+}
+
+type race struct {
+	store *emulator.Store
+	// acknowledged holds the workspace and mark of each accepted edit.
+	acknowledged [3][][2]string
+	failures     [3][]editor.Result
+}
+
+func (race *race) operate(ctx context.Context, operator int, pauses []int) {
+	edits := editor.NewEditor(kernel.Discard(fmt.Sprint("entry", operator)), race.store)
+
+	for number, pause := range pauses {
+		record, revision, err := edits.Read(ctx)
+		if err != nil {
+			continue
+		}
+
+		time.Sleep(time.Duration(pause) * time.Millisecond)
+
+		name := fmt.Sprintf("w-%d-%d", operator, number)
+		document := record.Document
+		document.Workspaces = append(append([]editor.Workspace{}, document.Workspaces...), editor.Workspace{Name: name, Firm: "north"})
+
+		result := edits.Apply(ctx, editor.Edit{Operator: "olga", Revision: revision, Document: &document})
+		switch result.Verdict {
+		case editor.VerdictApplied:
+			race.acknowledged[operator] = append(race.acknowledged[operator], [2]string{name, result.Mark})
+		case editor.VerdictUnknown:
+		default:
+			race.failures[operator] = append(race.failures[operator], result)
+		}
+	}
+}
+
+func (race *race) check(t *testing.T) {
+	t.Helper()
+
+	entry, err := race.store.Get(t.Context(), editor.DocumentKey)
+	require.NoError(t, err)
+
+	record, err := editor.DecodeRecord(entry.Value)
+	require.NoError(t, err)
+
+	workspaces, marks := map[string]bool{}, map[string]int{}
+	for _, workspace := range record.Workspaces {
+		workspaces[workspace.Name] = true
+	}
+
+	for _, change := range record.History {
+		marks[change.Mark]++
+	}
+
+	for operator := range race.acknowledged {
+		require.Empty(t, race.failures[operator])
+
+		for _, edit := range race.acknowledged[operator] {
+			require.True(t, workspaces[edit[0]], "acknowledged edit %s is lost", edit[0])
+			require.Equal(t, 1, marks[edit[1]], "edit %s was written more than once", edit[0])
+		}
+	}
+
+	require.Len(t, record.History, int(entry.Revision))
+	_, err = json.Marshal(record)
+	require.NoError(t, err)
+}
+
+// silentStore never answers its first calls; whether they took effect is
+// drawn by the test. Later calls use new connections and are answered.
+type silentStore struct {
+	*emulator.Store
+	silent int
+}
+
+func (store *silentStore) Get(ctx context.Context, key string) (keeper.Entry, error) {
+	if store.hang(ctx) {
+		return keeper.Entry{}, ctx.Err()
+	}
+
+	return store.Store.Get(ctx, key)
+}
+
+func (store *silentStore) CompareAndSwap(ctx context.Context, key string, revision keeper.Revision, value []byte) (keeper.Entry, keeper.Applied, error) {
+	entry, applied, err := store.Store.CompareAndSwap(ctx, key, revision, value)
+	if store.hang(ctx) {
+		return keeper.Entry{}, keeper.WriteUnknown, ctx.Err()
+	}
+
+	return entry, applied, err
+}
+
+func (store *silentStore) hang(ctx context.Context) bool {
+	if store.silent == 0 {
+		return false
+	}
+
+	store.silent--
+	<-ctx.Done()
+
+	return true
+}
+
+func TestEditOverSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, store := newEditor(t)
+		silent := &silentStore{Store: store}
+		edits := editor.NewEditor(kernel.Discard("entry"), silent)
+		_, revision, err := edits.Read(t.Context())
+		require.NoError(t, err)
+
+		silent.silent = 1
+		result := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: revision, Document: sample()})
+		require.Equal(t, editor.VerdictUnavailable, result.Verdict)
+
+		wanted := change(func(document *editor.Document) { document.Firms[0].Share = 2 })
+		began := time.Now()
+		result = edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: revision, Document: wanted})
+		require.Equal(t, editor.VerdictApplied, result.Verdict)
+		require.Zero(t, time.Since(began))
+
+		silent.silent = 2
+		wanted.Firms[0].Share = 3
+		// The read is silent once; the caller tries again.
+		result = edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: revision + 1, Document: wanted, Mark: "m"})
+		require.Equal(t, editor.VerdictUnavailable, result.Verdict)
+		result = edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: revision + 1, Document: wanted, Mark: "m"})
+		require.Equal(t, editor.VerdictUnavailable, result.Verdict)
+		require.Equal(t, 2*time.Second, time.Since(began))
+	})
+}
+
+func TestSilentWriteIsSettledOnANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, store := newEditor(t)
+		silent := &silentWrites{silentStore{Store: store, silent: 2}}
+		edits := editor.NewEditor(kernel.Discard("entry"), silent)
+
+		wanted := change(func(document *editor.Document) { document.Firms[0].Share = 2 })
+		result := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: 1, Document: wanted})
+		require.Equal(t, editor.VerdictApplied, result.Verdict, result)
+		require.Equal(t, keeper.Revision(2), result.Revision)
+	})
+}
+
+// silentWrites answers every read.
+type silentWrites struct{ silentStore }
+
+func (store *silentWrites) Get(ctx context.Context, key string) (keeper.Entry, error) {
+	return store.Store.Get(ctx, key)
+}
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -28,6 +28,7 @@
 	KindCommitted  Kind = "Committed"
 	KindRepaired   Kind = "Repaired"
 	KindOutage     Kind = "Outage"
+	KindEdited     Kind = "Edited"
 )
 
 // Event is one entry of the time line.
