Spread the document through peers, with few watchers

Cause: each entry watched the key-value service and sidecars had no document; at 2,000 processes a watch for each is 4,800 calls a minute. Change: three watchers in each data centre by rendezvous hashing, an offer of the revision to six random peers, an exchange with a random peer every 1.5 to 3 s, a jittered read every 15 minutes as a backstop, five peers asked at the start. Documents travel compressed and without history.

--- /dev/null
+++ b/publisher/fleet_test.go
@@ -0,0 +1,289 @@
+package publisher_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"limpetrail/editor"
+	"limpetrail/emulator"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/locator"
+	"limpetrail/messenger"
+	"limpetrail/publisher"
+)
+
+const (
+	dataCentres = 8
+	// The bound of the target on the spread of a change.
+	spreadBound = 5 * time.Second
+	nearDelay   = 500 * time.Microsecond
+	farDelay    = 30 * time.Millisecond
+)
+
+// member is one process of a simulated fleet.
+type member struct {
+	instance  locator.Instance
+	publisher *publisher.Publisher
+	documents *publisher.Documents
+	stop      context.CancelFunc
+	// silent loses every message to and from the process.
+	silent atomic.Bool
+	// received counts the requests of peers.
+	received atomic.Int64
+	// highest is the last revision seen in force, which must never fall.
+	highest keeper.Revision
+}
+
+// fleet is a set of publishers joined by messages in memory.
+type fleet struct {
+	t     *testing.T
+	store *countingStore
+
+	mutex   sync.RWMutex
+	members map[string]*member
+
+	messages  atomic.Int64
+	bytes     atomic.Int64
+	documents atomic.Int64
+}
+
+// countingStore counts every call that was tried.
+type countingStore struct {
+	*emulator.Store
+	calls atomic.Int64
+}
+
+func (store *countingStore) Get(ctx context.Context, key string) (keeper.Entry, error) {
+	store.calls.Add(1)
+
+	return store.Store.Get(ctx, key)
+}
+
+func (store *countingStore) Watch(ctx context.Context, key string, above keeper.Revision) (keeper.Entry, error) {
+	store.calls.Add(1)
+
+	return store.Store.Watch(ctx, key, above)
+}
+
+func newFleet(t *testing.T, processes int) *fleet {
+	t.Helper()
+
+	fleet := &fleet{t: t, store: &countingStore{Store: emulator.NewStore()}, members: map[string]*member{}}
+	for number := range processes {
+		name := fmt.Sprintf("instance-%04d", number)
+		fleet.members[name] = &member{instance: locator.Instance{Name: name, Address: name, DataCentre: fmt.Sprintf("dc-%d", number%dataCentres)}}
+	}
+
+	return fleet
+}
+
+// start starts, or starts again, the processes of a data centre; all for an
+// empty name.
+func (fleet *fleet) start(dataCentre string) {
+	for _, member := range fleet.in(dataCentre) {
+		ctx, stop := context.WithCancel(fleet.t.Context())
+		common := kernel.Discard(member.instance.Name)
+		common.DataCentre = member.instance.DataCentre
+
+		fleet.mutex.Lock()
+		member.publisher = publisher.NewPublisher(common, fleet.store, publisher.WithPeers(fleet, link{fleet, member}))
+		member.documents = publisher.NewDocuments(member.publisher)
+		member.stop = stop
+		member.highest = 0
+		fleet.mutex.Unlock()
+
+		go member.publisher.Run(ctx)
+	}
+}
+
+func (fleet *fleet) stop(dataCentre string) {
+	for _, member := range fleet.in(dataCentre) {
+		member.stop()
+	}
+}
+
+func (fleet *fleet) in(dataCentre string) []*member {
+	found := []*member{}
+
+	for _, member := range fleet.members {
+		if dataCentre == "" || member.instance.DataCentre == dataCentre {
+			found = append(found, member)
+		}
+	}
+
+	return found
+}
+
+// Instances implements locator.List.
+func (fleet *fleet) Instances(context.Context) ([]locator.Instance, error) {
+	instances := []locator.Instance{}
+	for _, member := range fleet.members {
+		instances = append(instances, member.instance)
+	}
+
+	return instances, nil
+}
+
+// link carries the messages of one process.
+type link struct {
+	fleet *fleet
+	from  *member
+}
+
+// Exchange implements publisher.Peers.
+func (link link) Exchange(ctx context.Context, address string, request *messenger.DocumentRequest) (*messenger.DocumentReply, error) {
+	fleet, target := link.fleet, link.fleet.members[address]
+	fleet.count(proto.Size(request), len(request.GetDocument()))
+
+	if err := link.travel(ctx, target); err != nil {
+		return nil, err
+	}
+
+	fleet.mutex.RLock()
+	documents := target.documents
+	fleet.mutex.RUnlock()
+	target.received.Add(1)
+
+	reply, err := documents.Document(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+
+	fleet.count(proto.Size(reply), len(reply.GetDocument()))
+
+	return reply, link.travel(ctx, target)
+}
+
+// travel takes the time of one message; silence lasts until the deadline.
+func (link link) travel(ctx context.Context, target *member) error {
+	delay := nearDelay
+	if link.from.instance.DataCentre != target.instance.DataCentre {
+		delay = time.Millisecond + rand.N(farDelay)
+	}
+
+	if link.from.silent.Load() || target.silent.Load() {
+		delay = time.Hour
+	}
+
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+func (fleet *fleet) count(size, document int) {
+	fleet.messages.Add(1)
+	fleet.bytes.Add(int64(size))
+
+	if document > 0 {
+		fleet.documents.Add(1)
+	}
+}
+
+// write changes the document as a process would that dies right after it:
+// nobody but the watchers can know of it.
+func (fleet *fleet) write(share int) keeper.Revision {
+	fleet.t.Helper()
+
+	value, err := json.Marshal(editor.Document{Firms: []editor.Firm{{Name: "north", Share: share}}})
+	require.NoError(fleet.t, err)
+
+	entry, err := fleet.store.Store.Get(fleet.t.Context(), publisher.DocumentKey)
+	require.NoError(fleet.t, err)
+	entry, applied, err := fleet.store.CompareAndSwap(fleet.t.Context(), publisher.DocumentKey, entry.Revision, value)
+	require.NoError(fleet.t, err)
+	require.Equal(fleet.t, keeper.WriteApplied, applied)
+
+	return entry.Revision
+}
+
+// await returns the time until the revision is in force at every process that
+// is not silent, at most a minute.
+func (fleet *fleet) await(revision keeper.Revision) time.Duration {
+	fleet.t.Helper()
+
+	began := time.Now()
+	for !fleet.reached(revision) && time.Since(began) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	return time.Since(began)
+}
+
+// reached also checks that no process went back.
+func (fleet *fleet) reached(revision keeper.Revision) bool {
+	all := true
+
+	for _, member := range fleet.members {
+		current := member.publisher.Current().Revision
+		require.GreaterOrEqual(fleet.t, current, member.highest, "the revision in force fell")
+		member.highest = current
+		all = all && (current >= revision || member.silent.Load())
+	}
+
+	return all
+}
+
+// figures are counts over one stretch of time.
+type figures struct {
+	duration  time.Duration
+	messages  int64
+	bytes     int64
+	documents int64
+	calls     int64
+}
+
+// during counts what happens while the function runs.
+func (fleet *fleet) during(run func()) figures {
+	began := time.Now()
+	before := figures{messages: fleet.messages.Load(), bytes: fleet.bytes.Load(), documents: fleet.documents.Load(), calls: fleet.store.calls.Load()}
+
+	run()
+
+	return figures{
+		duration:  time.Since(began),
+		messages:  fleet.messages.Load() - before.messages,
+		bytes:     fleet.bytes.Load() - before.bytes,
+		documents: fleet.documents.Load() - before.documents,
+		calls:     fleet.store.calls.Load() - before.calls,
+	}
+}
+
+// busiest returns the most requests that one process received since the last
+// call.
+func (fleet *fleet) busiest() int64 {
+	most := int64(0)
+	for _, member := range fleet.members {
+		most = max(most, member.received.Swap(0))
+	}
+
+	return most
+}
+
+// simulate runs a story in a bubble and ends the fleet's processes after it.
+func simulate(t *testing.T, processes int, story func(fleet *fleet)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, processes)
+		fleet.write(1)
+		fleet.start("")
+		require.Less(t, fleet.await(1), time.Minute)
+		story(fleet)
+		fleet.stop("")
+	})
+}
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -6,11 +6,13 @@
 )
 
 // DocumentKey is where the document lies in the key-value service.
-const DocumentKey = "limpetrail/document"
+const DocumentKey = editor.DocumentKey
 
 // Snapshot is one revision of the document.
 type Snapshot struct {
 	// Revision is the key's revision; 0 before any document is known.
 	Revision keeper.Revision
 	Index    *editor.Index
+	// packed is the document as it is sent to peers.
+	packed []byte
 }
