Edit the document through forms and the command line

Cause: nobody could read or change the document but by hand in the store. Change: GET and POST /v1/configuration with history, config show, check, diff, apply and history with exit codes 4 (conflict) and 5 (unknown), forms under /console/ that work without scripts, sidecars that find their peers through [Instances]. A write refused unsent after a lost answer is unknown, not refused: the process's client stops calls that way. Not done: the console was not looked at in a browser.

--- a/app/providers.go
+++ b/app/providers.go
@@ -23,6 +23,7 @@
 	"limpetrail/meter"
 	"limpetrail/observer"
 	"limpetrail/planner"
+	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/router"
 )
@@ -101,8 +102,8 @@
 	return claimer.NewClaimer(common, store, calls)
 }
 
-func newRoutes(inference *handler.Inference, operators *observer.Observer, metrics *meter.Meter) []handler.Routes {
-	return []handler.Routes{inference, operators, metrics}
+func newRoutes(inference *handler.Inference, operators *observer.Observer, metrics *meter.Meter, configuration *presenter.API, console *presenter.Console) []handler.Routes {
+	return []handler.Routes{inference, operators, metrics, configuration, console}
 }
 
 func newAdmitter(settings loader.Sidecar) admitter.Admitter {
@@ -187,12 +188,12 @@
 	return newStore(common, settings.KeyValue, settings.Calls)
 }
 
-func newEntryServices(timeLine *messenger.TimeLine) []messenger.Service {
-	return []messenger.Service{timeLine}
+func newEntryServices(timeLine *messenger.TimeLine, documents *publisher.Documents) []messenger.Service {
+	return []messenger.Service{timeLine, documents}
 }
 
-func newSidecarServices(server *executor.Server, timeLine *messenger.TimeLine) []messenger.Service {
-	return []messenger.Service{server, timeLine}
+func newSidecarServices(server *executor.Server, timeLine *messenger.TimeLine, documents *publisher.Documents) []messenger.Service {
+	return []messenger.Service{server, timeLine, documents}
 }
 
 func newTimeLine(common kernel.Common) *messenger.TimeLine {
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -7,18 +7,22 @@
 
 	"github.com/juju/errors"
 
+	"limpetrail/dialer"
 	"limpetrail/executor"
 	"limpetrail/kernel"
 	"limpetrail/loader"
 	"limpetrail/messenger"
 	"limpetrail/meter"
+	"limpetrail/publisher"
 )
 
 // Sidecar is a process beside a backend server.
 type Sidecar struct {
 	kernel.Common
-	Settings loader.Sidecar
-	Executor *executor.Executor
+	Settings  loader.Sidecar
+	Executor  *executor.Executor
+	Publisher *publisher.Publisher
+	Dialer    *dialer.Dialer
 	// Services are what peers may call.
 	Services []messenger.Service
 	Duties   []Duty
@@ -28,6 +32,8 @@
 // Run serves until the context ends, then drains: new work is refused, what
 // runs finishes, and answers can be read for a short time.
 func (sidecar *Sidecar) Run(ctx context.Context) error {
+	defer sidecar.Dialer.Close()
+
 	listener, err := listenPeers(ctx, sidecar.Settings.Listen.Peers)
 	if err != nil {
 		return errors.Trace(err)
@@ -51,6 +57,7 @@
 	go sidecar.Executor.Tend(serving)
 	go sidecar.serveOperations(serving, operations, ctx.Done())
 	startDuties(serving, sidecar.Duties)
+	go sidecar.Publisher.Run(serving)
 
 	sidecar.Log.WithField("Peers", listener.Addr()).Info("Serving.")
 
--- a/app/wire.go
+++ b/app/wire.go
@@ -10,6 +10,7 @@
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/observer"
+	"limpetrail/presenter"
 	"limpetrail/publisher"
 )
 
@@ -29,7 +30,11 @@
 		newEntryServices,
 		newPlanner,
 		newEntryDuties,
-		publisher.NewPublisher,
+		newEntryPublisher,
+		publisher.NewDocuments,
+		newEditor,
+		presenter.NewAPI,
+		presenter.NewConsole,
 		handler.NewInference,
 		observer.NewObserver,
 		wire.Struct(new(Entry), "*"),
@@ -50,6 +55,9 @@
 		newSidecarDuties,
 		newTimeLine,
 		newSidecarServices,
+		newDialer,
+		newSidecarPublisher,
+		publisher.NewDocuments,
 		wire.Struct(new(Sidecar), "*"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -11,6 +11,7 @@
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/observer"
+	"limpetrail/presenter"
 	"limpetrail/publisher"
 )
 
@@ -35,14 +36,18 @@
 	}
 	dispatcher := newDispatcher(common, settings, router, dialer)
 	claimer := newClaimer(common, store, dispatcher)
-	publisherPublisher := publisher.NewPublisher(common, store)
+	publisherPublisher := newEntryPublisher(common, store, list, dialer)
 	inference := handler.NewInference(common, dispatcher, publisherPublisher, claimer)
 	observerObserver := observer.NewObserver(common, list, dialer, publisherPublisher, router)
-	v := newRoutes(inference, observerObserver, meter)
+	editor := newEditor(common, store, publisherPublisher)
+	api := presenter.NewAPI(common, editor, publisherPublisher)
+	console := presenter.NewConsole(common, editor, publisherPublisher)
+	v := newRoutes(inference, observerObserver, meter, api, console)
 	planner := newPlanner(common, settings, store, list, publisherPublisher, dialer)
 	v2 := newEntryDuties(publisherPublisher, planner)
 	timeLine := newTimeLine(common)
-	v3 := newEntryServices(timeLine)
+	documents := publisher.NewDocuments(publisherPublisher)
+	v3 := newEntryServices(timeLine, documents)
 	entry := &Entry{
 		Common:   common,
 		Settings: settings,
@@ -74,18 +79,26 @@
 	if err != nil {
 		return nil, err
 	}
+	dialer := newDialer()
+	publisherPublisher, err := newSidecarPublisher(common, settings, store, dialer)
+	if err != nil {
+		return nil, err
+	}
 	fencer := newFencer(common, appBackend, store)
 	server := newServer(executor, fencer)
 	timeLine := newTimeLine(common)
-	v := newSidecarServices(server, timeLine)
+	documents := publisher.NewDocuments(publisherPublisher)
+	v := newSidecarServices(server, timeLine, documents)
 	v2 := newSidecarDuties(fencer)
 	sidecar := &Sidecar{
-		Common:   common,
-		Settings: settings,
-		Executor: executor,
-		Services: v,
-		Duties:   v2,
-		Meter:    meter,
+		Common:    common,
+		Settings:  settings,
+		Executor:  executor,
+		Publisher: publisherPublisher,
+		Dialer:    dialer,
+		Services:  v,
+		Duties:    v2,
+		Meter:     meter,
 	}
 	return sidecar, nil
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -50,6 +50,10 @@
 		commands[added.clause.FullCommand()] = added
 	}
 
+	for _, added := range commander.config(application) {
+		commands[added.clause.FullCommand()] = added
+	}
+
 	chosen, err := application.Parse(arguments)
 	if err != nil {
 		fmt.Fprintln(commander.Err, "limpetrail:", err)
@@ -71,6 +75,10 @@
 	switch {
 	case errors.Is(err, errRefused):
 		return ExitRefused
+	case errors.Is(err, errConflict):
+		return ExitConflict
+	case errors.Is(err, errUnknown):
+		return ExitUnknown
 	case errors.Is(err, errors.NotValid):
 		return ExitUsage
 	default:
--- a/demonstrator/document.go
+++ b/demonstrator/document.go
@@ -12,6 +12,7 @@
 // model service and a plain service whose calls may not be repeated.
 func ExampleDocument() editor.Document {
 	return editor.Document{
+		Operators: []string{"ops"},
 		Firms: []editor.Firm{
 			{Name: "clinics", Staff: []string{"asha"}, Share: 1},
 			{Name: "hire", Staff: []string{"eino"}, Share: 1},
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -133,6 +133,7 @@
 	settings.Instance = loader.Instance{Name: "sidecar-" + name, DataCentre: dataCentre(len(fleet.instances))}
 	settings.Listen = loader.SidecarListen{Peers: free[0], Operations: free[1]}
 	settings.KeyValue.Address = fleet.Addresses.Standins["kv"]
+	settings.Instances.Address = fleet.Addresses.Standins["instances"]
 	settings.BackendServer.Kind = kind
 	settings.BackendServer.Address = address
 	settings.BackendServer.Service = service
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -145,6 +145,11 @@
 
 		written, applied, err := keeper.Write(ctx, editor.Store, *proposal)
 
+		if applied == keeper.WriteRefused && err != nil {
+			// An earlier attempt of the same write may have taken effect.
+			applied = keeper.WriteUnknown
+		}
+
 		switch applied {
 		case keeper.WriteApplied:
 			editor.Written(written.Revision, written.Value)
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -419,3 +419,24 @@
 func (store *silentWrites) Get(ctx context.Context, key string) (keeper.Entry, error) {
 	return store.Store.Get(ctx, key)
 }
+
+// The process's client stops calls after failures: the last attempts are
+// refused without being sent, while the first one took effect.
+func TestLostAnswerBeforeCallsAreStoppedIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, store := newEditor(t)
+		settings := keeper.DefaultSettings()
+		settings.Failures = 1
+		edits := editor.NewEditor(kernel.Discard("entry"), keeper.NewClient(kernel.Discard("entry"), store, settings))
+
+		store.Faults.Set(emulator.Switches{DropAnswers: 1})
+		wanted := change(func(document *editor.Document) { document.Firms[0].Share = 2 })
+		result := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: 1, Document: wanted})
+		require.Equal(t, editor.VerdictUnknown, result.Verdict, result)
+
+		record, _, err := edits.Read(t.Context())
+		if err == nil {
+			require.True(t, record.Holds(result.Mark))
+		}
+	})
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -25,9 +25,11 @@
 
 // Sidecar is the settings of a sidecar.
 type Sidecar struct {
-	Instance      Instance
-	Listen        SidecarListen
-	KeyValue      Platform
+	Instance Instance
+	Listen   SidecarListen
+	KeyValue Platform
+	// Instances is the list through which the sidecar finds its peers.
+	Instances     InstanceList
 	BackendServer BackendServer
 	// Calls bounds the use of the key-value service.
 	Calls   keeper.Settings
@@ -70,6 +72,15 @@
 	Address string `required:"true"`
 }
 
+// InstanceList is where a sidecar reads the list of instances.
+type InstanceList struct {
+	// Adapter is the name of the adapter.
+	Adapter string `required:"true"`
+	// Address is the host and port. Without one the sidecar watches the
+	// key-value service by itself, which fits small fleets only.
+	Address string
+}
+
 // BackendServer is what a sidecar stands beside.
 type BackendServer struct {
 	// Kind is what the backend server is.
@@ -112,6 +123,7 @@
 	return Sidecar{
 		Listen:        SidecarListen{Peers: "127.0.0.1:9081", Operations: "127.0.0.1:9082"},
 		KeyValue:      Platform{Adapter: "http"},
+		Instances:     InstanceList{Adapter: "http"},
 		BackendServer: BackendServer{Kind: "Engine", Adapter: "http", Places: defaultPlaces},
 		Calls:         keeper.DefaultSettings(),
 		Execute:       executor.DefaultSettings(),
--- /dev/null
+++ b/presenter/configuration.go
@@ -0,0 +1,151 @@
+package presenter
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"limpetrail/classifier"
+	"limpetrail/editor"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/publisher"
+)
+
+// OperatorHeader names the operator. The platform's proxy has authenticated
+// the operator and sets it.
+const OperatorHeader = "X-Limpetrail-Operator"
+
+// Path of the configuration's interface.
+const Path = "/v1/configuration"
+
+// maxEditBytes bounds the body of an edit: the document and what is around it.
+const maxEditBytes = keeper.MaxValueBytes + 64<<10
+
+// historyRetry is when to come back for the history.
+const historyRetry = 5 * time.Second
+
+// Configuration is the document in force at the answering entry.
+type Configuration struct {
+	Revision keeper.Revision
+	Document *editor.Document
+}
+
+// EditRequest is the body of an edit.
+type EditRequest struct {
+	// Revision is the one that was read and changed.
+	Revision keeper.Revision
+	Document editor.Document
+	// Mark is unique to the edit; the same edit may be sent again with it.
+	Mark string
+	// DryRun checks and compares without writing.
+	DryRun bool
+}
+
+// API serves the document as JSON.
+type API struct {
+	kernel.Common
+	Editor    *editor.Editor
+	Publisher *publisher.Publisher
+}
+
+// NewAPI returns the routes of the configuration's interface.
+func NewAPI(common kernel.Common, edits *editor.Editor, documents *publisher.Publisher) *API {
+	return &API{Common: common.ForPart("presenter"), Editor: edits, Publisher: documents}
+}
+
+// Register adds the routes to a mux.
+func (api *API) Register(mux *http.ServeMux) {
+	protection := http.NewCrossOriginProtection()
+	mux.HandleFunc("GET "+Path, api.show)
+	mux.HandleFunc("GET "+Path+"/history", api.history)
+	mux.Handle("POST "+Path, protection.Handler(http.HandlerFunc(api.edit)))
+}
+
+func (api *API) show(writer http.ResponseWriter, _ *http.Request) {
+	current := api.Publisher.Current()
+	writeJSON(writer, http.StatusOK, Configuration{Revision: current.Revision, Document: current.Index.Document})
+}
+
+func (api *API) history(writer http.ResponseWriter, request *http.Request) {
+	record, _, err := api.Editor.Read(request.Context())
+	if err != nil {
+		outcome := classifier.Refuse("the key-value service gave no answer: "+err.Error(), historyRetry)
+		classifier.NewProblem(http.StatusServiceUnavailable, "", outcome).Write(writer)
+
+		return
+	}
+
+	changes := record.History
+	if changes == nil {
+		changes = []editor.Change{}
+	}
+
+	writeJSON(writer, http.StatusOK, changes)
+}
+
+func (api *API) edit(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxEditBytes))
+	if err != nil {
+		classifier.NewProblem(http.StatusRequestEntityTooLarge, "", classifier.Refuse(err.Error(), 0)).Write(writer)
+
+		return
+	}
+
+	wanted := EditRequest{}
+
+	faults := editor.CheckFields(body, &wanted)
+	if len(faults) == 0 {
+		if err := json.Unmarshal(body, &wanted); err != nil {
+			faults = []classifier.Fault{{Field: "(body)", Remedy: err.Error()}}
+		}
+	}
+
+	if len(faults) > 0 {
+		writeResult(writer, editor.Result{Verdict: editor.VerdictInvalid, Faults: faults})
+
+		return
+	}
+
+	writeResult(writer, api.Editor.Apply(request.Context(), editor.Edit{
+		Operator: request.Header.Get(OperatorHeader),
+		Revision: wanted.Revision,
+		Document: &wanted.Document,
+		Mark:     wanted.Mark,
+		DryRun:   wanted.DryRun,
+	}))
+}
+
+// writeResult sends a result; its status says the verdict too.
+func writeResult(writer http.ResponseWriter, result editor.Result) {
+	if result.RetryAfter > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(result.RetryAfter.Seconds()))))
+	}
+
+	writeJSON(writer, status(result.Verdict), result)
+}
+
+func status(verdict editor.Verdict) int {
+	switch verdict {
+	case editor.VerdictApplied, editor.VerdictUnchanged, editor.VerdictPassed:
+		return http.StatusOK
+	case editor.VerdictInvalid:
+		return http.StatusUnprocessableEntity
+	case editor.VerdictConflict, editor.VerdictStale:
+		return http.StatusConflict
+	case editor.VerdictForbidden:
+		return http.StatusForbidden
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func writeJSON(writer http.ResponseWriter, status int, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// The connection is the operator's; a failed write has no one left to tell.
+	_ = json.NewEncoder(writer).Encode(value)
+}
--- a/publisher/spread_test.go
+++ b/publisher/spread_test.go
@@ -160,7 +160,7 @@
 	simulate(t, 100, func(fleet *fleet) {
 		revision := fleet.write(2)
 		require.Less(t, fleet.await(revision), spreadBound)
-		entry, err := fleet.store.Store.Get(t.Context(), publisher.DocumentKey)
+		entry, err := fleet.store.Store.Get(fleet.t.Context(), publisher.DocumentKey)
 		require.NoError(t, err)
 
 		fleet.store.Faults.Set(emulator.Switches{Silent: true})
