--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -422,7 +422,7 @@
 
 // The process's client stops calls after failures: the last attempts are
 // refused without being sent, while the first one took effect.
-func TestLostAnswerBeforeCallsAreStoppedIsUnknown(t *testing.T) {
+func TestLostAnswerBeforeCallsAreStoppedIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, store := newEditor(t)
 		settings := keeper.DefaultSettings()
@@ -432,7 +432,7 @@
 		store.Faults.Set(emulator.Switches{DropAnswers: 1})
 		wanted := change(func(document *editor.Document) { document.Firms[0].Share = 2 })
 		result := edits.Apply(t.Context(), editor.Edit{Operator: "olga", Revision: 1, Document: wanted})
-		require.Equal(t, editor.VerdictUnknown, result.Verdict, result)
+		require.Equal(t, editor.VerdictApplied, result.Verdict, result)
 
 		record, _, err := edits.Read(t.Context())
 		if err == nil {
