--- /dev/null
+++ b/executor/local.go
@@ -0,0 +1,48 @@
+package executor
+
+import (
+	"bytes"
+	"context"
+
+	"limpetrail/messenger"
+)
+
+// Answer is the whole end of a run.
+type Answer struct {
+	// Body is the text of a model or the body of a plain service's answer.
+	Body []byte
+	// Tokens is the number of events of the answer.
+	Tokens int
+	// End is the last frame.
+	End *messenger.Frame
+}
+
+// Do runs a request of this process to its end. When the context ends the run
+// is stopped if it is idempotent; the others are left to finish.
+func (executor *Executor) Do(ctx context.Context, request *messenger.ExecuteRequest) Answer {
+	request.Incarnation = executor.Incarnation
+
+	run, err := executor.Submit(request)
+	if err != nil {
+		return Answer{End: &messenger.Frame{
+			Kind:   messenger.FrameKind_FRAME_KIND_REFUSED,
+			Fate:   messenger.Fate_FATE_NOT_RUN,
+			Reason: err.Error(),
+		}}
+	}
+	defer run.Follow()()
+
+	stop := context.AfterFunc(ctx, func() {
+		executor.Revoke(request.GetRequestId(), executor.Incarnation, request.GetIdempotent())
+	})
+	defer stop()
+
+	for {
+		events, end, changed := run.After(0)
+		if end != nil {
+			return Answer{Body: bytes.Join(events, nil), Tokens: len(events), End: end}
+		}
+
+		<-changed
+	}
+}
--- a/executor/work.go
+++ b/executor/work.go
@@ -87,8 +87,13 @@
 }
 
 // mayResume tells whether a broken stream is begun again here, after a pause.
-// A request that is not idempotent never is.
+// A request that is not idempotent never is. Nor is a batch item: it may be
+// what broke the engine, and its job's owner decides what becomes of it.
 func (executor *Executor) mayResume(ctx context.Context, run *Run, broken int) bool {
+	if run.Request.GetClass() == messenger.Class_CLASS_BATCH {
+		return false
+	}
+
 	if !run.Request.GetIdempotent() || broken >= executor.Settings.EngineAttempts {
 		return false
 	}
--- /dev/null
+++ b/scheduler/results.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"limpetrail/archiver"
+)
+
+// Results calls yield for each recorded result of a job, in groups of one
+// segment. It stops at the first error.
+func Results(ctx context.Context, bulk Bulk, record Record, yield func(results []Result) error) error {
+	for _, segment := range record.Segments {
+		data, err := bulk.Get(ctx, segment.Name, JobKey(record.ID))
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		if err := yieldResults(data, yield); err != nil {
+			return errors.Trace(err)
+		}
+	}
+
+	if len(record.Inline) == 0 {
+		return nil
+	}
+
+	data, err := archiver.Decompress(record.Inline)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	return yieldResults(data, yield)
+}
+
+func yieldResults(data []byte, yield func(results []Result) error) error {
+	results, err := decodeResults(data)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	return errors.Trace(yield(results))
+}
