Serve a batch job through separate processes

Cause: no path from /v1/files and /v1/batches to a sidecar and back. Change: submitter, wiring of entries and sidecars, locator.Peers, a check of the backend server after a break, refusals of an engine told from breaks.

--- a/app/entry.go
+++ b/app/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +18,7 @@
 	"limpetrail/locator"
 	"limpetrail/messenger"
 	"limpetrail/router"
+	"limpetrail/scheduler"
 )
 
 const (
@@ -36,7 +38,10 @@
 	Routes   []handler.Routes
 	Duties   []Duty
 	// Services are what peers may call.
-	Services []messenger.Service
+	Services  []messenger.Service
+	Peers     *locator.Peers
+	Scheduler *scheduler.Scheduler
+	Janitor   *scheduler.Janitor
 }
 
 // Run serves until the context ends, then lets running requests finish.
@@ -63,6 +68,14 @@
 
 	startDuties(serving, entry.Duties)
 	go entry.locate(serving)
+	go entry.Peers.Run(serving)
+	go entry.Janitor.Run(ctx)
+
+	jobs := sync.WaitGroup{}
+	jobs.Go(func() { entry.Scheduler.Run(ctx) })
+
+	defer jobs.Wait()
+
 	go func() { served <- server.Serve(listener) }()
 	go func() { served <- servePeers(serving, peers, entry.Services) }()
 
--- /dev/null
+++ b/app/jobs.go
@@ -0,0 +1,91 @@
+package app
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"limpetrail/admitter"
+	"limpetrail/archiver"
+	"limpetrail/executor"
+	"limpetrail/kernel"
+	"limpetrail/loader"
+	"limpetrail/locator"
+	"limpetrail/publisher"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
+)
+
+func newEntryPeers(common kernel.Common, list locator.List) *locator.Peers {
+	return locator.NewPeers(common, list)
+}
+
+func newSidecarPeers(common kernel.Common, settings loader.Sidecar) (*locator.Peers, error) {
+	factory, err := locator.Adapters.Find(settings.Instances.Adapter)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	list, err := factory(common, settings.Instances.Address)
+
+	return locator.NewPeers(common, list), errors.Trace(err)
+}
+
+func newArchive(common kernel.Common, settings loader.Entry, client *archiver.Client, peers *locator.Peers) (*archiver.Archive, error) {
+	options := []archiver.Option{archiver.WithCopies(settings.Data.Copies)}
+
+	if settings.Data.Folder != "" {
+		folder, err := archiver.NewFolder(settings.Data.Folder, settings.Data.Limit)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+
+		options = append(options, archiver.WithFolder(folder))
+	}
+
+	return archiver.NewArchive(common, client, func() []archiver.Holder { return holders(peers) }, options...), nil
+}
+
+func holders(peers *locator.Peers) []archiver.Holder {
+	found := []archiver.Holder{}
+	for _, peer := range peers.Entries() {
+		found = append(found, archiver.Holder{Name: peer.Name, Address: peer.Address, DataCentre: peer.DataCentre})
+	}
+
+	return found
+}
+
+func newScheduler(common kernel.Common, ledger *scheduler.Ledger, archive *archiver.Archive, peers *locator.Peers) *scheduler.Scheduler {
+	return scheduler.NewScheduler(common, ledger, archive, scheduler.WithRank(peers.Rank))
+}
+
+func newJanitor(jobs *scheduler.Scheduler, archive *archiver.Archive) *scheduler.Janitor {
+	return scheduler.NewJanitor(jobs, archive.Folder)
+}
+
+func newSubmitter(common kernel.Common, ledger *scheduler.Ledger, archive *archiver.Archive, documents *publisher.Publisher, canceller *submitter.Broadcast) *submitter.Submitter {
+	return submitter.NewSubmitter(common, ledger, archive, documents, canceller)
+}
+
+func newPuller(common kernel.Common, settings loader.Sidecar, runs *executor.Executor, admission admitter.Admitter, client *puller.Client, peers *locator.Peers) *puller.Puller {
+	entries := func() []puller.Entry {
+		found := []puller.Entry{}
+		for _, peer := range peers.Entries() {
+			found = append(found, puller.Entry{Name: peer.Name, Address: peer.Address})
+		}
+
+		return found
+	}
+	room := func() int { return admission.Report().BatchRoom }
+
+	return puller.NewPuller(common, settings.BackendServer.Service, runs, client, entries, room, puller.WithHealth(func(ctx context.Context) bool {
+		if runs.Engine == nil {
+			return true
+		}
+
+		_, err := runs.Engine.Load(ctx)
+
+		return err == nil
+	}))
+}
--- a/app/providers.go
+++ b/app/providers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/admitter"
+	"limpetrail/archiver"
 	"limpetrail/claimer"
 	"limpetrail/dialer"
 	"limpetrail/dispatcher"
@@ -25,6 +26,8 @@
 	"limpetrail/planner"
 	"limpetrail/publisher"
 	"limpetrail/router"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
 )
 
 func newEntryMeter(settings loader.Entry) *meter.Meter {
@@ -101,8 +104,8 @@
 	return claimer.NewClaimer(common, store, calls)
 }
 
-func newRoutes(inference *handler.Inference, operators *observer.Observer, metrics *meter.Meter) []handler.Routes {
-	return []handler.Routes{inference, operators, metrics}
+func newRoutes(inference *handler.Inference, batches *submitter.Submitter, operators *observer.Observer, metrics *meter.Meter) []handler.Routes {
+	return []handler.Routes{inference, batches, operators, metrics}
 }
 
 func newAdmitter(settings loader.Sidecar) admitter.Admitter {
@@ -187,8 +190,8 @@
 	return newStore(common, settings.KeyValue, settings.Calls)
 }
 
-func newEntryServices(timeLine *messenger.TimeLine) []messenger.Service {
-	return []messenger.Service{timeLine}
+func newEntryServices(timeLine *messenger.TimeLine, jobs *scheduler.Server, segments *archiver.Server) []messenger.Service {
+	return []messenger.Service{timeLine, jobs, segments}
 }
 
 func newSidecarServices(server *executor.Server, timeLine *messenger.TimeLine) []messenger.Service {
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -4,14 +4,18 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/juju/errors"
 
+	"limpetrail/dialer"
 	"limpetrail/executor"
 	"limpetrail/kernel"
 	"limpetrail/loader"
+	"limpetrail/locator"
 	"limpetrail/messenger"
 	"limpetrail/meter"
+	"limpetrail/puller"
 )
 
 // Sidecar is a process beside a backend server.
@@ -23,6 +27,9 @@
 	Services []messenger.Service
 	Duties   []Duty
 	Meter    *meter.Meter
+	Peers    *locator.Peers
+	Puller   *puller.Puller
+	Dialer   *dialer.Dialer
 }
 
 // Run serves until the context ends, then drains: new work is refused, what
@@ -41,9 +48,14 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
+	pulling := sync.WaitGroup{}
+	pulling.Go(func() { sidecar.Puller.Run(ctx) })
+
+	go sidecar.Peers.Run(serving)
 	go func() {
 		<-ctx.Done()
 		sidecar.Executor.Drain()
+		pulling.Wait()
 		sidecar.Executor.Wait()
 		sidecar.Executor.Linger(serving)
 		stop()
--- a/app/wire.go
+++ b/app/wire.go
@@ -7,10 +7,14 @@
 
 	"github.com/google/wire"
 
+	"limpetrail/archiver"
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/observer"
 	"limpetrail/publisher"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
 )
 
 // NewEntry wires an entry from its settings.
@@ -29,6 +33,16 @@
 		newEntryServices,
 		newPlanner,
 		newEntryDuties,
+		newEntryPeers,
+		newArchive,
+		newScheduler,
+		newSubmitter,
+		newJanitor,
+		scheduler.NewLedger,
+		scheduler.NewServer,
+		archiver.NewServer,
+		archiver.NewClient,
+		submitter.NewBroadcast,
 		publisher.NewPublisher,
 		handler.NewInference,
 		observer.NewObserver,
@@ -50,6 +64,10 @@
 		newSidecarDuties,
 		newTimeLine,
 		newSidecarServices,
+		newSidecarPeers,
+		newDialer,
+		newPuller,
+		puller.NewClient,
 		wire.Struct(new(Sidecar), "*"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -8,10 +8,14 @@
 
 import (
 	"context"
+	"limpetrail/archiver"
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/observer"
 	"limpetrail/publisher"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
 )
 
 // Injectors from wire.go:
@@ -37,22 +41,38 @@
 	claimer := newClaimer(common, store, dispatcher)
 	publisherPublisher := publisher.NewPublisher(common, store)
 	inference := handler.NewInference(common, dispatcher, publisherPublisher, claimer)
+	ledger := scheduler.NewLedger(store)
+	client := archiver.NewClient(dialer)
+	peers := newEntryPeers(common, list)
+	archive, err := newArchive(common, settings, client, peers)
+	if err != nil {
+		return nil, err
+	}
+	schedulerScheduler := newScheduler(common, ledger, archive, peers)
+	server := scheduler.NewServer(schedulerScheduler)
+	broadcast := submitter.NewBroadcast(server, peers, dialer)
+	submitterSubmitter := newSubmitter(common, ledger, archive, publisherPublisher, broadcast)
 	observerObserver := observer.NewObserver(common, list, dialer, publisherPublisher, router)
-	v := newRoutes(inference, observerObserver, meter)
+	v := newRoutes(inference, submitterSubmitter, observerObserver, meter)
 	planner := newPlanner(common, settings, store, list, publisherPublisher, dialer)
 	v2 := newEntryDuties(publisherPublisher, planner)
 	timeLine := newTimeLine(common)
-	v3 := newEntryServices(timeLine)
+	archiverServer := archiver.NewServer(archive)
+	v3 := newEntryServices(timeLine, server, archiverServer)
+	janitor := newJanitor(schedulerScheduler, archive)
 	entry := &Entry{
-		Common:   common,
-		Settings: settings,
-		Router:   router,
-		Dialer:   dialer,
-		List:     list,
-		Claimer:  claimer,
-		Routes:   v,
-		Duties:   v2,
-		Services: v3,
+		Common:    common,
+		Settings:  settings,
+		Router:    router,
+		Dialer:    dialer,
+		List:      list,
+		Claimer:   claimer,
+		Routes:    v,
+		Duties:    v2,
+		Services:  v3,
+		Peers:     peers,
+		Scheduler: schedulerScheduler,
+		Janitor:   janitor,
 	}
 	return entry, nil
 }
@@ -79,6 +99,13 @@
 	timeLine := newTimeLine(common)
 	v := newSidecarServices(server, timeLine)
 	v2 := newSidecarDuties(fencer)
+	peers, err := newSidecarPeers(common, settings)
+	if err != nil {
+		return nil, err
+	}
+	dialer := newDialer()
+	client := puller.NewClient(dialer)
+	pullerPuller := newPuller(common, settings, executor, admitter, client, peers)
 	sidecar := &Sidecar{
 		Common:   common,
 		Settings: settings,
@@ -86,6 +113,9 @@
 		Services: v,
 		Duties:   v2,
 		Meter:    meter,
+		Peers:    peers,
+		Puller:   pullerPuller,
+		Dialer:   dialer,
 	}
 	return sidecar, nil
 }
--- a/driver/http_engine.go
+++ b/driver/http_engine.go
@@ -112,6 +112,10 @@
 		return nil, errors.Forbiddenf("engine %s: %s", path, detail)
 	}
 
+	if response.StatusCode == http.StatusUnprocessableEntity || response.StatusCode == http.StatusBadRequest {
+		return nil, errors.NotValidf("engine %s: %s", path, detail)
+	}
+
 	return nil, errors.Errorf("engine %s answered %s: %s", path, response.Status, detail)
 }
 
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -161,6 +161,10 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 
+	if time.Now().Before(engine.deadUntil) {
+		return driver.Load{}, errors.Trace(errOutage)
+	}
+
 	if time.Since(engine.reportedAt) >= engine.Steps.ReportLag {
 		engine.reported = engine.measure()
 		engine.reportedAt = time.Now()
--- a/executor/work.go
+++ b/executor/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -127,6 +128,15 @@
 	})
 }
 
+// reject ends a run that the backend server refuses as such. The status tells
+// it from a stream that broke.
+func (executor *Executor) reject(run *Run, err error) {
+	executor.finishRefused(run, messenger.Fate_FATE_MAY_HAVE_RUN, &messenger.Frame{
+		Status: http.StatusUnprocessableEntity,
+		Reason: "the backend server refuses the request: " + err.Error(),
+	})
+}
+
 func (executor *Executor) finishRefused(run *Run, fate messenger.Fate, end *messenger.Frame) {
 	end.Kind = messenger.FrameKind_FRAME_KIND_REFUSED
 	if run.Finish(fate, end) {
@@ -152,7 +162,7 @@
 	case preempted.Load():
 		return verdictPreempted, nil
 	case errors.Is(err, errors.NotValid):
-		executor.lose(run, err)
+		executor.reject(run, err)
 
 		return verdictEnded, nil
 	case errors.Is(err, errors.NotProvisioned):
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -20,6 +20,7 @@
 	Calls    keeper.Settings
 	Dispatch dispatcher.Settings
 	Plan     planner.Settings
+	Data     Data
 	Log      Log
 }
 
@@ -28,6 +29,7 @@
 	Instance      Instance
 	Listen        SidecarListen
 	KeyValue      Platform
+	Instances     Platform
 	BackendServer BackendServer
 	// Calls bounds the use of the key-value service.
 	Calls   keeper.Settings
@@ -84,6 +86,17 @@
 	Places int
 }
 
+// Data is the bulk data of batch jobs.
+type Data struct {
+	// Folder is for bulk data; empty at an instance without a disk.
+	Folder string
+	// Limit is the most bytes of bulk data; 0 for the disk's own limit.
+	Limit int64
+	// Copies is the number of data centres that must hold bulk data before a
+	// job is accepted; the same at all entries.
+	Copies int
+}
+
 // Log is what is written to the log.
 type Log struct {
 	// Level is the least level that is written.
@@ -103,6 +116,7 @@
 		Calls:     keeper.DefaultSettings(),
 		Dispatch:  dispatcher.DefaultSettings(),
 		Plan:      planner.DefaultSettings(),
+		Data:      Data{Copies: 2},
 		Log:       Log{Level: "info"},
 	}
 }
@@ -112,6 +126,7 @@
 	return Sidecar{
 		Listen:        SidecarListen{Peers: "127.0.0.1:9081", Operations: "127.0.0.1:9082"},
 		KeyValue:      Platform{Adapter: "http"},
+		Instances:     Platform{Adapter: "http"},
 		BackendServer: BackendServer{Kind: "Engine", Adapter: "http", Places: defaultPlaces},
 		Calls:         keeper.DefaultSettings(),
 		Execute:       executor.DefaultSettings(),
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -32,6 +32,8 @@
 	Entries func() []Entry
 	// Room is how many further items could start now.
 	Room func() int
+	// Healthy asks the backend server whether it is up again after a break.
+	Healthy func(ctx context.Context) bool
 
 	mutex sync.Mutex
 	// works holds the items that are here, until their result is taken.
@@ -44,7 +46,8 @@
 	backoffs map[string]backoff
 	// favourite is the entry that last had items.
 	favourite string
-	// healthy is set when the backend server answered after its last break.
+	// healthy is set when the backend server answered after its last break,
+	// so that the next break speaks against the item.
 	healthy bool
 	// brokenUntil is when items are run again after a break, which was the
 	// breaks-th in a row.
@@ -68,6 +71,9 @@
 	item  *messenger.Item
 	entry Entry
 	stop  context.CancelFunc
+	// cancelled tells whether the item was stopped here.
+	cancelled bool
+	launched  bool
 	// result is nil while the item runs.
 	result *messenger.ItemResult
 	// finished is when the result came.
@@ -90,6 +96,11 @@
 	return func(puller *Puller) { puller.Settings = settings }
 }
 
+// WithHealth sets how the backend server is asked whether it is up.
+func WithHealth(healthy func(ctx context.Context) bool) Option {
+	return func(puller *Puller) { puller.Healthy = healthy }
+}
+
 // NewPuller returns a puller that fetches nothing until it runs.
 func NewPuller(common kernel.Common, service string, runner Runner, jobs Jobs, entries func() []Entry, room func() int, options ...Option) *Puller {
 	puller := &Puller{
@@ -102,6 +113,7 @@
 		Room:     room,
 		works:    map[key]*work{},
 		backoffs: map[string]backoff{},
+		Healthy:  func(context.Context) bool { return true },
 		wake:     make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -121,11 +133,15 @@
 	reports.Go(func() { puller.report(reporting) })
 
 	for ctx.Err() == nil {
-		puller.fetch(ctx, work)
+		if puller.recovered(ctx) && !puller.launchAlone(work) {
+			puller.fetch(ctx, work)
+		}
+
 		puller.sleep(ctx)
 	}
 
 	puller.items.Wait()
+	puller.giveUpAlone()
 	stop()
 	reports.Wait()
 	puller.flush(work)
@@ -140,6 +156,65 @@
 	}
 }
 
+// giveUpAlone forgets an item that has not started; its lease runs out.
+func (puller *Puller) giveUpAlone() {
+	puller.mutex.Lock()
+	defer puller.mutex.Unlock()
+
+	if puller.alone != nil {
+		delete(puller.works, puller.alone.key)
+		puller.alone = nil
+	}
+}
+
+// recovered tells whether the backend server takes items: after a break it is
+// asked, once the pause is over.
+func (puller *Puller) recovered(ctx context.Context) bool {
+	puller.mutex.Lock()
+	healthy, paused := puller.healthy, time.Now().Before(puller.brokenUntil)
+	puller.mutex.Unlock()
+
+	if paused || healthy {
+		return !paused
+	}
+
+	call, cancel := context.WithTimeout(ctx, puller.Settings.CallLimit)
+	defer cancel()
+
+	healthy = puller.Healthy(call)
+
+	puller.mutex.Lock()
+	defer puller.mutex.Unlock()
+
+	if !healthy {
+		puller.broke()
+
+		return false
+	}
+
+	// A break meanwhile keeps its pause.
+	puller.healthy = !time.Now().Before(puller.brokenUntil)
+
+	return puller.healthy
+}
+
+// launchAlone starts the item that is to run alone once the others are done.
+// It returns whether one waits or runs.
+func (puller *Puller) launchAlone(ctx context.Context) bool {
+	puller.mutex.Lock()
+	defer puller.mutex.Unlock()
+
+	if puller.alone == nil {
+		return false
+	}
+
+	if puller.running == 0 && !puller.alone.launched {
+		puller.launch(ctx, puller.alone)
+	}
+
+	return true
+}
+
 // fetch asks one entry for items if there is room.
 func (puller *Puller) fetch(ctx, work context.Context) {
 	room := puller.room()
@@ -178,10 +253,6 @@
 	puller.mutex.Lock()
 	defer puller.mutex.Unlock()
 
-	if puller.alone != nil || time.Now().Before(puller.brokenUntil) {
-		return 0
-	}
-
 	return min(room, puller.Settings.MaxRunning-len(puller.works))
 }
 
@@ -237,7 +308,7 @@
 		added := &work{key: name, item: item, entry: entry}
 		puller.works[name] = added
 
-		if item.GetAlone() && puller.running > 0 {
+		if item.GetAlone() {
 			puller.alone = added
 
 			continue
@@ -251,18 +322,19 @@
 func (puller *Puller) launch(ctx context.Context, work *work) {
 	running, stop := context.WithCancel(ctx)
 	work.stop = stop
+	work.launched = true
 	puller.running++
 
 	puller.items.Go(func() {
 		defer stop()
 
 		answer := puller.Runner.Do(running, work.item.GetRequest())
-		puller.finish(ctx, work, answer)
+		puller.finish(work, answer)
 	})
 }
 
-// finish notes the result of an item and starts the one that waited for it.
-func (puller *Puller) finish(ctx context.Context, work *work, answer executor.Answer) {
+// finish notes the result of an item.
+func (puller *Puller) finish(work *work, answer executor.Answer) {
 	puller.mutex.Lock()
 	defer puller.mutex.Unlock()
 
@@ -270,10 +342,8 @@
 	work.result = puller.result(work, answer)
 	work.finished = time.Now()
 
-	if puller.alone != nil && puller.running == 0 {
-		waiting := puller.alone
+	if puller.alone == work {
 		puller.alone = nil
-		puller.launch(ctx, waiting)
 	}
 
 	select {
@@ -304,7 +374,10 @@
 		result.Body = answer.Body
 	case messenger.Fate_FATE_NOT_RUN:
 	default:
-		puller.broke()
+		// A backend server that refuses an item is well.
+		if result.GetStatus() == 0 && !work.cancelled {
+			puller.broke()
+		}
 	}
 
 	if len(result.GetBody()) > puller.Settings.MaxResultBytes {
--- a/puller/report.go
+++ b/puller/report.go
@@ -187,7 +187,7 @@
 // stop ends an item of a cancelled job, with the mutex held. One that waits to
 // run alone never starts.
 func (puller *Puller) stop(work *work) {
-	if puller.alone == work {
+	if puller.alone == work && !work.launched {
 		puller.alone = nil
 		delete(puller.works, work.key)
 
@@ -195,6 +195,7 @@
 	}
 
 	if work.stop != nil && work.result == nil {
+		work.cancelled = true
 		work.stop()
 	}
 }
--- a/scheduler/file.go
+++ b/scheduler/file.go
@@ -19,6 +19,8 @@
 	Service  string
 	Endpoint string
 	Created  time.Time
+	// Content identifies the lines.
+	Content string
 	// Segments hold the lines in order; empty when Inline holds them.
 	Segments []Segment `json:",omitempty"`
 	// Inline is the compressed lines of a small file.
--- a/scheduler/ledger.go
+++ b/scheduler/ledger.go
@@ -49,12 +49,10 @@
 	return "batch_" + digest(firm, key)
 }
 
-// FileID returns the ID of a firm's file: the same for the same content.
-func FileID(firm, content string) string {
-	return "file-" + digest(firm, content)
-}
+// NewFileID returns the ID of a new file.
+func NewFileID() string { return "file-" + NewMark() }
 
-// Digest returns an identifying hash of the parts.
+// digest returns an identifying hash of the parts.
 func digest(parts ...string) string {
 	hash := sha256.New()
 	for _, part := range parts {
@@ -97,15 +95,14 @@
 	return file, errors.Trace(err)
 }
 
-// CreateFile writes a file's record. One that is there already is kept, as its
-// ID says that it holds the same lines.
+// CreateFile writes the record of a new file.
 func (ledger *Ledger) CreateFile(ctx context.Context, file File) error {
-	proposal := keeper.Proposal{Key: FileKey(file.ID), Value: encode(file), Mine: func(value []byte) bool { return len(value) > 0 }}
-	_, applied, err := keeper.Write(ctx, ledger.Store, proposal)
-
-	if applied == keeper.WriteRefused && err == nil {
-		return nil
-	}
+	// The ID is unique, so whatever lies under it is this record.
+	_, _, err := keeper.Write(ctx, ledger.Store, keeper.Proposal{
+		Key:   FileKey(file.ID),
+		Value: encode(file),
+		Mine:  func([]byte) bool { return true },
+	})
 
 	return errors.Trace(err)
 }
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -363,7 +363,8 @@
 	job.tries[index]++
 	job.breaks[index]++
 
-	if result.GetAlone() && result.GetConfirmed() {
+	// A refusal is the item's own; a break only where nothing else ran.
+	if result.GetConfirmed() && (result.GetAlone() || result.GetStatus() != 0) {
 		job.proven[index]++
 	}
 
@@ -373,6 +374,13 @@
 		return
 	}
 
+	// A refused item harms no neighbour.
+	if result.GetStatus() != 0 {
+		job.requeued = append(job.requeued, index)
+
+		return
+	}
+
 	// The first run alone follows at once: most suspects are innocent.
 	pause := time.Duration(job.breaks[index]-1) * scheduler.Settings.BreakPause
 	job.suspects = append(job.suspects, suspect{index: index, notBefore: now.Add(pause)})
--- a/verifier/caller_test.go
+++ b/verifier/caller_test.go
@@ -37,7 +37,14 @@
 func (caller *caller) post(entry, path, body string) answer {
 	caller.t.Helper()
 
-	request, err := http.NewRequestWithContext(caller.t.Context(), http.MethodPost, "http://"+caller.fleet.addresses[entry]+path, strings.NewReader(body))
+	return caller.do(http.MethodPost, entry, path, body)
+}
+
+// do sends a request of any method and reads the whole answer.
+func (caller *caller) do(method, entry, path, body string) answer {
+	caller.t.Helper()
+
+	request, err := http.NewRequestWithContext(caller.t.Context(), method, "http://"+caller.fleet.addresses[entry]+path, strings.NewReader(body))
 	require.NoError(caller.t, err)
 	request.Header.Set("Content-Type", "application/json")
 
--- a/verifier/fleet_test.go
+++ b/verifier/fleet_test.go
@@ -141,11 +141,13 @@
 Operations = %s
 [KeyValue]
 Address = %s
+[Instances]
+Address = %s
 [BackendServer]
 Kind = %s
 Address = %s
 Service = %s
-`, name, address, fleet.freeAddress(), fleet.addresses["kv"], kind, fleet.addresses[name+"-backend"], service))
+`, name, address, fleet.freeAddress(), fleet.addresses["kv"], fleet.addresses["instances"], kind, fleet.addresses[name+"-backend"], service))
 	fleet.addresses[name] = address
 	fleet.instances = append(fleet.instances, locator.Instance{Name: name, Address: address, DataCentre: "dc1", Service: service})
 	fleet.list()
