--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -30,8 +30,8 @@
 // commit writes the buffered results and the starting items to the record.
 // Without an error all of it is recorded, by this entry under its epoch.
 func (scheduler *Scheduler) commit(ctx context.Context, job *job, starting []int) error {
-	job.committing.Lock()
-	defer job.committing.Unlock()
+	job.committing <- struct{}{}
+	defer func() { <-job.committing }()
 
 	for range commitTries {
 		done, err := scheduler.tryCommit(ctx, job, starting)
--- /dev/null
+++ b/scheduler/fleet_test.go
@@ -0,0 +1,289 @@
+package scheduler_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"limpetrail/admitter"
+	"limpetrail/emulator"
+	"limpetrail/executor"
+	"limpetrail/kernel"
+	"limpetrail/messenger"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
+)
+
+// network is the way of sidecars to the entries, without sockets.
+type network struct {
+	mutex sync.Mutex
+	nodes map[string]*node
+	calls int
+}
+
+func (network *network) find(entry puller.Entry) (*node, error) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+
+	network.calls++
+
+	node, found := network.nodes[entry.Name]
+	if !found {
+		return nil, errors.New("no such entry")
+	}
+
+	return node, nil
+}
+
+func (network *network) Pull(ctx context.Context, entry puller.Entry, request *messenger.PullRequest) (*messenger.PullReply, error) {
+	node, err := network.find(entry)
+	if err != nil {
+		return nil, err
+	}
+
+	return node.Server.Pull(ctx, request)
+}
+
+func (network *network) Complete(ctx context.Context, entry puller.Entry, request *messenger.CompleteRequest) (*messenger.CompleteReply, error) {
+	node, err := network.find(entry)
+	if err != nil {
+		return nil, err
+	}
+
+	return node.Server.Complete(ctx, request)
+}
+
+func (network *network) entries() []puller.Entry {
+	return []puller.Entry{{Name: "entry-1"}, {Name: "entry-2"}}
+}
+
+// sidecar starts a sidecar beside an engine; the returned function ends it
+// without a last word.
+func (network *network) sidecar(t *testing.T, name string) (*emulator.Engine, context.CancelFunc) {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	engine := emulator.NewEngine()
+	admission := admitter.NewFixed(8)
+	runs := executor.NewExecutor(ctx, kernel.Discard(name), admission, executor.WithEngine(engine))
+	fetcher := puller.NewPuller(kernel.Discard(name), "briefing", runs, network, network.entries,
+		func() int { return admission.Report().BatchRoom },
+		puller.WithHealth(func(ctx context.Context) bool {
+			_, err := engine.Load(ctx)
+
+			return err == nil
+		}))
+
+	go engine.Run(ctx)
+	go fetcher.Run(ctx)
+
+	t.Cleanup(cancel)
+
+	return engine, cancel
+}
+
+func TestItemThatKillsItsEngineTakesNoOtherWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t)
+		network := &network{nodes: map[string]*node{"entry-1": world.start("entry-1")}}
+		record := world.submit("faulty", 60, nil)
+		engine, _ := network.sidecar(t, "sidecar-1")
+		time.Sleep(5 * time.Minute)
+
+		ended := world.read(record.ID)
+		require.Equal(t, scheduler.Completed, ended.State)
+		require.Equal(t, 58, ended.Counts.Answered)
+		require.Equal(t, 2, ended.Counts.Failed)
+
+		results := world.results(record.ID)
+		require.Equal(t, scheduler.ItemFailed, results[7].Fate)
+		require.Equal(t, scheduler.ItemFailed, results[11].Fate)
+
+		deaths := 0
+		for try := range 10 {
+			deaths += engine.Starts(record.ID + ".7." + string(rune('0'+try)))
+		}
+
+		require.LessOrEqual(t, deaths, world.settings.Attempts+1)
+	})
+}
+
+func TestJobWaitsForAnEngineThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t)
+		network := &network{nodes: map[string]*node{"entry-1": world.start("entry-1")}}
+		engine, _ := network.sidecar(t, "sidecar-1")
+		engine.Faults.Set(emulator.Switches{Outage: true})
+
+		record := world.submit("school", 60, nil)
+		time.Sleep(time.Hour)
+		engine.Faults.Set(emulator.Switches{})
+		time.Sleep(2 * time.Minute)
+
+		ended := world.read(record.ID)
+		require.Equal(t, scheduler.Completed, ended.State)
+		require.Equal(t, 60, ended.Counts.Answered, "an outage of the engine fails no item")
+	})
+}
+
+func TestIdleSidecarsAskRarelyAndNeverTheKeyValueService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t)
+		network := &network{nodes: map[string]*node{"entry-1": world.start("entry-1"), "entry-2": world.start("entry-2")}}
+		network.sidecar(t, "sidecar-1")
+		time.Sleep(time.Hour)
+
+		settings := puller.DefaultSettings()
+		most := 2 * int(time.Hour/(settings.BackoffMost/2))
+		require.LessOrEqual(t, network.calls, most+20)
+	})
+}
+
+// fault is one step of a schedule of faults.
+type fault struct {
+	Kind  string
+	After time.Duration
+}
+
+var kinds = []string{"outage", "return", "drop answers", "slow", "freeze 1", "thaw 1", "kill 1", "kill sidecar", "start 2", "start sidecar"}
+
+// TestEachItemEndsOnceUnderAnyFaults draws schedules of faults.
+func TestEachItemEndsOnceUnderAnyFaults(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(draw *rapid.T) fault {
+			return fault{
+				Kind:  rapid.SampledFrom(kinds).Draw(draw, "kind"),
+				After: time.Duration(rapid.IntRange(1, 60_000).Draw(draw, "ms")) * time.Millisecond,
+			}
+		}), 1, 8).Draw(draw, "faults")
+		idempotent := rapid.Bool().Draw(draw, "idempotent")
+
+		synctest.Test(t, func(t *testing.T) {
+			if reason := run(t, steps, idempotent); reason != "" {
+				draw.Fatalf("%s", reason)
+			}
+		})
+	})
+}
+
+// run lives through a schedule and returns what was wrong at its end.
+func run(t *testing.T, steps []fault, idempotent bool) string {
+	t.Helper()
+
+	world := newWorld(t)
+	first := world.start("entry-1")
+	network := &network{nodes: map[string]*node{"entry-1": first}}
+	engines := []*emulator.Engine{}
+	random := rand.New(rand.NewPCG(1, 2))
+	add := func() context.CancelFunc {
+		engine, stop := network.sidecar(t, "sidecar-"+string(rune('a'+len(engines))))
+		engines = append(engines, engine)
+
+		return stop
+	}
+	set := func(name string, node *node) {
+		network.mutex.Lock()
+		defer network.mutex.Unlock()
+
+		if node == nil {
+			delete(network.nodes, name)
+		} else {
+			network.nodes[name] = node
+		}
+	}
+	stop := add()
+	frozen := false
+	record := world.submit("school", 300, func(record *scheduler.Record) { record.Idempotent = idempotent })
+
+	for _, step := range steps {
+		time.Sleep(step.After / time.Duration(1+random.IntN(20)))
+
+		switch step.Kind {
+		case "outage":
+			world.store.Faults.Set(emulator.Switches{Outage: true})
+		case "return":
+			world.store.Faults.Set(emulator.Switches{})
+		case "drop answers":
+			world.store.Faults.Set(emulator.Switches{DropAnswers: 3})
+		case "slow":
+			world.store.Faults.Set(emulator.Switches{Delay: 3 * time.Second})
+		case "freeze 1":
+			if !frozen {
+				first.gate.freeze()
+			}
+
+			frozen = true
+		case "thaw 1":
+			if frozen {
+				first.gate.thaw()
+			}
+
+			frozen = false
+		case "kill 1":
+			first.kill()
+			set("entry-1", nil)
+		case "kill sidecar":
+			stop()
+		case "start 2":
+			if network.nodes["entry-2"] == nil {
+				set("entry-2", world.start("entry-2"))
+			}
+		case "start sidecar":
+			add()
+		}
+	}
+
+	world.store.Faults.Set(emulator.Switches{})
+
+	if frozen {
+		first.gate.thaw()
+	}
+
+	add()
+
+	if network.nodes["entry-2"] == nil {
+		set("entry-2", world.start("entry-2"))
+	}
+
+	time.Sleep(10 * time.Minute)
+
+	ended := world.read(record.ID)
+	if ended.State != scheduler.Completed || len(world.results(record.ID)) != 300 {
+		return "the job is " + string(ended.State)
+	}
+
+	if idempotent {
+		return ""
+	}
+
+	for index := range 300 {
+		starts := 0
+
+		for _, engine := range engines {
+			for try := range 10 {
+				starts += engine.Starts(record.ID + "." + itoa(index) + "." + itoa(try))
+			}
+		}
+
+		if starts > 1 {
+			return "non-idempotent item " + itoa(index) + " started more than once"
+		}
+	}
+
+	return ""
+}
+
+func itoa(value int) string {
+	if value < 10 {
+		return string(rune('0' + value))
+	}
+
+	return itoa(value/10) + string(rune('0'+value%10))
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"limpetrail/keeper"
@@ -11,9 +10,9 @@
 // job is a job that this entry owns. The scheduler's mutex guards its fields
 // except committing.
 type job struct {
-	// committing is held over a commit, so that commits of one job follow each
-	// other.
-	committing sync.Mutex
+	// committing holds an entry over a commit, so that commits of one job
+	// follow each other.
+	committing chan struct{}
 
 	shard *shard
 	// record is the last committed state, at the revision.
@@ -67,6 +66,7 @@
 
 func newJob(owner *shard, record Record, revision keeper.Revision) *job {
 	return &job{
+		committing: make(chan struct{}, 1),
 		shard:      owner,
 		record:     record,
 		revision:   revision,
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -39,10 +39,15 @@
 		return errors.Trace(err)
 	}
 
+	// An outage that begins later must not keep the items from being found.
+	if _, err := scheduler.file(ctx, record.FileID); err != nil {
+		scheduler.Log.WithError(err).WithField("JobID", record.ID).Warn("A job's file is not known yet.")
+	}
+
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 
-	delete(shard.missing, record.ID)
+	delete(shard.missing, listed.Mark)
 	scheduler.adoptStarted(job)
 	scheduler.inherit(job)
 	scheduler.jobs[record.ID] = job
@@ -207,8 +212,8 @@
 		return errors.Trace(err)
 	}
 
-	job.committing.Lock()
-	defer job.committing.Unlock()
+	job.committing <- struct{}{}
+	defer func() { <-job.committing }()
 
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -170,7 +170,8 @@
 // wantsCommit tells whether a job's group is to be committed now, with the
 // mutex held.
 func (scheduler *Scheduler) wantsCommit(now time.Time, job *job) bool {
-	if job.lost || now.Before(job.retryCommit) {
+	// A commit that is stuck must not use up the places of other jobs.
+	if job.lost || now.Before(job.retryCommit) || len(job.committing) > 0 {
 		return false
 	}
 
