--- a/archiver/archive_test.go
+++ b/archiver/archive_test.go
@@ -133,7 +133,7 @@
 func TestPutRefusesWhatTooFewDataCentresHold(t *testing.T) {
 	cases := map[string]func(set *holders){
 		"the only other holder is in the same data centre": func(set *holders) { delete(set.folders, "dc2/a") },
-		"the disk is full":                                 func(set *holders) { set.folders["dc2/a"].Limit = 1 },
+		"the disk is full": func(set *holders) { set.folders["dc2/a"].Limit = 1 },
 	}
 
 	for name, change := range cases {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -50,6 +50,11 @@
 		commands[added.clause.FullCommand()] = added
 	}
 
+	for _, add := range jobCommands() {
+		added := add(commander, application)
+		commands[added.clause.FullCommand()] = added
+	}
+
 	chosen, err := application.Parse(arguments)
 	if err != nil {
 		fmt.Fprintln(commander.Err, "limpetrail:", err)
