Test a frozen owner that hears of its lease last, and orders in a batch

Cause: without the epoch the frozen owner's test passed all the same, as the owner heard of its lost lease before its second try. Change: the test holds back the lease's answer; a batch of non-idempotent calls runs through processes.

--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -129,8 +129,11 @@
 		second.answer("sidecar-2", "second", items[5:]...)
 		time.Sleep(world.settings.CommitInterval + 5*time.Second)
 
+		// Its writes go through before it hears of its lease.
+		first.gate.leases = make(chan struct{})
 		first.gate.thaw()
 		time.Sleep(time.Minute)
+		close(first.gate.leases)
 		require.Empty(t, first.pull("sidecar-1", 10))
 
 		require.Equal(t, 15, world.read(record.ID).Counts.Answered, "the first owner's commit was refused")
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -221,6 +221,8 @@
 	// open is closed while calls go through.
 	open chan struct{}
 	dead bool
+	// leases, where set, holds calls about leases until it is closed.
+	leases chan struct{}
 }
 
 // freeze holds every call from now on, as in a process that is stopped.
@@ -282,6 +284,10 @@
 		return keeper.Lease{}, err
 	}
 
+	if gate.leases != nil {
+		<-gate.leases
+	}
+
 	return gate.Store.Acquire(ctx, key, holder, duration)
 }
 
--- a/verifier/job_test.go
+++ b/verifier/job_test.go
@@ -113,3 +113,32 @@
 	require.Len(t, seen, 41)
 	require.Contains(t, results.body, emulator.TokenText(emulator.Seed([]byte(`{"model":"briefing","max_tokens":3,"messages":[{"role":"user","content":"Notice 7"}]}`)), 0))
 }
+
+func TestBatchJobOfOrdersRunsEachOnce(t *testing.T) {
+	fleet := newFleet(t, exampleDocument())
+	fleet.sidecar("sidecar-1", "Service", "order")
+	fleet.entry("entry-1")
+	newCaller(fleet, "nowhere").eventually(http.StatusForbidden, "entry-1", "/v1/files", notices(1))
+
+	lines := strings.Builder{}
+	for number := range 20 {
+		fmt.Fprintf(&lines, `{"custom_id":"order-%d","url":"/services/order/hire","body":{"Depot":%d}}`+"\n", number, number)
+	}
+
+	caller := newCaller(fleet, "briefings")
+	job := caller.submit("entry-1", "entry-1", lines.String())
+	ended := caller.untilEnded("entry-1", job.ID, "completed")
+	require.Equal(t, 20, ended.RequestCounts.Completed)
+
+	response, err := http.Get("http://" + fleet.addresses["sidecar-1-backend"] + "/acts") //nolint:noctx // The stand-in answers at once.
+	require.NoError(t, err)
+	defer response.Body.Close()
+
+	acts := map[string]int{}
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&acts))
+	require.Len(t, acts, 20)
+
+	for id, count := range acts {
+		require.Equal(t, 1, count, id)
+	}
+}
