Find a job at once whose index entry was met first

Cause: an owner that read the index between its write and the record's looked again only after a renewal, 10 s; seen as a test that failed now and then. The budget of the key-value client refused an upload while 128 shards started. Ruled out: a larger budget. Change: a second's pause while a record is missing; 64 shards, first calls spread over one interval; callers' calls go first; a refusal of the budget is 503 and no longer taken for full disks. Mutations seen to fail: later epoch not heeded, no due order.

--- a/scheduler/janitor.go
+++ b/scheduler/janitor.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/archiver"
+	"limpetrail/keeper"
 )
 
 const (
@@ -35,6 +36,8 @@
 
 // Run repairs and collects until the context ends.
 func (janitor *Janitor) Run(ctx context.Context) {
+	ctx = keeper.WithPriority(ctx, keeper.PriorityBackground)
+
 	repair := time.NewTicker(repairInterval)
 	defer repair.Stop()
 
--- a/scheduler/ledger.go
+++ b/scheduler/ledger.go
@@ -17,7 +17,7 @@
 
 // Shards is the number of index records. It is part of the format of what
 // lies in the key-value service.
-const Shards = 128
+const Shards = 64
 
 // swapAttempts bounds the tries of a write that others race.
 const swapAttempts = 20
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -15,6 +15,9 @@
 // jobs that ended long ago.
 const sweepInterval = 10 * time.Minute
 
+// missingPause is the time between two looks for the record of an index entry.
+const missingPause = time.Second
+
 // shard is one index record and the lease on its jobs.
 type shard struct {
 	number int
@@ -42,7 +45,9 @@
 
 // tend owns one shard whenever it can, until the context ends.
 func (scheduler *Scheduler) tend(ctx context.Context, shard *shard) {
-	// A lower-ranked entry leaves the others time to be first.
+	// The first calls of a process are spread over one interval, and a
+	// lower-ranked entry leaves the others time to be first.
+	scheduler.pause(ctx, scheduler.Settings.Renew*time.Duration(shard.number)/time.Duration(len(scheduler.shards)))
 	scheduler.pause(ctx, time.Duration(scheduler.Rank(shard.number))*scheduler.Settings.Lease)
 
 	for ctx.Err() == nil {
@@ -120,8 +125,13 @@
 
 // follow waits for a change of the index until the lease wants renewal.
 func (scheduler *Scheduler) follow(ctx context.Context, shard *shard) error {
-	// A shard that was just taken is read at once, also when nothing is in it.
-	ctx, cancel := context.WithTimeout(ctx, scheduler.Settings.Renew)
+	limit := scheduler.Settings.Renew
+	if len(shard.missing) > 0 {
+		// A record follows its index entry within moments, and tells nobody.
+		limit = min(limit, missingPause)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	if time.Since(shard.swept) > sweepInterval {
--- a/submitter/reader.go
+++ b/submitter/reader.go
@@ -207,7 +207,7 @@
 func (reader *reader) cut(ctx context.Context) error {
 	name, err := reader.bulk.Put(ctx, reader.owner, reader.chunk.Bytes())
 	if err != nil {
-		return errors.Trace(err)
+		return &storageError{cause: err}
 	}
 
 	reader.file.Segments = append(reader.file.Segments, scheduler.Segment{
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -12,6 +12,7 @@
 	"limpetrail/dispatcher"
 	"limpetrail/editor"
 	"limpetrail/handler"
+	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/publisher"
 	"limpetrail/scheduler"
@@ -110,6 +111,9 @@
 		return
 	}
 
+	// A caller waits for the answer.
+	request = request.WithContext(keeper.WithPriority(request.Context(), keeper.PriorityClaim))
+
 	if err := act(writer, request, workspace); err != nil {
 		submitter.fail(writer, id, err)
 	}
@@ -117,7 +121,10 @@
 
 // fail answers an error by its kind.
 func (submitter *Submitter) fail(writer http.ResponseWriter, id string, err error) {
-	var invalid *faultsError
+	var (
+		invalid *faultsError
+		storage *storageError
+	)
 
 	switch {
 	case errors.As(err, &invalid):
@@ -126,7 +133,7 @@
 		classifier.NewProblem(http.StatusNotFound, id, classifier.Refuse(err.Error(), 0)).Write(writer)
 	case errors.Is(err, errors.AlreadyExists):
 		classifier.NewProblem(http.StatusConflict, id, classifier.Refuse(err.Error(), 0)).Write(writer)
-	case errors.Is(err, errors.QuotaLimitExceeded):
+	case errors.As(err, &storage):
 		classifier.NewProblem(http.StatusInsufficientStorage, id, classifier.Refuse(err.Error(), retryAfter)).Write(writer)
 	case errors.Is(err, errors.NotYetAvailable):
 		classifier.NewProblem(http.StatusServiceUnavailable, id, classifier.Refuse(err.Error(), retryAfter)).Write(writer)
@@ -155,6 +162,14 @@
 	return errors.NewNotYetAvailable(err, "nothing was done")
 }
 
+// storageError is the refusal of bulk data by its holders.
+type storageError struct {
+	cause error
+}
+
+// Error implements error.
+func (storage *storageError) Error() string { return storage.cause.Error() }
+
 func faulty(field, value, remedy string) error {
 	return &faultsError{status: http.StatusBadRequest, faults: []classifier.Fault{{Field: field, Value: value, Remedy: remedy}}}
 }
