Run bulk data of a job through processes; order test reads after the puller

Cause: the race detector saw tests read what the puller's goroutine wrote. Figures: a job of 2,000 items with its input in segments keeps its results when one of two holders is killed.

--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -114,6 +114,7 @@
 		jobs := &entries{windows: map[string][][]*messenger.Item{"entry-1": {items(0, 4, false), items(4, 1, true), items(5, 4, false)}}}
 		running := start(t, jobs)
 		time.Sleep(time.Minute)
+		synctest.Wait()
 
 		require.Equal(t, 9, jobs.taken["entry-1"])
 		require.Equal(t, 1, running.beside["e"])
@@ -133,6 +134,7 @@
 				jobs.windows = map[string][][]*messenger.Item{"entry-1": {items(0, 4, false)}}
 				start(t, jobs)
 				time.Sleep(time.Minute)
+				synctest.Wait()
 				require.Equal(t, 4, jobs.taken["entry-2"])
 			})
 		})
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -146,6 +146,7 @@
 		network := &network{nodes: map[string]*node{"entry-1": world.start("entry-1"), "entry-2": world.start("entry-2")}}
 		network.sidecar(t, "sidecar-1")
 		time.Sleep(time.Hour)
+		synctest.Wait()
 
 		settings := puller.DefaultSettings()
 		most := 2 * int(time.Hour/(settings.BackoffMost/2))
--- a/verifier/job_test.go
+++ b/verifier/job_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"limpetrail/emulator"
+	"limpetrail/locator"
 )
 
 // batchStatus is what these tests read of a job's status.
@@ -142,3 +145,51 @@
 		require.Equal(t, 1, count, id)
 	}
 }
+
+// holder starts an entry with a disk in the data centre.
+func (fleet *fleet) holder(name, centre string) {
+	fleet.t.Helper()
+
+	address, peers := fleet.freeAddress(), fleet.freeAddress()
+	fleet.role("entry", name, fmt.Sprintf(`
+[Instance]
+Name = %s
+DataCentre = %s
+[Listen]
+Callers = %s
+Peers = %s
+[KeyValue]
+Address = %s
+[Instances]
+Address = %s
+[Data]
+Folder = %s
+`, name, centre, address, peers, fleet.addresses["kv"], fleet.addresses["instances"], fleet.t.TempDir()))
+	fleet.addresses[name] = address
+	fleet.instances = append(fleet.instances, locator.Instance{Name: name, Address: peers, DataCentre: centre, Entry: true})
+	fleet.list()
+}
+
+func TestBulkDataOfAJobOutlivesOneHolder(t *testing.T) {
+	fleet := newFleet(t, exampleDocument())
+	fleet.sidecar("sidecar-1", "Engine", "briefing")
+	fleet.holder("entry-1", "dc1")
+	fleet.holder("entry-2", "dc2")
+
+	// Hashes do not compress, so the file is too large for its record.
+	lines := strings.Builder{}
+	for number := range 2000 {
+		fmt.Fprintf(&lines, `{"custom_id":"%d","url":"/v1/completions","body":{"model":"briefing","max_tokens":1,"prompt":"%x"}}`+"\n", number, sha256.Sum256([]byte{byte(number), byte(number >> 8)}))
+	}
+
+	caller := newCaller(fleet, "briefings")
+	job := caller.submit("entry-1", "entry-2", lines.String())
+	ended := caller.untilEnded("entry-2", job.ID, "completed")
+	require.Equal(t, 2000, ended.RequestCounts.Completed)
+
+	fleet.signal("entry-1", syscall.SIGKILL)
+
+	results := caller.get("entry-2", "/v1/batches/"+job.ID+"/results")
+	require.Equal(t, http.StatusOK, results.status, results.body)
+	require.Equal(t, 2000, strings.Count(results.body, "\n"))
+}
