Read only what never changes of a job outside the mutex; call plain services by their path

Cause: the race detector saw a hand-out read a record that a commit replaced; items of plain services went to the path of callers instead of the backend server's. Change: ID, file and idempotence are copied at the start; Record.Path; a service of the other kind, or a path with dots, is refused at upload.

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -40,7 +40,7 @@
 		}
 	}
 
-	return errors.Errorf("job %s: too many writers", job.record.ID)
+	return errors.Errorf("job %s: too many writers", job.id)
 }
 
 func (scheduler *Scheduler) tryCommit(ctx context.Context, job *job, starting []int) (bool, error) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -8,12 +8,17 @@
 )
 
 // job is a job that this entry owns. The scheduler's mutex guards its fields
-// except committing.
+// except committing and those that never change.
 type job struct {
 	// committing holds an entry over a commit, so that commits of one job
 	// follow each other.
 	committing chan struct{}
 
+	// id, fileID and idempotent are the record's and never change.
+	id         string
+	fileID     string
+	idempotent bool
+
 	shard *shard
 	// record is the last committed state, at the revision.
 	record   Record
@@ -67,6 +72,9 @@
 func newJob(owner *shard, record Record, revision keeper.Revision) *job {
 	return &job{
 		committing: make(chan struct{}, 1),
+		id:         record.ID,
+		fileID:     record.FileID,
+		idempotent: record.Idempotent,
 		shard:      owner,
 		record:     record,
 		revision:   revision,
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -79,13 +79,13 @@
 
 		theirs := decode[Record](entry.Value)
 		if theirs.Epoch > job.epoch || theirs.State.Ended() {
-			return errors.Errorf("job %s changed hands", job.record.ID)
+			return errors.Errorf("job %s changed hands", job.id)
 		}
 
 		job.adopt(theirs, entry.Revision)
 	}
 
-	return errors.Errorf("job %s: too many writers", job.record.ID)
+	return errors.Errorf("job %s: too many writers", job.id)
 }
 
 // adoptStarted waits for the answers of non-idempotent items that an earlier
@@ -104,7 +104,7 @@
 // lease lapsed in an outage and nobody else took the job. What the record
 // holds by now is dropped.
 func (scheduler *Scheduler) inherit(job *job) {
-	earlier, found := scheduler.jobs[job.record.ID]
+	earlier, found := scheduler.jobs[job.id]
 	if !found {
 		return
 	}
@@ -207,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, scheduler.Settings.CallLimit)
 	defer cancel()
 
-	record, revision, err := scheduler.Ledger.Job(ctx, job.record.ID)
+	record, revision, err := scheduler.Ledger.Job(ctx, job.id)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -229,7 +229,7 @@
 // mutex held.
 func (scheduler *Scheduler) meet(job *job, record Record, revision keeper.Revision) {
 	if record.Epoch > job.epoch || record.State.Ended() {
-		scheduler.drop(job.record.ID, job)
+		scheduler.drop(job.id, job)
 
 		return
 	}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -35,7 +35,9 @@
 	Service   string
 	Adapter   string `json:",omitempty"`
 	// Endpoint is the path that every item calls.
-	Endpoint   string
+	Endpoint string
+	// Path is the path at the backend server.
+	Path       string
 	Idempotent bool
 	Plain      bool `json:",omitempty"`
 	// Content identifies what was submitted, to tell a resent submission from
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -198,7 +198,7 @@
 		return
 	}
 
-	scheduler.Log.WithError(err).WithField("JobID", job.record.ID).Warn("Results wait for a later commit.")
+	scheduler.Log.WithError(err).WithField("JobID", job.id).Warn("Results wait for a later commit.")
 
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
@@ -215,7 +215,7 @@
 		}
 
 		switch {
-		case job.record.Idempotent:
+		case job.idempotent:
 			job.giveBack(index)
 		case handed.instance == "":
 			job.finish(now, Result{Index: index, Fate: ItemMayHaveRun, Reason: "the owner and the sidecar of the item were lost"})
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -68,12 +68,12 @@
 	}
 
 	indexes, alone := job.take(now, request.GetInstance(), limit, server.Settings.ItemLease)
-	server.remember(request.GetInstance(), job.record.ID)
+	server.remember(request.GetInstance(), job.id)
 	server.mutex.Unlock()
 
 	items, err := server.items(ctx, job, indexes, alone)
 	if err != nil {
-		server.Log.WithError(err).WithField("JobID", job.record.ID).Warn("Items were not handed out.")
+		server.Log.WithError(err).WithField("JobID", job.id).Warn("Items were not handed out.")
 	}
 
 	reply.Items = items
@@ -105,7 +105,7 @@
 
 	last := scheduler.last[instance]
 	due := func(job *job) time.Time {
-		if job.record.ID == last {
+		if job.id == last {
 			return job.record.Due.Add(-scheduler.Settings.StayMargin)
 		}
 
@@ -124,7 +124,7 @@
 		return false
 	}
 
-	if !job.record.Idempotent {
+	if !job.idempotent {
 		return now.Before(job.shard.until) && job.epoch == job.shard.fence
 	}
 
@@ -143,7 +143,7 @@
 // as started before they leave. Items that cannot leave are given back.
 func (scheduler *Scheduler) items(ctx context.Context, job *job, indexes []int, alone bool) ([]*messenger.Item, error) {
 	lines, err := scheduler.read(ctx, job, indexes)
-	if err == nil && !job.record.Idempotent {
+	if err == nil && !job.idempotent {
 		err = scheduler.commit(ctx, job, indexes[:len(lines)])
 		if err != nil {
 			lines = nil
@@ -154,7 +154,7 @@
 	defer scheduler.mutex.Unlock()
 
 	for _, index := range indexes[len(lines):] {
-		if err != nil && !job.record.Idempotent {
+		if err != nil && !job.idempotent {
 			// The mark may have been written although its answer was lost.
 			job.unstarted = append(job.unstarted, index)
 		}
@@ -182,7 +182,7 @@
 	bytes := 0
 
 	for _, index := range indexes {
-		lines, first, err := scheduler.lines(ctx, job.record.FileID, index)
+		lines, first, err := scheduler.lines(ctx, job.fileID, index)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -225,21 +225,21 @@
 // item builds the message of one item.
 func (job *job) item(index int, line Line, alone bool) *messenger.Item {
 	return &messenger.Item{
-		JobId:    job.record.ID,
+		JobId:    job.id,
 		Index:    uint32(index),
 		CustomId: line.CustomID,
 		Alone:    alone,
 		Request: &messenger.ExecuteRequest{
-			RequestId:       job.record.ID + "." + number(index) + "." + number(job.tries[index]),
+			RequestId:       job.id + "." + number(index) + "." + number(job.tries[index]),
 			Class:           messenger.Class_CLASS_BATCH,
 			Firm:            job.record.Firm,
 			Workspace:       job.record.Workspace,
 			Service:         job.record.Service,
 			Adapter:         job.record.Adapter,
-			Path:            job.record.Endpoint,
+			Path:            job.record.Path,
 			Body:            line.Body,
 			ContentType:     "application/json",
-			Idempotent:      job.record.Idempotent,
+			Idempotent:      job.idempotent,
 			Plain:           job.record.Plain,
 			RemainingMicros: uint64(itemTime.Microseconds()),
 		},
@@ -265,8 +265,8 @@
 
 		server.take(now, job, result)
 
-		if !job.record.Idempotent {
-			recorded[job.record.ID] = job
+		if !job.idempotent {
+			recorded[job.id] = job
 		}
 	}
 
@@ -341,12 +341,12 @@
 	case job.handed[index] == nil:
 		// An earlier hand-out, taken back since.
 	case result.GetFate() == messenger.Fate_FATE_NOT_RUN:
-		if !job.record.Idempotent {
+		if !job.idempotent {
 			job.unstarted = append(job.unstarted, index)
 		}
 
 		job.giveBack(index)
-	case !job.record.Idempotent:
+	case !job.idempotent:
 		job.finish(now, Result{Index: index, Fate: ItemMayHaveRun, Reason: result.GetReason()})
 	default:
 		scheduler.broke(now, job, result)
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -116,6 +116,7 @@
 		Firm:       "kilimanjaro",
 		Service:    "briefing",
 		Endpoint:   "/v1/completions",
+		Path:       "/v1/completions",
 		Idempotent: true,
 		Content:    "content of " + key,
 		FileID:     file.ID,
--- a/submitter/batches.go
+++ b/submitter/batches.go
@@ -110,7 +110,7 @@
 		return scheduler.Record{}, faulty("endpoint", wanted.Endpoint, "use the url of the file's lines ("+file.Endpoint+")")
 	}
 
-	service, remedy := submitter.service(file.Service, workspace)
+	service, remedy := submitter.service(file.Service, file.Endpoint, workspace)
 	if remedy != "" {
 		return scheduler.Record{}, faulty("model", file.Service, remedy)
 	}
@@ -127,6 +127,7 @@
 		Service:    service.Name,
 		Adapter:    service.Adapter,
 		Endpoint:   file.Endpoint,
+		Path:       backendPath(file.Endpoint),
 		Idempotent: service.Idempotent,
 		Plain:      service.Kind == editor.ServiceKindPlain,
 		FileID:     file.ID,
--- a/submitter/files.go
+++ b/submitter/files.go
@@ -50,8 +50,8 @@
 		return errors.Trace(err)
 	}
 
-	reader := newReader(submitter.Settings, submitter.Bulk, func(service string) string {
-		_, remedy := submitter.service(service, workspace)
+	reader := newReader(submitter.Settings, submitter.Bulk, func(service, endpoint string) string {
+		_, remedy := submitter.service(service, endpoint, workspace)
 
 		return remedy
 	})
--- a/submitter/reader.go
+++ b/submitter/reader.go
@@ -10,6 +10,7 @@
 	"hash"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -38,7 +39,7 @@
 	// owner is the key of the record that is going to name the segments.
 	owner string
 	// check returns the faults of a line's service, by its name.
-	check func(service string) string
+	check func(service, endpoint string) string
 
 	file   scheduler.File
 	sum    hash.Hash
@@ -48,7 +49,7 @@
 	faults []classifier.Fault
 }
 
-func newReader(settings Settings, bulk scheduler.Bulk, check func(service string) string) *reader {
+func newReader(settings Settings, bulk scheduler.Bulk, check func(service, endpoint string) string) *reader {
 	return &reader{settings: settings, bulk: bulk, check: check, sum: sha256.New(), ids: map[string]int{}}
 }
 
@@ -148,7 +149,7 @@
 	service := serviceOf(line)
 
 	switch {
-	case !strings.HasPrefix(line.URL, "/"):
+	case !strings.HasPrefix(line.URL, "/") || slices.Contains(strings.Split(line.URL, "/"), ".."):
 		reader.fault(number, "url", line.URL, "name a path, for example /v1/chat/completions")
 	case reader.file.Endpoint == "":
 		reader.file.Endpoint = line.URL
@@ -157,7 +158,7 @@
 	}
 
 	if reader.file.Service == "" || service != reader.file.Service {
-		if remedy := reader.check(service); remedy != "" {
+		if remedy := reader.check(service, line.URL); remedy != "" {
 			reader.fault(number, "body.model", service, remedy)
 
 			return
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,7 +21,7 @@
 
 // PlainPrefix begins the path of a plain service's calls; the service's name
 // follows.
-const PlainPrefix = "/services/"
+const PlainPrefix = "/v1/services/"
 
 // IdempotencyKeyHeader carries the client's key of a job.
 const IdempotencyKeyHeader = "Idempotency-Key"
@@ -191,11 +192,30 @@
 
 // service returns the service of that name if the workspace may use it in a
 // batch job, or what to do about it.
-func (submitter *Submitter) service(name string, workspace editor.Workspace) (editor.Service, string) {
+func (submitter *Submitter) service(name, endpoint string, workspace editor.Workspace) (editor.Service, string) {
 	service, found := submitter.Publisher.Current().Index.Service(name)
-	if !found || (service.Firm != "" && service.Firm != workspace.Firm) {
+	_, plain := strings.CutPrefix(endpoint, PlainPrefix)
+
+	switch {
+	case !found || (service.Firm != "" && service.Firm != workspace.Firm):
 		return service, "name a service that the firm " + workspace.Firm + " may use"
+	case plain != (service.Kind == editor.ServiceKindPlain):
+		return service, "call a model by /v1/chat/completions or /v1/completions, a plain service by " + PlainPrefix
+	case !plain && endpoint != "/v1/chat/completions" && endpoint != "/v1/completions":
+		return service, "call a model by /v1/chat/completions or /v1/completions"
+	default:
+		return service, ""
 	}
+}
+
+// backendPath returns the path at the backend server of a job's endpoint.
+func backendPath(endpoint string) string {
+	rest, plain := strings.CutPrefix(endpoint, PlainPrefix)
+	if !plain {
+		return endpoint
+	}
+
+	_, path, _ := strings.Cut(rest, "/")
 
-	return service, ""
+	return "/" + path
 }
--- a/submitter/submitter_test.go
+++ b/submitter/submitter_test.go
@@ -115,6 +115,8 @@
 		"another firm's model":      {line("a", "secret"), "notices", 400, "Line 1, body.model", "kilimanjaro may use"},
 		"wrong method":              {`{"custom_id":"a","method":"GET","url":"/v1/completions","body":{"model":"briefing"}}`, "notices", 400, "Line 1, method", "POST"},
 		"no path":                   {`{"custom_id":"a","url":"x","body":{"model":"briefing"}}`, "notices", 400, "Line 1, url", "name a path"},
+		"model as a plain service":  {`{"custom_id":"a","url":"/v1/services/briefing/x","body":{}}`, "notices", 400, "Line 1, body.model", "call a model by"},
+		"path with dots":            {`{"custom_id":"a","url":"/v1/services/../x","body":{}}`, "notices", 400, "Line 1, url", "name a path"},
 		"two paths":                 {line("a", "briefing") + `{"custom_id":"b","url":"/v1/chat/completions","body":{"model":"briefing"}}`, "notices", 400, "Line 2, url", "same url"},
 		"too many items":            {lines(1001), "notices", 400, "Line 1001", "at most 1000 items"},
 		"line too long":             {line(strings.Repeat("x", 2000), "briefing"), "notices", 400, "Line 1", "at most 1000 bytes"},
