--- a/puller/puller.go
+++ b/puller/puller.go
@@ -373,6 +373,9 @@
 		puller.breaks = 0
 		result.Body = answer.Body
 	case messenger.Fate_FATE_NOT_RUN:
+		if answer.End.GetUnreached() {
+			puller.broke()
+		}
 	default:
 		// A backend server that refuses an item is well.
 		if result.GetStatus() == 0 && !work.cancelled {
