--- a/executor/local.go
+++ b/executor/local.go
@@ -37,12 +37,18 @@
 	})
 	defer stop()
 
+	received := [][]byte{}
+
 	for {
-		events, end, changed := run.After(0)
+		events, end, changed := run.After(uint64(len(received)))
+		received = append(received, events...)
+
 		if end != nil {
-			return Answer{Body: bytes.Join(events, nil), Tokens: len(events), End: end}
+			return Answer{Body: bytes.Join(received, nil), Tokens: len(received), End: end}
 		}
 
-		<-changed
+		if len(events) == 0 {
+			<-changed
+		}
 	}
 }
--- a/submitter/reader.go
+++ b/submitter/reader.go
@@ -131,6 +131,12 @@
 
 // validate notes every fault of a line.
 func (reader *reader) validate(number int, line scheduler.Line) {
+	reader.validateID(number, line)
+	reader.validateCall(number, line)
+}
+
+// validateID notes a missing or doubled custom_id.
+func (reader *reader) validateID(number int, line scheduler.Line) {
 	earlier, doubled := reader.ids[line.CustomID]
 
 	switch {
@@ -141,7 +147,10 @@
 	default:
 		reader.ids[line.CustomID] = number
 	}
+}
 
+// validateCall notes the faults of what a line calls.
+func (reader *reader) validateCall(number int, line scheduler.Line) {
 	if line.Method != "" && line.Method != http.MethodPost {
 		reader.fault(number, "method", line.Method, "use POST")
 	}
