Merge batch jobs, and give every process its duties and policy

Cause: jobs and configuration were built side by side and both brought the instance list, peers and a publisher to the sidecar; admission had nobody who told it the document's policy, nor a job's due time; `--help` of a command ran that command.

Change: one instance list and one publisher a process, all followers are duties; the sidecar follows its service's policy; batch items carry due time and "alone" to admission; help ends the command.

Ruled out: an optional instance list at the sidecar: without it no batch item would ever be pulled, silently.

--- a/app/providers.go
+++ b/app/providers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/admitter"
+	"limpetrail/archiver"
 	"limpetrail/claimer"
 	"limpetrail/dialer"
 	"limpetrail/dispatcher"
@@ -26,6 +27,8 @@
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/router"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
 )
 
 func newEntryMeter(settings loader.Entry) *meter.Meter {
@@ -77,13 +80,21 @@
 	return keeper.NewClient(common, store, calls), nil
 }
 
-func newList(common kernel.Common, settings loader.Entry) (locator.List, error) {
-	factory, err := locator.Adapters.Find(settings.Instances.Adapter)
+func newEntryList(common kernel.Common, settings loader.Entry) (locator.List, error) {
+	return newList(common, settings.Instances)
+}
+
+func newSidecarList(common kernel.Common, settings loader.Sidecar) (locator.List, error) {
+	return newList(common, settings.Instances)
+}
+
+func newList(common kernel.Common, platform loader.Platform) (locator.List, error) {
+	factory, err := locator.Adapters.Find(platform.Adapter)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 
-	return factory(common, settings.Instances.Address)
+	return factory(common, platform.Address)
 }
 
 func newRouter(common kernel.Common) *router.Router {
@@ -102,11 +113,11 @@
 	return claimer.NewClaimer(common, store, calls)
 }
 
-func newRoutes(inference *handler.Inference, operators *observer.Observer, metrics *meter.Meter, configuration *presenter.API, console *presenter.Console) []handler.Routes {
-	return []handler.Routes{inference, operators, metrics, configuration, console}
+func newRoutes(inference *handler.Inference, batches *submitter.Submitter, operators *observer.Observer, metrics *meter.Meter, configuration *presenter.API, console *presenter.Console) []handler.Routes {
+	return []handler.Routes{inference, batches, operators, metrics, configuration, console}
 }
 
-func newAdmitter(settings loader.Sidecar) admitter.Admitter {
+func newAdaptive(settings loader.Sidecar) *admitter.Adaptive {
 	return admitter.NewAdaptive(admitter.WithPlaces(settings.BackendServer.Places))
 }
 
@@ -168,28 +179,29 @@
 	return executor.NewServer(runs, executor.WithOrders(orders))
 }
 
-func newSidecarDuties(orders *fencer.Fencer) []Duty {
-	if orders == nil {
-		return nil
+func newSidecarDuties(documents *publisher.Publisher, peers *locator.Peers, policies *PolicyFollower, orders *fencer.Fencer) []Duty {
+	duties := []Duty{documents, peers, policies}
+	if orders != nil {
+		duties = append(duties, orders)
 	}
 
-	return []Duty{orders}
+	return duties
 }
 
 func newPlanner(common kernel.Common, settings loader.Entry, store keeper.Store, list locator.List, documents *publisher.Publisher, connections *dialer.Dialer) *planner.Planner {
 	return planner.NewPlanner(common, settings.Plan, store, list, documents, connections)
 }
 
-func newEntryDuties(documents *publisher.Publisher, plans *planner.Planner) []Duty {
-	return []Duty{documents, plans}
+func newEntryDuties(documents *publisher.Publisher, peers *locator.Peers, plans *planner.Planner) []Duty {
+	return []Duty{documents, peers, plans}
 }
 
 func newSidecarStore(common kernel.Common, settings loader.Sidecar) (keeper.Store, error) {
 	return newStore(common, settings.KeyValue, settings.Calls)
 }
 
-func newEntryServices(timeLine *messenger.TimeLine, documents *publisher.Documents) []messenger.Service {
-	return []messenger.Service{timeLine, documents}
+func newEntryServices(timeLine *messenger.TimeLine, documents *publisher.Documents, jobs *scheduler.Server, segments *archiver.Server) []messenger.Service {
+	return []messenger.Service{timeLine, documents, jobs, segments}
 }
 
 func newSidecarServices(server *executor.Server, timeLine *messenger.TimeLine, documents *publisher.Documents) []messenger.Service {
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/juju/errors"
 
@@ -13,20 +14,20 @@
 	"limpetrail/loader"
 	"limpetrail/messenger"
 	"limpetrail/meter"
-	"limpetrail/publisher"
+	"limpetrail/puller"
 )
 
 // Sidecar is a process beside a backend server.
 type Sidecar struct {
 	kernel.Common
-	Settings  loader.Sidecar
-	Executor  *executor.Executor
-	Publisher *publisher.Publisher
-	Dialer    *dialer.Dialer
+	Settings loader.Sidecar
+	Executor *executor.Executor
+	Dialer   *dialer.Dialer
 	// Services are what peers may call.
 	Services []messenger.Service
 	Duties   []Duty
 	Meter    *meter.Meter
+	Puller   *puller.Puller
 }
 
 // Run serves until the context ends, then drains: new work is refused, what
@@ -47,9 +48,13 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
+	pulling := sync.WaitGroup{}
+	pulling.Go(func() { sidecar.Puller.Run(ctx) })
+
 	go func() {
 		<-ctx.Done()
 		sidecar.Executor.Drain()
+		pulling.Wait()
 		sidecar.Executor.Wait()
 		sidecar.Executor.Linger(serving)
 		stop()
@@ -57,7 +62,6 @@
 	go sidecar.Executor.Tend(serving)
 	go sidecar.serveOperations(serving, operations, ctx.Done())
 	startDuties(serving, sidecar.Duties)
-	go sidecar.Publisher.Run(serving)
 
 	sidecar.Log.WithField("Peers", listener.Addr()).Info("Serving.")
 
--- a/app/wire.go
+++ b/app/wire.go
@@ -7,11 +7,17 @@
 
 	"github.com/google/wire"
 
+	"limpetrail/admitter"
+	"limpetrail/archiver"
 	"limpetrail/handler"
 	"limpetrail/loader"
+	"limpetrail/locator"
 	"limpetrail/observer"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
 )
 
 // NewEntry wires an entry from its settings.
@@ -20,7 +26,7 @@
 		newEntryMeter,
 		newEntryCommon,
 		newEntryStore,
-		newList,
+		newEntryList,
 		newRouter,
 		newDialer,
 		newDispatcher,
@@ -30,11 +36,21 @@
 		newEntryServices,
 		newPlanner,
 		newEntryDuties,
-		newEntryPublisher,
+		newPublisher,
 		publisher.NewDocuments,
 		newEditor,
 		presenter.NewAPI,
 		presenter.NewConsole,
+		locator.NewPeers,
+		newArchive,
+		newScheduler,
+		newSubmitter,
+		newJanitor,
+		scheduler.NewLedger,
+		scheduler.NewServer,
+		archiver.NewServer,
+		archiver.NewClient,
+		submitter.NewBroadcast,
 		handler.NewInference,
 		observer.NewObserver,
 		wire.Struct(new(Entry), "*"),
@@ -46,7 +62,9 @@
 	panic(wire.Build(
 		newSidecarMeter,
 		newSidecarCommon,
-		newAdmitter,
+		newAdaptive,
+		wire.Bind(new(admitter.Admitter), new(*admitter.Adaptive)),
+		NewPolicyFollower,
 		newExecutor,
 		newBackend,
 		newSidecarStore,
@@ -56,8 +74,12 @@
 		newTimeLine,
 		newSidecarServices,
 		newDialer,
-		newSidecarPublisher,
+		newPublisher,
 		publisher.NewDocuments,
+		newSidecarList,
+		locator.NewPeers,
+		newPuller,
+		puller.NewClient,
 		wire.Struct(new(Sidecar), "*"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -8,11 +8,16 @@
 
 import (
 	"context"
+	"limpetrail/archiver"
 	"limpetrail/handler"
 	"limpetrail/loader"
+	"limpetrail/locator"
 	"limpetrail/observer"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
+	"limpetrail/submitter"
 )
 
 // Injectors from wire.go:
@@ -26,7 +31,7 @@
 	}
 	router := newRouter(common)
 	dialer := newDialer()
-	list, err := newList(common, settings)
+	list, err := newEntryList(common, settings)
 	if err != nil {
 		return nil, err
 	}
@@ -36,28 +41,43 @@
 	}
 	dispatcher := newDispatcher(common, settings, router, dialer)
 	claimer := newClaimer(common, store, dispatcher)
-	publisherPublisher := newEntryPublisher(common, store, list, dialer)
+	publisherPublisher := newPublisher(common, list, store, dialer)
 	inference := handler.NewInference(common, dispatcher, publisherPublisher, claimer)
+	ledger := scheduler.NewLedger(store)
+	client := archiver.NewClient(dialer)
+	peers := locator.NewPeers(common, list)
+	archive, err := newArchive(common, settings, client, peers)
+	if err != nil {
+		return nil, err
+	}
+	schedulerScheduler := newScheduler(common, ledger, archive, peers)
+	server := scheduler.NewServer(schedulerScheduler)
+	broadcast := submitter.NewBroadcast(server, peers, dialer)
+	submitterSubmitter := newSubmitter(common, ledger, archive, publisherPublisher, broadcast)
 	observerObserver := observer.NewObserver(common, list, dialer, publisherPublisher, router)
 	editor := newEditor(common, store, publisherPublisher)
 	api := presenter.NewAPI(common, editor, publisherPublisher)
 	console := presenter.NewConsole(common, editor, publisherPublisher)
-	v := newRoutes(inference, observerObserver, meter, api, console)
+	v := newRoutes(inference, submitterSubmitter, observerObserver, meter, api, console)
 	planner := newPlanner(common, settings, store, list, publisherPublisher, dialer)
-	v2 := newEntryDuties(publisherPublisher, planner)
+	v2 := newEntryDuties(publisherPublisher, peers, planner)
 	timeLine := newTimeLine(common)
 	documents := publisher.NewDocuments(publisherPublisher)
-	v3 := newEntryServices(timeLine, documents)
+	archiverServer := archiver.NewServer(archive)
+	v3 := newEntryServices(timeLine, documents, server, archiverServer)
+	janitor := newJanitor(schedulerScheduler, archive)
 	entry := &Entry{
-		Common:   common,
-		Settings: settings,
-		Router:   router,
-		Dialer:   dialer,
-		List:     list,
-		Claimer:  claimer,
-		Routes:   v,
-		Duties:   v2,
-		Services: v3,
+		Common:    common,
+		Settings:  settings,
+		Router:    router,
+		Dialer:    dialer,
+		List:      list,
+		Claimer:   claimer,
+		Routes:    v,
+		Duties:    v2,
+		Services:  v3,
+		Scheduler: schedulerScheduler,
+		Janitor:   janitor,
 	}
 	return entry, nil
 }
@@ -73,32 +93,37 @@
 	if err != nil {
 		return nil, err
 	}
-	admitter := newAdmitter(settings)
-	executor := newExecutor(ctx, common, settings, appBackend, admitter)
-	store, err := newSidecarStore(common, settings)
-	if err != nil {
-		return nil, err
-	}
+	adaptive := newAdaptive(settings)
+	executor := newExecutor(ctx, common, settings, appBackend, adaptive)
 	dialer := newDialer()
-	publisherPublisher, err := newSidecarPublisher(common, settings, store, dialer)
+	store, err := newSidecarStore(common, settings)
 	if err != nil {
 		return nil, err
 	}
 	fencer := newFencer(common, appBackend, store)
 	server := newServer(executor, fencer)
 	timeLine := newTimeLine(common)
+	list, err := newSidecarList(common, settings)
+	if err != nil {
+		return nil, err
+	}
+	publisherPublisher := newPublisher(common, list, store, dialer)
 	documents := publisher.NewDocuments(publisherPublisher)
 	v := newSidecarServices(server, timeLine, documents)
-	v2 := newSidecarDuties(fencer)
+	peers := locator.NewPeers(common, list)
+	policyFollower := NewPolicyFollower(settings, publisherPublisher, adaptive)
+	v2 := newSidecarDuties(publisherPublisher, peers, policyFollower, fencer)
+	client := puller.NewClient(dialer)
+	pullerPuller := newPuller(common, settings, executor, adaptive, client, peers)
 	sidecar := &Sidecar{
-		Common:    common,
-		Settings:  settings,
-		Executor:  executor,
-		Publisher: publisherPublisher,
-		Dialer:    dialer,
-		Services:  v,
-		Duties:    v2,
-		Meter:     meter,
+		Common:   common,
+		Settings: settings,
+		Executor: executor,
+		Dialer:   dialer,
+		Services: v,
+		Duties:   v2,
+		Meter:    meter,
+		Puller:   pullerPuller,
 	}
 	return sidecar, nil
 }
--- a/commander/client.go
+++ b/commander/client.go
@@ -22,10 +22,10 @@
 	headers map[string]string
 }
 
-// do sends the body, if any, and returns the answer's body. A problem document
+// get returns the body of an answer. A problem document
 // becomes an error whose cause is errRefused.
-func (client client) do(ctx context.Context, method, path string, body io.Reader) ([]byte, error) {
-	response, err := client.open(ctx, method, path, body)
+func (client client) get(ctx context.Context, path string) ([]byte, error) {
+	response, err := client.open(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -32,7 +32,11 @@
 	application := kingpin.New("limpetrail", "Serves online and batch inference on one fleet.")
 	application.UsageWriter(commander.Out)
 	application.ErrorWriter(commander.Err)
-	application.Terminate(nil)
+
+	// Help and version end the command without ending the process.
+	ended := false
+
+	application.Terminate(func(int) { ended = true })
 
 	commands := map[string]command{}
 	for _, add := range []func(*kingpin.Application) command{
@@ -50,11 +54,20 @@
 		commands[added.clause.FullCommand()] = added
 	}
 
+	for _, add := range jobCommands() {
+		added := add(commander, application)
+		commands[added.clause.FullCommand()] = added
+	}
+
 	for _, added := range commander.config(application) {
 		commands[added.clause.FullCommand()] = added
 	}
 
 	chosen, err := application.Parse(arguments)
+	if ended {
+		return ExitOK
+	}
+
 	if err != nil {
 		fmt.Fprintln(commander.Err, "limpetrail:", err)
 
--- a/commander/config.go
+++ b/commander/config.go
@@ -40,7 +40,7 @@
 	outputFlag(clause)
 
 	return command{clause: clause, run: func(ctx context.Context) error {
-		text, err := client{entry: *entry}.do(ctx, http.MethodGet, presenter.Path, nil)
+		text, err := client{entry: *entry}.get(ctx, presenter.Path)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -241,7 +241,7 @@
 	output := outputFlag(clause)
 
 	return command{clause: clause, run: func(ctx context.Context) error {
-		text, err := client{entry: *entry}.do(ctx, http.MethodGet, presenter.Path+"/history", nil)
+		text, err := client{entry: *entry}.get(ctx, presenter.Path+"/history")
 		if err != nil {
 			return errors.Trace(err)
 		}
--- a/commander/operations.go
+++ b/commander/operations.go
@@ -98,7 +98,7 @@
 	return command{clause: clause, run: func(ctx context.Context) error {
 		query := url.Values{"request": {*request}, "job": {*job}, "limit": {fmt.Sprint(*limit)}}
 
-		text, err := client{entry: *entry}.do(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil)
+		text, err := client{entry: *entry}.get(ctx, "/v1/timeline?"+query.Encode())
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -113,7 +113,7 @@
 	output := outputFlag(clause)
 
 	return command{clause: clause, run: func(ctx context.Context) error {
-		text, err := client{entry: *entry}.do(ctx, http.MethodGet, "/v1/status", nil)
+		text, err := client{entry: *entry}.get(ctx, "/v1/status")
 		if err != nil {
 			return errors.Trace(err)
 		}
--- a/executor/work.go
+++ b/executor/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,10 @@
 		Firm:      request.GetFirm(),
 		Batch:     request.GetClass() == messenger.Class_CLASS_BATCH,
 		Deadline:  run.Deadline,
+		Alone:     request.GetAlone(),
+	}
+	if request.GetDueMillis() > 0 {
+		ticket.Due = time.UnixMilli(request.GetDueMillis())
 	}
 
 	reached := false
@@ -87,8 +92,13 @@
 }
 
 // mayResume tells whether a broken stream is begun again here, after a pause.
-// A request that is not idempotent never is.
+// A request that is not idempotent never is. Nor is a batch item: it may be
+// what broke the engine, and its job's owner decides what becomes of it.
 func (executor *Executor) mayResume(ctx context.Context, run *Run, broken int) bool {
+	if run.Request.GetClass() == messenger.Class_CLASS_BATCH {
+		return false
+	}
+
 	if !run.Request.GetIdempotent() || broken >= executor.Settings.EngineAttempts {
 		return false
 	}
@@ -122,6 +132,15 @@
 	})
 }
 
+// reject ends a run that the backend server refuses as such. The status tells
+// it from a stream that broke.
+func (executor *Executor) reject(run *Run, err error) {
+	executor.finishRefused(run, messenger.Fate_FATE_MAY_HAVE_RUN, &messenger.Frame{
+		Status: http.StatusUnprocessableEntity,
+		Reason: "the backend server refuses the request: " + err.Error(),
+	})
+}
+
 func (executor *Executor) finishRefused(run *Run, fate messenger.Fate, end *messenger.Frame) {
 	end.Kind = messenger.FrameKind_FRAME_KIND_REFUSED
 	if run.Finish(fate, end) {
@@ -147,7 +166,7 @@
 	case preempted.Load():
 		return verdictPreempted, nil
 	case errors.Is(err, errors.NotValid):
-		executor.lose(run, err)
+		executor.reject(run, err)
 
 		return verdictEnded, nil
 	case errors.Is(err, errors.NotProvisioned):
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -20,16 +20,16 @@
 	Calls    keeper.Settings
 	Dispatch dispatcher.Settings
 	Plan     planner.Settings
+	Data     Data
 	Log      Log
 }
 
 // Sidecar is the settings of a sidecar.
 type Sidecar struct {
-	Instance Instance
-	Listen   SidecarListen
-	KeyValue Platform
-	// Instances is the list through which the sidecar finds its peers.
-	Instances     InstanceList
+	Instance      Instance
+	Listen        SidecarListen
+	KeyValue      Platform
+	Instances     Platform
 	BackendServer BackendServer
 	// Calls bounds the use of the key-value service.
 	Calls   keeper.Settings
@@ -72,15 +72,6 @@
 	Address string `required:"true"`
 }
 
-// InstanceList is where a sidecar reads the list of instances.
-type InstanceList struct {
-	// Adapter is the name of the adapter.
-	Adapter string `required:"true"`
-	// Address is the host and port. Without one the sidecar watches the
-	// key-value service by itself, which fits small fleets only.
-	Address string
-}
-
 // BackendServer is what a sidecar stands beside.
 type BackendServer struct {
 	// Kind is what the backend server is.
@@ -95,6 +86,17 @@
 	Places int
 }
 
+// Data is the bulk data of batch jobs.
+type Data struct {
+	// Folder is for bulk data; empty at an instance without a disk.
+	Folder string
+	// Limit is the most bytes of bulk data; 0 for the disk's own limit.
+	Limit int64
+	// Copies is the number of data centres that must hold bulk data before a
+	// job is accepted; the same at all entries.
+	Copies int
+}
+
 // Log is what is written to the log.
 type Log struct {
 	// Level is the least level that is written.
@@ -114,6 +116,7 @@
 		Calls:     keeper.DefaultSettings(),
 		Dispatch:  dispatcher.DefaultSettings(),
 		Plan:      planner.DefaultSettings(),
+		Data:      Data{Copies: 2},
 		Log:       Log{Level: "info"},
 	}
 }
@@ -123,7 +126,7 @@
 	return Sidecar{
 		Listen:        SidecarListen{Peers: "127.0.0.1:9081", Operations: "127.0.0.1:9082"},
 		KeyValue:      Platform{Adapter: "http"},
-		Instances:     InstanceList{Adapter: "http"},
+		Instances:     Platform{Adapter: "http"},
 		BackendServer: BackendServer{Kind: "Engine", Adapter: "http", Places: defaultPlaces},
 		Calls:         keeper.DefaultSettings(),
 		Execute:       executor.DefaultSettings(),
