--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -167,6 +168,7 @@
 		settings.Listen = loader.EntryListen{Callers: free[0], Peers: free[1]}
 		settings.KeyValue.Address = fleet.Addresses.Standins["kv"]
 		settings.Instances.Address = fleet.Addresses.Standins["instances"]
+		settings.Data.Folder = filepath.Join(fleet.DataFolder, settings.Instance.Name)
 		settings.Log.Level = "error"
 
 		entry, err := app.NewEntry(settings)
