Hand the demo's processes listeners that are open already

Change: a process opens its listeners through app.Listen; the demo opens them first and hands them over.

Ruled out: retrying with other ports, since the addresses are already in the instance list and in other processes' settings.

--- a/app/entry.go
+++ b/app/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -31,6 +30,7 @@
 type Entry struct {
 	kernel.Common
 	Settings loader.Entry
+	Listen   Listen
 	Router   *router.Router
 	Dialer   *dialer.Dialer
 	List     locator.List
@@ -47,12 +47,12 @@
 func (entry *Entry) Run(ctx context.Context) error {
 	defer entry.Dialer.Close()
 
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", entry.Settings.Listen.Callers)
+	listener, err := entry.Listen.callers(ctx, entry.Settings.Listen.Callers)
 	if err != nil {
-		return errors.Annotate(err, "listening for callers")
+		return errors.Trace(err)
 	}
 
-	peers, err := listenPeers(ctx, entry.Settings.Listen.Peers)
+	peers, err := entry.Listen.peers(ctx, entry.Settings.Listen.Peers)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/app/peers.go
+++ b/app/peers.go
@@ -25,17 +25,6 @@
 	return mux, nil
 }
 
-// listenPeers listens for the system's own processes. A connection whose peer
-// no longer acknowledges anything ends in bounded time.
-func listenPeers(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{Control: dialer.BoundUnacknowledged}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Annotate(err, "listening for peers")
-	}
-
-	return dialer.NewBoundedListener(listener), nil
-}
-
 // servePeers answers the system's own processes until the context ends.
 func servePeers(ctx context.Context, listener net.Listener, services []messenger.Service) error {
 	mux, err := newMux(services)
--- a/app/sidecar.go
+++ b/app/sidecar.go
@@ -21,6 +21,7 @@
 type Sidecar struct {
 	kernel.Common
 	Settings loader.Sidecar
+	Listen   Listen
 	Executor *executor.Executor
 	Dialer   *dialer.Dialer
 	// Services are what peers may call.
@@ -35,14 +36,14 @@
 func (sidecar *Sidecar) Run(ctx context.Context) error {
 	defer sidecar.Dialer.Close()
 
-	listener, err := listenPeers(ctx, sidecar.Settings.Listen.Peers)
+	listener, err := sidecar.Listen.peers(ctx, sidecar.Settings.Listen.Peers)
 	if err != nil {
 		return errors.Trace(err)
 	}
 
-	operations, err := (&net.ListenConfig{}).Listen(ctx, "tcp", sidecar.Settings.Listen.Operations)
+	operations, err := sidecar.Listen.callers(ctx, sidecar.Settings.Listen.Operations)
 	if err != nil {
-		return errors.Annotate(err, "listening for operations")
+		return errors.Trace(err)
 	}
 
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/app/wire.go
+++ b/app/wire.go
@@ -23,6 +23,7 @@
 // NewEntry wires an entry from its settings.
 func NewEntry(settings loader.Entry) (*Entry, error) {
 	panic(wire.Build(
+		NewListen,
 		newEntryMeter,
 		newEntryCommon,
 		newEntryStore,
@@ -60,6 +61,7 @@
 // NewSidecar wires a sidecar from its settings. Its runs end with the context.
 func NewSidecar(ctx context.Context, settings loader.Sidecar) (*Sidecar, error) {
 	panic(wire.Build(
+		NewListen,
 		newSidecarMeter,
 		newSidecarCommon,
 		newAdaptive,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
+	listen := NewListen()
 	router := newRouter(common)
 	dialer := newDialer()
 	list, err := newEntryList(common, settings)
@@ -69,6 +70,7 @@
 	entry := &Entry{
 		Common:    common,
 		Settings:  settings,
+		Listen:    listen,
 		Router:    router,
 		Dialer:    dialer,
 		List:      list,
@@ -89,6 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
+	listen := NewListen()
 	appBackend, err := newBackend(common, settings)
 	if err != nil {
 		return nil, err
@@ -118,6 +121,7 @@
 	sidecar := &Sidecar{
 		Common:   common,
 		Settings: settings,
+		Listen:   listen,
 		Executor: executor,
 		Dialer:   dialer,
 		Services: v,
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -125,7 +125,7 @@
 		return errors.Trace(err)
 	}
 
-	free, err := freeAddresses(fleet.context, 2)
+	free, opened, err := open(fleet.context, 2)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -145,6 +145,8 @@
 		return errors.Trace(err)
 	}
 
+	sidecar.Listen = listen(opened)
+
 	fleet.group.Go(func() error { return sidecar.Run(fleet.context) })
 	fleet.instances = append(fleet.instances, locator.Instance{
 		Name:       settings.Instance.Name,
@@ -158,7 +160,7 @@
 
 func (fleet *Fleet) startEntries() error {
 	for number := range entries {
-		free, err := freeAddresses(fleet.context, 2)
+		free, opened, err := open(fleet.context, 2)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -176,6 +178,8 @@
 			return errors.Trace(err)
 		}
 
+		entry.Listen = listen(opened)
+
 		fleet.group.Go(func() error { return entry.Run(fleet.context) })
 		fleet.Addresses.Entries = append(fleet.Addresses.Entries, free[0])
 		fleet.instances = append(fleet.instances, locator.Instance{
@@ -231,21 +235,35 @@
 	return errors.Trace(err)
 }
 
-// freeAddresses returns loopback addresses that nobody listens on now.
-func freeAddresses(ctx context.Context, count int) ([]string, error) {
-	addresses := []string{}
+// open opens loopback listeners ahead of the process that will use them, so
+// that nobody else takes their ports in between.
+func open(ctx context.Context, count int) ([]string, map[string]net.Listener, error) {
+	addresses, opened := []string{}, map[string]net.Listener{}
 
 	for range count {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, errors.Trace(err)
+			return nil, nil, errors.Trace(err)
 		}
-		defer listener.Close()
 
-		addresses = append(addresses, listener.Addr().String())
+		address := listener.Addr().String()
+		addresses = append(addresses, address)
+		opened[address] = listener
 	}
 
-	return addresses, nil
+	return addresses, opened, nil
+}
+
+// listen returns the app.Listen of one process: it hands over its listeners.
+func listen(opened map[string]net.Listener) app.Listen {
+	return func(_ context.Context, address string, _ app.Control) (net.Listener, error) {
+		listener, found := opened[address]
+		if !found {
+			return nil, errors.NotFoundf("listener at %s", address)
+		}
+
+		return listener, nil
+	}
 }
 
 func dataCentre(number int) string {
