End the choice of peers when addresses repeat

Cause: a process chose five different peers by drawing until it had them. With fewer different addresses than that in the list it drew for ever, with the membership locked: an idle entry and an idle sidecar each took 95% of a core. Found by the survey of idle processes, whose listed instances share addresses; a SIGQUIT dump showed membership.choose running.

Ruled out: the size of the list (200, 800 and 1,980 instances gave the same).

Change: a bounded number of draws.

--- a/publisher/membership.go
+++ b/publisher/membership.go
@@ -77,13 +77,15 @@
 	return members.watches || len(members.peers) == 0
 }
 
-// choose returns up to count different peers at random.
+// choose returns up to count different peers at random. Several instances may
+// be listed with one address, so it may find fewer than are listed.
 func (members *membership) choose(count int) []string {
 	members.mutex.RLock()
 	defer members.mutex.RUnlock()
 
 	chosen := []string{}
-	for len(chosen) < min(count, len(members.peers)) {
+
+	for tries := 0; len(chosen) < count && tries < choiceTries*count && len(members.peers) > 0; tries++ {
 		peer := members.peers[rand.IntN(len(members.peers))]
 		if !slices.Contains(chosen, peer) {
 			chosen = append(chosen, peer)
@@ -93,6 +95,9 @@
 	return chosen
 }
 
+// choiceTries is how many draws find each peer of a choice, on average at most.
+const choiceTries = 8
+
 // highest returns the count names of the highest hashes (rendezvous hashing),
 // so that all processes with the same list choose the same without a word.
 func highest(names []string, count int) []string {
