Add a checker of what callers, backend servers and processes saw

Cause: each promise needs an invariant that a checker decides, and the same rules are wanted by property tests in bubbles and by process tests. Ruled out: judging by the system's own time line, which may be wrong in the same way as what it describes; a rule in each test, which drift apart.

--- /dev/null
+++ b/checker/history.go
@@ -0,0 +1,56 @@
+package checker
+
+import (
+	"sync"
+	"time"
+)
+
+// History collects events of one test. It may be used from many goroutines.
+type History struct {
+	mutex  sync.Mutex
+	events []Event
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History {
+	return &History{}
+}
+
+// Add records what is observed now. An event without a time gets the present
+// one.
+func (history *History) Add(event Event) {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+
+	if event.At.IsZero() {
+		event.At = time.Now()
+	}
+
+	history.events = append(history.events, event)
+}
+
+// Events returns the events in the order they were added.
+func (history *History) Events() []Event {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+
+	return append([]Event{}, history.events...)
+}
+
+// Count returns how many events of the kind there are.
+func (history *History) Count(kind Kind) int {
+	return len(only(history.Events(), kind))
+}
+
+// only returns the events of one kind.
+func only(events []Event, kind Kind) []Event {
+	found := []Event{}
+
+	for _, event := range events {
+		if event.Kind == kind {
+			found = append(found, event)
+		}
+	}
+
+	return found
+}
