Try a replica again that said draining 10 s ago

Cause: a sidecar that is stopped in good order and started again in its place, under the same name and address, got no request any more from an entry that had heard it say draining: the word counted for ever, and an entry hears of a sidecar only by sending to it. Ruled out: waiting for the platform's list, whose entry does not change in a restart; a polling mesh. Change: the word counts for 10 s. Proof: TestReplicaThatSaidDrainingIsTriedAgain fails without the change (expected 10 picks, got none) and passes with it.

--- a/router/member.go
+++ b/router/member.go
@@ -33,6 +33,10 @@
 	// batchWeight is the load of a batch item, which gives way at once, next
 	// to an online request.
 	batchWeight = 0.1
+	// drainingWord is how long a sidecar's word counts that it takes no new
+	// work. One that still drains refuses the next request, which then moves,
+	// and says so again.
+	drainingWord = 10 * time.Second
 )
 
 func newMember(replica Replica) *member {
@@ -79,9 +83,11 @@
 	}
 }
 
-// draining tells whether the sidecar said that it takes no new work.
-func (member *member) draining() bool {
+// draining tells whether the sidecar said lately that it takes no new work. A
+// sidecar that was started again in its place is heard of in no other way than
+// by sending to it.
+func (member *member) draining(now time.Time) bool {
 	last := member.reported.Load()
 
-	return last != nil && last.load.Draining
+	return last != nil && last.load.Draining && now.Sub(last.at) < drainingWord
 }
--- a/router/router.go
+++ b/router/router.go
@@ -219,7 +219,7 @@
 			return candidate
 		}
 
-		if open(candidate, question) {
+		if open(candidate, question, now) {
 			last = candidate
 		}
 	}
@@ -237,12 +237,12 @@
 
 // usable tells whether the replica may get this request.
 func (router *Router) usable(candidate *member, question Question, now time.Time) bool {
-	return open(candidate, question) && !candidate.health.ejected(now)
+	return open(candidate, question, now) && !candidate.health.ejected(now)
 }
 
 // open tells whether the replica takes new work and was not tried yet.
-func open(candidate *member, question Question) bool {
-	return !candidate.replica.Leaving && !candidate.draining() && !slices.Contains(question.Exclude, candidate.replica.Name)
+func open(candidate *member, question Question, now time.Time) bool {
+	return !candidate.replica.Leaving && !candidate.draining(now) && !slices.Contains(question.Exclude, candidate.replica.Name)
 }
 
 // Find returns the replica of that name.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// A sidecar that is started again in its place has the name and address of the
+// one that left; nobody tells the entry of it.
+func TestReplicaThatSaidDrainingIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routes := newRouter(1)
+		question := router.Question{Service: service}
+
+		for range 2 {
+			routes.Report("replica-0000", router.Load{Draining: true})
+			require.Empty(t, spread(routes, question, 10))
+
+			time.Sleep(10*time.Second - time.Millisecond)
+			require.Empty(t, spread(routes, question, 10))
+
+			time.Sleep(time.Millisecond)
+			require.Equal(t, map[string]int{"replica-0000": 10}, spread(routes, question, 10))
+		}
+	})
+}
+
 func TestEjectedReplicaReturnsByOneTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		routes := newRouter(2)
