--- a/checker/process_rules.go
+++ b/checker/process_rules.go
@@ -50,7 +50,9 @@
 	for _, event := range events {
 		switch event.Kind {
 		case KindLeaving:
-			leaving[event.Process] = event.At
+			if _, found := leaving[event.Process]; !found {
+				leaving[event.Process] = event.At
+			}
 		case KindKilled:
 			delete(leaving, event.Process)
 		case KindStarted:
