Let a leaving sidecar linger longer than an entry takes to notice silence

Cause: a pair of faults cut a request in a planned stop: the answer went over a connection that had gone silent, and the sidecar, done and drained, exited 2 s later, before the entry noticed the silence (3 s) and could read on over a new connection. Ruled out: waiting until each answer was read to its end: the sidecar cannot tell on a silent connection.

--- a/checker/schedule_test.go
+++ b/checker/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -188,3 +189,32 @@
 		require.Empty(rt, checker.Check(history, checker.DefaultBounds()))
 	})
 }
+
+// Faults that leave every process and its backend server alive cost no request
+// its answer, and neither does a sidecar that leaves while another stays.
+func TestEveryRequestIsAnsweredWhileOnlyConnectionsFail(t *testing.T) {
+	harmless := []string{"cut", "silence", "double", "store drop", "leave"}
+
+	rapid.Check(t, func(rt *rapid.T) {
+		acts := drawActs(rt, []string{sendWhole, sendKeyed}, 1, 16, "requests")
+
+		for _, act := range drawActs(rt, harmless, 1, 6, "faults") {
+			switch act.Kind {
+			case "leave":
+				act.Replica = strings.Replace(act.Replica, "-2", "-1", 1)
+			case "store drop":
+				// Several lost answers in a row are an outage.
+				act.Number = 0
+			}
+
+			acts = append(acts, act)
+		}
+
+		history, _ := play(t, acts)
+		require.Empty(rt, checker.Check(history, checker.DefaultBounds()))
+
+		for _, event := range history.Events() {
+			require.NotEqual(rt, checker.KindRefused, event.Kind, "%+v", event)
+		}
+	})
+}
--- a/executor/settings.go
+++ b/executor/settings.go
@@ -16,7 +16,9 @@
 	// AnswerBytes bounds one answer.
 	AnswerBytes int
 	// Linger is how long a leaving sidecar lets its last answers be read and
-	// its refusals be heard before it exits.
+	// its refusals be heard before it exits. An entry that reads over a
+	// connection gone silent notices after the dispatcher's Silence and then
+	// reads on over another, so it is longer than that.
 	Linger time.Duration
 	// LoadAge is how long data frames share one load report.
 	LoadAge time.Duration
@@ -46,7 +48,7 @@
 		RetainBytes:      16 << 20,
 		Records:          100_000,
 		AnswerBytes:      16 << 20,
-		Linger:           2 * time.Second,
+		Linger:           5 * time.Second,
 		LoadAge:          100 * time.Millisecond,
 		EngineSilence:    5 * time.Second,
 		CancelTimeout:    time.Second,
