--- a/verifier/order_test.go
+++ b/verifier/order_test.go
@@ -55,20 +55,7 @@
 	total := 0
 
 	for _, name := range sidecars {
-		request, err := http.NewRequestWithContext(fleet.t.Context(), http.MethodGet, "http://"+fleet.addresses[name+"-backend"]+"/acts", nil)
-		require.NoError(fleet.t, err)
-
-		response, err := http.DefaultClient.Do(request)
-		require.NoError(fleet.t, err)
-
-		body, err := io.ReadAll(response.Body)
-		response.Body.Close()
-		require.NoError(fleet.t, err)
-
-		counts := map[string]int{}
-		require.NoError(fleet.t, json.Unmarshal(body, &counts))
-
-		for _, count := range counts {
+		for _, count := range fleet.actsOf(name) {
 			total += count
 		}
 	}
@@ -76,6 +63,26 @@
 	return total
 }
 
+// actsOf is how often the service beside the sidecar acted, by request ID.
+func (fleet *fleet) actsOf(name string) map[string]int {
+	fleet.t.Helper()
+
+	request, err := http.NewRequestWithContext(fleet.t.Context(), http.MethodGet, "http://"+fleet.addresses[name+"-backend"]+"/acts", nil)
+	require.NoError(fleet.t, err)
+
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(fleet.t, err)
+	defer response.Body.Close()
+
+	body, err := io.ReadAll(response.Body)
+	require.NoError(fleet.t, err)
+
+	counts := map[string]int{}
+	require.NoError(fleet.t, json.Unmarshal(body, &counts))
+
+	return counts
+}
+
 // requireMayHaveRun checks that the answer is a refusal that says so.
 func requireMayHaveRun(t *testing.T, answer answer) {
 	t.Helper()
