--- /dev/null
+++ b/checker/promises_test.go
@@ -0,0 +1,38 @@
+package checker_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A row of the page proves nothing by a test that was renamed or removed.
+func TestEachTestThatThePageNamesExists(t *testing.T) {
+	page, err := os.ReadFile("../docs/PROMISES.md")
+	require.NoError(t, err)
+
+	source := strings.Builder{}
+
+	require.NoError(t, filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+
+		text, err := os.ReadFile(path)
+		source.Write(text)
+
+		return err
+	}))
+
+	names := regexp.MustCompile("`(Test[A-Z][A-Za-z]*)`").FindAllStringSubmatch(string(page), -1)
+	require.NotEmpty(t, names)
+
+	for _, name := range names {
+		require.Contains(t, source.String(), "func "+name[1]+"(t *testing.T)")
+	}
+}
--- a/verifier/promise_test.go
+++ b/verifier/promise_test.go
@@ -189,7 +189,7 @@
 
 // bring brings the fault about.
 func (fault processFault) bring(fleet *fleet) {
-	fleet.post(fleet.addresses["kv"], "/faults", fault.store)
+	fleet.faults("kv", fault.store)
 
 	for name, signal := range fault.signals {
 		fleet.signal(name, signal)
@@ -198,7 +198,7 @@
 
 // end ends the fault where that is possible.
 func (fault processFault) end(fleet *fleet) {
-	fleet.post(fleet.addresses["kv"], "/faults", emulator.Switches{})
+	fleet.faults("kv", emulator.Switches{})
 
 	for name, signal := range fault.signals {
 		if signal == syscall.SIGSTOP {
@@ -233,7 +233,7 @@
 
 			// Orders are under way for a while.
 			for _, service := range services {
-				fleet.post(fleet.addresses[service+"-backend"], "/faults", emulator.Switches{Delay: 200 * time.Millisecond})
+				fleet.faults(service+"-backend", emulator.Switches{Delay: 200 * time.Millisecond})
 			}
 
 			before := fleet.acts(services...)
