Build bodies without formatting and record the parts of a first token

Change: bodies are appended, an answer's buffer has its own length; each answer records its wait at the sidecar and the length of the step that gave its first token.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -43,6 +43,8 @@
 	models map[string]bool
 	// stepTime is the length of the step in progress.
 	stepTime time.Duration
+	// lastStep is the length of the step that ended last.
+	lastStep time.Duration
 	// deadUntil is when a died engine is back.
 	deadUntil time.Time
 	// wake is signalled when a stream arrives at an idle engine.
@@ -57,8 +59,8 @@
 const (
 	defaultMaxTokens = 16
 	defaultRestart   = 200 * time.Millisecond
-	// streamBuffer holds a whole answer, so that a slow reader stops nobody.
-	streamBuffer = 4096
+	// maxAnswer is the most tokens of an answer.
+	maxAnswer = 4096
 )
 
 // EngineOption changes an Engine at construction.
@@ -255,6 +257,14 @@
 	return engine.stepTime
 }
 
+// LastStep returns the length of the step that ended last.
+func (engine *Engine) LastStep() time.Duration {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+
+	return engine.lastStep
+}
+
 // nextStep returns the time of the coming step, or 0 when nothing runs.
 func (engine *Engine) nextStep() time.Duration {
 	engine.mutex.Lock()
@@ -290,6 +300,8 @@
 		return
 	}
 
+	engine.lastStep = engine.stepTime
+
 	for _, stream := range engine.streams {
 		if stream.fatal && stream.prefilled {
 			engine.die()
--- a/emulator/engine_stream.go
+++ b/emulator/engine_stream.go
@@ -15,7 +15,8 @@
 type engineStream struct {
 	context    context.Context //nolint:containedctx // The stream ends with its caller.
 	generation driver.Generation
-	tokens     chan driver.Token
+	// tokens holds a whole answer, so that a slow reader stops nobody.
+	tokens  chan driver.Token
 	failure    error
 	// next is the index of the coming token.
 	next         int
@@ -39,13 +40,14 @@
 	_ = json.Unmarshal(generation.Body, &settings)
 
 	words := strings.Fields(string(generation.Body))
+	maxTokens := max(1, min(settings.MaxTokens, maxAnswer))
 
 	return &engineStream{
 		context:      ctx,
 		generation:   generation,
-		tokens:       make(chan driver.Token, streamBuffer),
+		tokens:       make(chan driver.Token, max(1, maxTokens-len(generation.Prefix))),
 		next:         len(generation.Prefix),
-		maxTokens:    max(1, min(settings.MaxTokens, streamBuffer)),
+		maxTokens:    maxTokens,
 		promptTokens: len(words),
 		words:        append(words, generation.Prefix...),
 		seed:         Seed(generation.Body),
--- a/measurer/load.go
+++ b/measurer/load.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
+	"strconv"
 	"time"
 )
 
@@ -18,6 +18,8 @@
 	maxAnswer         = 150
 	batchSharedPrompt = 320
 	batchOwnPrompt    = 30
+	// bytesPerWord is the room kept for a word of a body.
+	bytesPerWord = 16
 )
 
 // request is one online request of a run.
@@ -86,18 +88,25 @@
 
 // body returns a request whose words count as tokens: shared ones first.
 func body(shared string, sharedCount int, own string, ownCount, answer int) []byte {
-	text := &strings.Builder{}
-	text.WriteString(`{"prompt":"`)
-
-	for index := range sharedCount {
-		fmt.Fprintf(text, "%s.%d ", shared, index)
-	}
+	text := make([]byte, 0, (sharedCount+ownCount)*bytesPerWord)
+	text = append(text, `{"prompt":"`...)
+	text = appendWords(text, shared, sharedCount)
+	text = appendWords(text, own, ownCount)
+	text = append(text, `","max_tokens":`...)
+	text = strconv.AppendInt(text, int64(answer), 10)
+
+	return append(text, '}')
+}
 
-	for index := range ownCount {
-		fmt.Fprintf(text, "%s.%d ", own, index)
+// appendWords adds numbered words. Bodies are most of what a run allocates, so
+// they are built without formatting.
+func appendWords(text []byte, name string, count int) []byte {
+	for index := range count {
+		text = append(text, name...)
+		text = append(text, '.')
+		text = strconv.AppendInt(text, int64(index), 10)
+		text = append(text, ' ')
 	}
 
-	fmt.Fprintf(text, `","max_tokens":%d}`, answer)
-
-	return []byte(text.String())
+	return text
 }
--- a/measurer/result.go
+++ b/measurer/result.go
@@ -29,6 +29,10 @@
 	FirstToken time.Duration
 	LastToken  time.Duration
 	Tokens     int
+	// Placed is the time from the arrival until the place that it got.
+	Placed time.Duration
+	// FirstStep is the length of the engine's step that gave the first token.
+	FirstStep time.Duration
 	// OwnPrompt is the number of prompt tokens that no other request shares.
 	OwnPrompt int
 	// Whole is set when the last token arrived.
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -113,6 +113,7 @@
 
 		place, outcome := run.admission.Enter(ctx, ticket)
 		if place != nil {
+			answer.Placed = time.Since(arrival)
 			run.generate(ctx, request, place, &answer)
 
 			break
@@ -166,6 +167,7 @@
 		since := time.Since(run.begin) - request.at
 		if answer.FirstToken == 0 {
 			answer.FirstToken = since
+			answer.FirstStep = run.engine.LastStep()
 		}
 
 		answer.Tokens++
