Keep places free for firms that use less than their share

Change: beside a firm that averages below 0.8 of its share, others leave six places free and start one request at a time; that firm may go a quarter over the limit. A firm counts after 5 s of arrivals.

--- a/admitter/adaptive.go
+++ b/admitter/adaptive.go
@@ -29,6 +29,8 @@
 	// taken back: at most limit together, but for batch being taken back.
 	runningOnline int
 	runningBatch  int
+	// firms holds the firms seen lately.
+	firms map[string]*firm
 	// grants numbers the places.
 	grants uint64
 	learner
@@ -44,6 +46,7 @@
 		online:   NewFairQueue[string, *waiter](),
 		batch:    NewSortedQueue(compareDue),
 		places:   map[*adaptivePlace]struct{}{},
+		firms:    map[string]*firm{},
 	}
 	for _, option := range options {
 		option(adaptive)
@@ -154,14 +157,17 @@
 	allowed := min(adaptive.policy.MaxWait, ticket.Deadline.Sub(now))
 	waiter.expiry = now.Add(allowed)
 
-	if adaptive.onlineRoom() > adaptive.online.Len() {
-		adaptive.online.Push(ticket.Firm, share, waiter)
+	record := adaptive.firm(ticket.Firm, now)
+	record.arrive(now)
+
+	if adaptive.roomFor(ticket.Firm, now) > adaptive.waitingBefore(ticket.Firm, now) {
+		adaptive.push(waiter, share)
 
 		return
 	}
 
 	ahead, waiting := adaptive.online.Ahead(ticket.Firm, share), adaptive.online.Len()
-	wait := adaptive.waitFor(ahead, now)
+	wait := max(adaptive.waitFor(ahead, now), adaptive.waitForFirm(ticket.Firm, record.queued, now))
 
 	if float64(wait) > queueMargin*float64(allowed) || adaptive.online.Len() >= adaptive.Settings.MaxQueued {
 		adaptive.refuse(waiter, "the queue is longer than the request may wait", now)
@@ -169,13 +175,29 @@
 		return
 	}
 
-	adaptive.online.Push(ticket.Firm, share, waiter)
+	adaptive.push(waiter, share)
 
 	if ahead < waiting {
 		adaptive.refuseOvertaken(now)
 	}
 }
 
+func (adaptive *Adaptive) push(waiter *waiter, share float64) {
+	adaptive.online.Push(waiter.ticket.Firm, share, waiter)
+	adaptive.firms[waiter.ticket.Firm].queued++
+}
+
+// remove takes a waiter out of the online queue, if it is still there.
+func (adaptive *Adaptive) remove(waiter *waiter) bool {
+	if !adaptive.online.Remove(waiter) {
+		return false
+	}
+
+	adaptive.firms[waiter.ticket.Firm].queued--
+
+	return true
+}
+
 // refuseOvertaken refuses at once those whom a later arrival of another firm
 // has pushed back beyond the time they may wait.
 func (adaptive *Adaptive) refuseOvertaken(now time.Time) {
@@ -183,7 +205,7 @@
 
 	for _, waiter := range adaptive.online.All() {
 		if now.Add(adaptive.waitFor(kept, now)).After(waiter.expiry) {
-			adaptive.online.Remove(waiter)
+			adaptive.remove(waiter)
 			adaptive.refuse(waiter, "requests of other firms go first", now)
 
 			continue
@@ -216,7 +238,7 @@
 	due := !waiter.ticket.Batch && adaptive.meanStay > 0 && !adaptive.silent(now) &&
 		now.Before(waiter.ticket.Deadline) && float64(adaptive.runningOnline) < most
 
-	if due && adaptive.online.Remove(waiter) {
+	if due && adaptive.remove(waiter) {
 		adaptive.grant(waiter, now)
 		adaptive.schedule(now)
 	}
@@ -231,7 +253,7 @@
 	adaptive.mutex.Lock()
 	defer adaptive.mutex.Unlock()
 
-	if adaptive.online.Remove(waiter) || adaptive.batch.Remove(waiter) {
+	if adaptive.remove(waiter) || adaptive.batch.Remove(waiter) {
 		now := time.Now()
 		adaptive.refuse(waiter, reason, now)
 		adaptive.schedule(now)
@@ -262,6 +284,7 @@
 		adaptive.runningBatch--
 	default:
 		adaptive.runningOnline--
+		adaptive.firm(place.ticket.Firm, now).change(-1, now)
 		adaptive.observeStay(place, now)
 	}
 
--- a/admitter/fair_queue.go
+++ b/admitter/fair_queue.go
@@ -44,15 +44,22 @@
 
 // Pop takes out the item to serve next.
 func (queue *FairQueue[K, T]) Pop() (T, bool) {
-	if len(queue.items) == 0 {
+	return queue.PopAllowed(func(K) bool { return true })
+}
+
+// PopAllowed takes out the first item whose key is allowed. Those passed over
+// keep their turn.
+func (queue *FairQueue[K, T]) PopAllowed(allowed func(K) bool) (T, bool) {
+	index := slices.IndexFunc(queue.items, func(item fairItem[K, T]) bool { return allowed(item.key) })
+	if index < 0 {
 		var none T
 
 		return none, false
 	}
 
-	first := queue.items[0]
-	queue.items = slices.Delete(queue.items, 0, 1)
-	queue.virtual = first.tag
+	served := queue.items[index]
+	queue.items = slices.Delete(queue.items, index, index+1)
+	queue.virtual = max(queue.virtual, served.tag)
 
 	for key, tag := range queue.tags {
 		if tag <= queue.virtual {
@@ -60,7 +67,7 @@
 		}
 	}
 
-	return first.value, true
+	return served.value, true
 }
 
 // Remove takes out an item that is not served. Its key gets the turn back.
--- a/admitter/learner.go
+++ b/admitter/learner.go
@@ -262,6 +262,16 @@
 	return time.Duration(ahead+1) * adaptive.meanStay / time.Duration(adaptive.limit())
 }
 
+// waitForFirm predicts how long a ticket waits behind that many of its own firm,
+// from the places that the firm may hold.
+func (adaptive *Adaptive) waitForFirm(name string, queued int, now time.Time) time.Duration {
+	running := adaptive.firm(name, now).running
+	left := adaptive.limit() - (adaptive.runningOnline - running) - adaptive.kept(name, now)
+	bound := max(1, left, int(adaptive.guaranteed(name, now)))
+
+	return time.Duration(queued+1+max(0, running-bound)) * adaptive.meanStay / time.Duration(bound)
+}
+
 // silent tells whether the engine has yielded nothing for too long.
 func (adaptive *Adaptive) silent(now time.Time) bool {
 	return adaptive.step > 0 && now.Sub(adaptive.lastToken) > adaptive.policy.FirstToken
--- a/admitter/scheduler.go
+++ b/admitter/scheduler.go
@@ -33,16 +33,29 @@
 
 // grantOnline starts waiting online tickets in fair order.
 func (adaptive *Adaptive) grantOnline(now time.Time) {
-	for adaptive.onlineRoom() > 0 {
-		next, found := adaptive.online.Pop()
+	for adaptive.online.Len() > 0 {
+		next, found := adaptive.online.PopAllowed(func(firm string) bool { return adaptive.mayStart(firm, now) })
 		if !found {
+			adaptive.countKept(now)
+
 			return
 		}
 
+		adaptive.firms[next.ticket.Firm].queued--
 		adaptive.grant(next, now)
 	}
 }
 
+// countKept counts places kept from a firm that wants them as in use: the limit
+// could not be learned beside them otherwise.
+func (adaptive *Adaptive) countKept(now time.Time) {
+	for name, record := range adaptive.firms {
+		if record.queued > 0 && adaptive.roomFor(name, now) <= 0 {
+			adaptive.peak = max(adaptive.peak, adaptive.limit())
+		}
+	}
+}
+
 // batchCeiling is how many batch places may stay: those that leave every
 // online request its place within the limit.
 func (adaptive *Adaptive) batchCeiling() int {
@@ -152,6 +165,7 @@
 		adaptive.runningBatch++
 	} else {
 		adaptive.runningOnline++
+		adaptive.firm(waiter.ticket.Firm, now).change(1, now)
 	}
 
 	adaptive.peak = max(adaptive.peak, adaptive.runningOnline+adaptive.runningBatch)
