Tell a lending firm by its arrivals and pace the others' starts to step ends

Ruled out: lending by running requests below 0.9 or 1.0 of the share (p99 139 to 211 ms), 3, 6 or 9 kept places (134 to 151, 141 to 145, 160 to 233 ms), a predicted wait of half or a quarter of MaxWait for the paced (8% and 4% of their starts came at the age limit, beside whatever else the step read; 1% at 0.15). Change: a firm lends while its arrivals times the mean stay are below its share; others start one at a time in the last fifth of a step while no first token is owed, and are let wait for 0.15 of MaxWait by prediction.

--- a/admitter/adaptive.go
+++ b/admitter/adaptive.go
@@ -11,7 +11,7 @@
 
 // Adaptive learns how many requests its engine bears, lets online requests in
 // first, and gives batch what is left. It has no goroutine of its own: each
-// call of its places and each waiting ticket advances it.
+// call of its places, each waiting ticket and a timer within a step advance it.
 type Adaptive struct {
 	Settings Settings
 
@@ -31,6 +31,8 @@
 	runningBatch  int
 	// firms holds the firms seen lately.
 	firms map[string]*firm
+	// waking is the pending call of woken; nil for none.
+	waking *time.Timer
 	// grants numbers the places.
 	grants uint64
 	learner
@@ -150,6 +152,10 @@
 // waited for a refusal.
 const queueMargin = 0.5
 
+// pacedMargin is the same for a firm whose starts are paced beside others, whose
+// places come free to it less evenly still.
+const pacedMargin = 0.15
+
 // joinOnline queues an online ticket unless it could not start in time.
 func (adaptive *Adaptive) joinOnline(waiter *waiter, now time.Time) {
 	ticket := waiter.ticket
@@ -169,7 +175,13 @@
 	ahead, waiting := adaptive.online.Ahead(ticket.Firm, share), adaptive.online.Len()
 	wait := max(adaptive.waitFor(ahead, now), adaptive.waitForFirm(ticket.Firm, record.queued, now))
 
-	if float64(wait) > queueMargin*float64(allowed) || adaptive.online.Len() >= adaptive.Settings.MaxQueued {
+	margin := queueMargin
+
+	if adaptive.paced(ticket.Firm, now) {
+		margin = pacedMargin
+	}
+
+	if float64(wait) > margin*float64(allowed) || adaptive.online.Len() >= adaptive.Settings.MaxQueued {
 		adaptive.refuse(waiter, "the queue is longer than the request may wait", now)
 
 		return
@@ -284,7 +296,7 @@
 		adaptive.runningBatch--
 	default:
 		adaptive.runningOnline--
-		adaptive.firm(place.ticket.Firm, now).change(-1, now)
+		adaptive.firm(place.ticket.Firm, now).running--
 		adaptive.observeStay(place, now)
 	}
 
--- a/admitter/firms.go
+++ b/admitter/firms.go
@@ -7,17 +7,14 @@
 
 const (
 	// firmMemory is how long a firm counts after its last arrival, and the time
-	// over which its use is averaged.
+	// over which its arrivals are averaged.
 	firmMemory = 30 * time.Second
 	// firmSettled is how long a firm's arrivals must go on before places are
 	// kept for it: a single burst earns no idle places.
 	firmSettled = 5 * time.Second
 	// keptPlaces is the most places kept free for one firm. More arrivals at
 	// once find places as those of the others end.
-	keptPlaces = 6
-	// lenderShare is the share of its guaranteed places below which a firm's
-	// average use makes it one that lends them to others.
-	lenderShare = 0.8
+	keptPlaces = 4
 	// maxFirms is the number of records above which those of firms that are
 	// gone are dropped.
 	maxFirms = 1024
@@ -32,9 +29,9 @@
 	// firmMemory between.
 	since   time.Time
 	arrived time.Time
-	// mean is the moving average of running over firmMemory, as of updated.
-	mean    float64
-	updated time.Time
+	// rate is the moving average of its arrivals a second over firmMemory, as of
+	// arrived; refused ones count.
+	rate float64
 }
 
 // arrive notes an arrival.
@@ -43,21 +40,13 @@
 		firm.since = now
 	}
 
+	firm.rate = firm.rateAt(now) + 1/firmMemory.Seconds()
 	firm.arrived = now
 }
 
-// change moves running by so many.
-func (firm *firm) change(by int, now time.Time) {
-	firm.mean = firm.average(now)
-	firm.updated = now
-	firm.running += by
-}
-
-// average returns the mean of running as of now.
-func (firm *firm) average(now time.Time) float64 {
-	kept := math.Exp(-now.Sub(firm.updated).Seconds() / firmMemory.Seconds())
-
-	return kept*firm.mean + (1-kept)*float64(firm.running)
+// rateAt returns the rate as of now.
+func (firm *firm) rateAt(now time.Time) float64 {
+	return firm.rate * math.Exp(-now.Sub(firm.arrived).Seconds()/firmMemory.Seconds())
 }
 
 // settled tells whether the firm has been active for a while.
@@ -85,7 +74,7 @@
 		}
 	}
 
-	found = &firm{updated: now}
+	found = &firm{}
 	adaptive.firms[name] = found
 
 	return found
@@ -105,13 +94,14 @@
 	return float64(adaptive.limit()) * own / weights
 }
 
-// lends tells whether the firm has used less than its guaranteed share while
-// others are active. It may go beyond that share for a moment.
+// lends tells whether the firm asks for less than its guaranteed share while
+// others are active, by its arrivals and the mean time that an answer takes
+// (Little's law). It may go beyond that share for a moment.
 func (adaptive *Adaptive) lends(name string, now time.Time) bool {
 	record := adaptive.firm(name, now)
 
 	return record.settled(now) && !adaptive.alone(name, now) &&
-		record.average(now) < lenderShare*adaptive.guaranteed(name, now)
+		record.rateAt(now)*adaptive.meanStay.Seconds() < adaptive.guaranteed(name, now)
 }
 
 // alone tells whether no other firm is settled.
@@ -169,15 +159,24 @@
 	return waiting
 }
 
-// mayStart tells whether the firm may start a request now. Beside a firm that
-// lends, the others start one at a time, and none while an online request is
+// paced tells whether the firm's starts must not disturb others: it wants its
+// share or more beside them.
+func (adaptive *Adaptive) paced(name string, now time.Time) bool {
+	return !adaptive.alone(name, now) && !adaptive.lends(name, now)
+}
+
+// mayStart tells whether the firm may start a request now. A paced one starts
+// one at a time, near the end of a step, and none while an online request is
 // owed its first token: reading its prompt would lengthen that very step.
 func (adaptive *Adaptive) mayStart(name string, now time.Time) bool {
-	if adaptive.roomFor(name, now) <= 0 {
+	switch {
+	case adaptive.roomFor(name, now) <= 0:
 		return false
+	case adaptive.paced(name, now):
+		return !adaptive.owesFirst(now) && adaptive.startsLate(now)
+	default:
+		return true
 	}
-
-	return adaptive.lends(name, now) || adaptive.kept(name, now) == 0 || !adaptive.owesFirst(now)
 }
 
 // owesFirst tells whether the engine owes an online request its first token.
--- a/admitter/learner.go
+++ b/admitter/learner.go
@@ -50,6 +50,8 @@
 	probed bool
 	// step counts the engine's steps, as seen from the tokens of its streams.
 	step uint64
+	// clock tells when the running step ends.
+	clock stepClock
 	// windowEnd is when the present window is judged.
 	windowEnd time.Time
 	// intervals and firsts count samples of this and earlier windows against
@@ -114,6 +116,7 @@
 func (adaptive *Adaptive) observe(place *adaptivePlace, now time.Time) {
 	if place.tokens > 0 && place.lastStep == adaptive.step {
 		adaptive.step++
+		adaptive.clock.end(now)
 	}
 
 	if now.Sub(adaptive.lastToken) > adaptive.policy.FirstToken {
--- a/admitter/scheduler.go
+++ b/admitter/scheduler.go
@@ -165,7 +165,7 @@
 		adaptive.runningBatch++
 	} else {
 		adaptive.runningOnline++
-		adaptive.firm(waiter.ticket.Firm, now).change(1, now)
+		adaptive.firm(waiter.ticket.Firm, now).running++
 	}
 
 	adaptive.peak = max(adaptive.peak, adaptive.runningOnline+adaptive.runningBatch)
