Hold the limit below the places at which a start waited inside the engine

Change: a start that waited, beside more places than the engine was last seen to bear, holds the limit two below that number for a minute.

--- a/admitter/adaptive_place.go
+++ b/admitter/adaptive_place.go
@@ -12,6 +12,8 @@
 	granted time.Time
 	// grantedStep is the admitter's count of engine steps at the grant.
 	grantedStep uint64
+	// beside is the number of places held right after the grant.
+	beside int
 	// tokens counts the tokens since the grant.
 	tokens int
 	// lastStep is the step of the last token.
--- a/admitter/learner.go
+++ b/admitter/learner.go
@@ -33,6 +33,11 @@
 	slowStart = 1.5
 	// probeStep is the time between two raises of the limit above its ceiling.
 	probeStep = time.Second
+	// fullMargin is how far below a full engine the limit stays, and fullMemory
+	// how long: whoever comes when places are over waits inside the engine for
+	// the end of an answer.
+	fullMargin = 2
+	fullMemory = time.Minute
 	// stayWeight is the weight of the newest stay in the moving average.
 	stayWeight = 0.05
 	// firstTokenWeight is the weight of the newest first token in the report.
@@ -65,6 +70,10 @@
 	// limit grows slowly, from growAt on. Zero before the first cut.
 	ceiling float64
 	growAt  time.Time
+	// full is the fewest places in use beside a start that waited inside the
+	// engine. Until fullUntil the limit stays below it.
+	full      int
+	fullUntil time.Time
 	// meanStay is the moving average of the time online requests hold a place;
 	// zero before the first.
 	meanStay time.Duration
@@ -155,7 +164,12 @@
 		return
 	}
 
-	adaptive.starts.add(adaptive.step-place.grantedStep > queuedSteps)
+	queued := adaptive.step-place.grantedStep > queuedSteps
+	adaptive.starts.add(queued)
+
+	if queued && adaptive.ceiling > 0 && float64(place.beside) > adaptive.ceiling {
+		adaptive.keepBelow(place.beside, now)
+	}
 
 	if place.ticket.Batch {
 		return
@@ -174,6 +188,21 @@
 	}
 }
 
+// keepBelow holds the limit below the places at which a start has waited inside
+// the engine. Only those above the limit that the engine was seen to bear count,
+// so that a slow prompt cannot lower it.
+func (adaptive *Adaptive) keepBelow(places int, now time.Time) {
+	if now.After(adaptive.fullUntil) || places < adaptive.full {
+		adaptive.full = places
+	}
+
+	adaptive.fullUntil = now.Add(fullMemory)
+	adaptive.bearable = min(adaptive.bearable, adaptive.below())
+}
+
+// below is the limit that leaves the engine room for those who come at once.
+func (learner *learner) below() float64 { return float64(max(1, learner.full-fullMargin)) }
+
 func average(mean, sample time.Duration, weight float64) time.Duration {
 	if mean == 0 {
 		return sample
@@ -231,6 +260,9 @@
 // grow raises the bounds that the window has used up.
 func (adaptive *Adaptive) grow(now time.Time) {
 	highest := float64(adaptive.Settings.MaxPlaces)
+	if now.Before(adaptive.fullUntil) {
+		highest = min(highest, adaptive.below())
+	}
 
 	if adaptive.runningBatch >= adaptive.batchCap() {
 		adaptive.share = min(highest, adaptive.share+max(1, batchGrowth*adaptive.bearable))
@@ -246,9 +278,9 @@
 	case adaptive.intervals.samples < 2*minSamples:
 		// The last change has not shown yet whether it does harm.
 	case adaptive.bearable < adaptive.ceiling || adaptive.ceiling == 0:
-		adaptive.bearable = min(highest, adaptive.bearable+1)
+		adaptive.bearable = max(adaptive.bearable, min(highest, adaptive.bearable+1))
 	case now.After(adaptive.growAt):
-		adaptive.bearable = min(highest, adaptive.bearable+1)
+		adaptive.bearable = max(adaptive.bearable, min(highest, adaptive.bearable+1))
 		adaptive.growAt = now.Add(probeStep)
 	}
 }
--- a/admitter/scheduler.go
+++ b/admitter/scheduler.go
@@ -168,7 +168,8 @@
 		adaptive.firm(waiter.ticket.Firm, now).running++
 	}
 
-	adaptive.peak = max(adaptive.peak, adaptive.runningOnline+adaptive.runningBatch)
+	place.beside = adaptive.runningOnline + adaptive.runningBatch
+	adaptive.peak = max(adaptive.peak, place.beside)
 	waiter.place = place
 	close(waiter.settled)
 }
