--- a/emulator/engine_stream.go
+++ b/emulator/engine_stream.go
@@ -17,7 +17,7 @@
 	generation driver.Generation
 	// tokens holds a whole answer, so that a slow reader stops nobody.
 	tokens  chan driver.Token
-	failure    error
+	failure error
 	// next is the index of the coming token.
 	next         int
 	maxTokens    int
