--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -63,10 +63,9 @@
 }
 
 // finishStream waits until the sidecar has closed the stream and gives the
-// connection back.
+// connection back. The stream's context is cancelled only if that takes too
+// long: cancelling it right after the end can still close the connection.
 func (attempt *attempt) finishStream(stream frameReader, conn drpcpool.Conn, cancel func()) {
-	defer cancel()
-
 	watchdog := time.AfterFunc(attempt.Settings.FirstFrame, cancel)
 	defer watchdog.Stop()
 
