Keep what was typed beside its fault in the console

Proof: TestFaultsStandBesideTheirFields failed on the code before ("what was typed is lost") and passes now.

--- a/presenter/console.go
+++ b/presenter/console.go
@@ -124,7 +124,7 @@
 
 	name := request.FormValue("Item")
 	item, _ := section.find(current.Index.Document, name)
-	shown := console.page(request, "Edit "+section.Title)
+	shown := console.page(request, editTitle(section, name))
 	shown.Section = section.Title
 	shown.Name = name
 	shown.Mark = editor.NewMark()
@@ -194,9 +194,10 @@
 
 	if len(faults) > 0 && shown.Result.Verdict != editor.VerdictForbidden && item != nil {
 		prefix := fmt.Sprintf("%s[%s]", section.Title, request.PostForm.Get("Name"))
-		shown.Title = "Edit " + section.Title
+		shown.Title = editTitle(section, shown.Name)
 		shown.Result = editor.Result{Verdict: editor.VerdictInvalid, Faults: faults}
 		shown.Form = newForm(item, choices(document), prefix, faults)
+		shown.Form.keep(shown.Values)
 		shown.Others = otherFaults(faults, prefix)
 		console.render(writer, http.StatusUnprocessableEntity, "edit.html", shown)
 
@@ -224,9 +225,29 @@
 	faults := fill(item, shown.Values, fmt.Sprintf("%s[%s]", section.Title, shown.Values.Get("Name")))
 	section.put(document, shown.Name, item)
 
+	// The rest is checked too, so that the operator sees every fault at once.
+	if len(faults) > 0 {
+		faults = append(faults, faultsElsewhere(editor.Validate(document), faults)...)
+	}
+
 	return document, item, faults, nil
 }
 
+// faultsElsewhere returns the faults of fields that have none among the known.
+func faultsElsewhere(found, known []classifier.Fault) []classifier.Fault {
+	return slices.DeleteFunc(found, func(fault classifier.Fault) bool {
+		return slices.ContainsFunc(known, func(other classifier.Fault) bool { return other.Field == fault.Field })
+	})
+}
+
+func editTitle(section section, name string) string {
+	if name == "" {
+		return "Add to " + section.Title
+	}
+
+	return "Edit " + section.Title + ": " + name
+}
+
 // otherFaults returns the faults outside the item that the form shows.
 func otherFaults(faults []classifier.Fault, prefix string) []classifier.Fault {
 	others := []classifier.Fault{}
--- a/presenter/form.go
+++ b/presenter/form.go
@@ -90,6 +90,17 @@
 	return filled
 }
 
+// keep shows what was typed into the controls with faults, which the item
+// itself cannot hold when it was not even readable. Rows hold only texts.
+func (form *form) keep(values url.Values) {
+	for index := range form.Inputs {
+		control := &form.Inputs[index]
+		if len(control.Faults) > 0 && control.Control == "text" {
+			control.Value = values.Get(control.Name)
+		}
+	}
+}
+
 // faultsOf returns the faults of a field and of the entries below it.
 func faultsOf(faults []classifier.Fault, path string) []classifier.Fault {
 	found := []classifier.Fault{}
--- a/presenter/presenter_test.go
+++ b/presenter/presenter_test.go
@@ -232,6 +232,8 @@
 	status, page := desk.post("/console/review", values)
 	require.Equal(t, http.StatusUnprocessableEntity, status)
 	require.Regexp(t, `(?s)name="MaxWait"[^>]*>\s*<p class="fault">“soon”: give a duration`, page)
+	require.Contains(t, page, `name="MaxWait" value="soon"`, "what was typed is lost")
+	require.Regexp(t, `(?s)name="Reserve"[^>]*>\s*<p class="fault">“2”: give a share from 0 to 1`, page, "not every fault at once")
 
 	values.Set("MaxWait", "1s")
 	_, page = desk.post("/console/review", values)
