--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -88,10 +88,6 @@
 // Take brings a value of the key-value service into force if its revision is
 // higher.
 func (publisher *Publisher) Take(revision keeper.Revision, value []byte) (bool, error) {
-	if revision <= publisher.Current().Revision {
-		return false, nil
-	}
-
 	record, err := editor.DecodeRecord(value)
 	if err != nil {
 		return false, errors.Annotatef(err, "document of revision %d", revision)
@@ -108,10 +104,6 @@
 // takePacked brings a document from a peer into force if its revision is
 // higher.
 func (publisher *Publisher) takePacked(revision keeper.Revision, packed []byte) error {
-	if revision <= publisher.Current().Revision {
-		return nil
-	}
-
 	document, err := unpack(packed)
 	if err != nil {
 		return errors.Annotatef(err, "document of revision %d from a peer", revision)
