Cut two regions from each other for an hour

Change: a simulated cut between the halves of eight data centres, the key-value service in one of them, a change meanwhile. Proof: without pulls and with watches that are not abandoned the test fails (one minute passed without the change at the far side).

--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -57,6 +57,8 @@
 	messages  atomic.Int64
 	bytes     atomic.Int64
 	documents atomic.Int64
+	// cut parts the two regions; the key-value service is in the near one.
+	cut atomic.Bool
 }
 
 // countingStore counts every call that was tried.
@@ -98,7 +100,7 @@
 		common.DataCentre = member.instance.DataCentre
 
 		fleet.mutex.Lock()
-		member.publisher = publisher.NewPublisher(common, fleet.store, publisher.WithPeers(fleet, link{fleet, member}))
+		member.publisher = publisher.NewPublisher(common, regionStore{fleet.store, fleet, member}, publisher.WithPeers(fleet, link{fleet, member}))
 		member.documents = publisher.NewDocuments(member.publisher)
 		member.stop = stop
 		member.highest = 0
@@ -173,7 +175,8 @@
 		delay = time.Millisecond + rand.N(farDelay)
 	}
 
-	if link.from.silent.Load() || target.silent.Load() {
+	apart := link.fleet.cut.Load() && link.from.far() != target.far()
+	if apart || link.from.silent.Load() || target.silent.Load() {
 		delay = time.Hour
 	}
 
