--- a/cmd/surveyor/main.go
+++ b/cmd/surveyor/main.go
@@ -6,14 +6,33 @@
 	"os"
 	"slices"
 
+	"github.com/juju/errors"
+
 	"limpetrail/surveyor"
 )
 
 func main() {
-	for _, survey := range slices.Concat(surveyor.Fleet(), surveyor.Streams()) {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "surveyor:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	if err := surveyor.PrintMessages(os.Stdout); err != nil {
+		return errors.Trace(err)
+	}
+
+	processes, err := surveyor.Processes()
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	for _, survey := range slices.Concat(surveyor.Fleet(), surveyor.Streams(), processes) {
 		if err := survey.Run(os.Stdout); err != nil {
-			fmt.Fprintln(os.Stderr, "surveyor:", err)
-			os.Exit(1)
+			return errors.Trace(err)
 		}
 	}
+
+	return nil
 }
--- a/surveyor/fleet.go
+++ b/surveyor/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http/httptest"
 	"runtime"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -16,6 +17,7 @@
 	"limpetrail/publisher"
 	"limpetrail/recorder"
 	"limpetrail/router"
+	"limpetrail/scheduler"
 )
 
 // fleetSizes are replicas or instances, up to twice the target.
@@ -28,6 +30,7 @@
 	documentsMeasured = 20
 	eventsMeasured    = 200000
 	listsMeasured     = 20
+	indexesMeasured   = 20
 )
 
 // Fleet returns the surveys of what every process knows about the fleet.
@@ -39,6 +42,7 @@
 		{Name: "instance list, changed", Per: "instance", Sizes: fleetSizes, Measure: listRead(true)},
 		{Name: "instance list, unchanged", Per: "instance", Sizes: fleetSizes, Measure: listRead(false)},
 		{Name: "document, taken in", Per: "workspace", Sizes: []int{100, 400, 800, 1600}, Measure: documentTaken},
+		{Name: "jobs, one index record", Per: "listed job", Sizes: []int{100, 400, 1600, 3200}, Measure: jobIndex},
 		{Name: "time line, ring of events", Per: "event", Sizes: []int{1000, 4000, 8000}, Measure: events},
 	}
 }
@@ -221,3 +225,36 @@
 
 	return Cost{Processor: processor, Bytes: after - before}, nil
 }
+
+// jobIndex is one rewriting of an index record: decoded, one entry replaced,
+// encoded again.
+func jobIndex(size int) (Cost, error) {
+	index := scheduler.Index{Writer: "entry-00001"}
+
+	for number := range size {
+		index.Jobs = append(index.Jobs, scheduler.IndexEntry{
+			ID:    fmt.Sprintf("job-%032x", number),
+			Firm:  "kilimanjaro",
+			Mark:  fmt.Sprintf("%016x", number),
+			Ended: time.Date(2026, time.December, 4, 6, 0, 0, number, time.UTC),
+		})
+	}
+
+	value, err := json.Marshal(index)
+	if err != nil {
+		return Cost{}, errors.Trace(err)
+	}
+
+	processor := repeated(indexesMeasured, func() {
+		read := scheduler.Index{}
+		if decodeErr := json.Unmarshal(value, &read); decodeErr != nil {
+			err = decodeErr
+		}
+
+		if _, encodeErr := json.Marshal(read.With(read.Jobs[size/2])); encodeErr != nil {
+			err = encodeErr
+		}
+	})
+
+	return Cost{Processor: processor, Bytes: float64(len(value))}, errors.Trace(err)
+}
--- a/surveyor/survey.go
+++ b/surveyor/survey.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 )
 
-// repeats is how often each survey is run, for the spread.
+// repeats is how often a survey is run by default, for the spread.
 const repeats = 5
 
 // Cost is what one size of a survey took.
@@ -30,6 +30,8 @@
 	// Per names the size that grows, for example "replica".
 	Per   string
 	Sizes []int
+	// Repeats is how often the survey is run; 0 for five times.
+	Repeats int
 	// Measure returns the cost of one size. The work behind it is bounded.
 	Measure func(size int) (Cost, error)
 }
@@ -52,7 +54,12 @@
 func (survey Survey) Run(out io.Writer) error {
 	processor, bytes := [][]float64{}, [][]float64{}
 
-	for range repeats {
+	rounds := survey.Repeats
+	if rounds == 0 {
+		rounds = repeats
+	}
+
+	for range rounds {
 		times, heaps := []float64{}, []float64{}
 
 		for _, size := range survey.Sizes {
