--- a/planner/planner.go
+++ b/planner/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -101,18 +102,24 @@
 	}
 }
 
-// renew takes and keeps the lease.
+// renew takes and keeps the lease. Entries without it ask rarely, each at a
+// time of its own: with many of them one asks soon after the lease has ended.
 func (planner *Planner) renew(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := time.Now()
+		pause := planner.Settings.Lease / renewalsALease
 
 		lease, err := planner.Store.Acquire(ctx, LeaseKey, planner.Instance, planner.Settings.Lease)
-		if err == nil && lease.Granted {
+
+		switch {
+		case err == nil && lease.Granted:
 			planner.hold(lease.Fence, asked.Add(planner.Settings.Lease))
+		case err == nil:
+			pause = planner.Settings.Standby/2 + rand.N(planner.Settings.Standby)
 		}
 
 		select {
-		case <-time.After(planner.Settings.Lease / renewalsALease):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
