--- a/app/jobs.go
+++ b/app/jobs.go
@@ -41,8 +41,8 @@
 	return found
 }
 
-func newScheduler(common kernel.Common, ledger *scheduler.Ledger, archive *archiver.Archive, peers *locator.Peers) *scheduler.Scheduler {
-	return scheduler.NewScheduler(common, ledger, archive, scheduler.WithRank(peers.Rank))
+func newScheduler(common kernel.Common, settings loader.Entry, ledger *scheduler.Ledger, archive *archiver.Archive, peers *locator.Peers) *scheduler.Scheduler {
+	return scheduler.NewScheduler(common, ledger, archive, scheduler.WithSettings(settings.Jobs), scheduler.WithRank(peers.Rank))
 }
 
 func newJanitor(jobs *scheduler.Scheduler, archive *archiver.Archive) *scheduler.Janitor {
@@ -64,7 +64,7 @@
 	}
 	room := func() int { return admission.Report().BatchRoom }
 
-	return puller.NewPuller(common, settings.BackendServer.Service, runs, client, entries, room, puller.WithHealth(func(ctx context.Context) bool {
+	return puller.NewPuller(common, settings.BackendServer.Service, runs, client, entries, room, puller.WithSettings(settings.Batch), puller.WithHealth(func(ctx context.Context) bool {
 		if runs.Engine == nil {
 			return true
 		}
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	schedulerScheduler := newScheduler(common, ledger, archive, peers)
+	schedulerScheduler := newScheduler(common, settings, ledger, archive, peers)
 	server := scheduler.NewServer(schedulerScheduler)
 	broadcast := submitter.NewBroadcast(server, peers, dialer)
 	submitterSubmitter := newSubmitter(common, ledger, archive, publisherPublisher, broadcast)
--- a/cmd/surveyor/main.go
+++ b/cmd/surveyor/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"slices"
@@ -23,7 +24,7 @@
 		return errors.Trace(err)
 	}
 
-	processes, err := surveyor.Processes()
+	processes, err := surveyor.Processes(context.Background())
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/loader/load.go
+++ b/loader/load.go
@@ -100,6 +100,9 @@
 	case *int:
 		remedy = "write a whole number above 0"
 		*value, err = strconv.Atoi(text)
+	case *int64:
+		remedy = "write a whole number above 0"
+		*value, err = strconv.ParseInt(text, 10, 64)
 	case *float64:
 		remedy = "write a number above 0"
 		*value, err = strconv.ParseFloat(text, 64)
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -1,8 +1,10 @@
 package loader_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
@@ -70,3 +72,38 @@
 		})
 	}
 }
+
+// writeAll writes every key of the settings with the value it has.
+func writeAll(settings any) string {
+	text := ""
+	value := reflect.ValueOf(settings)
+
+	for section := range value.NumField() {
+		text += "[" + value.Type().Field(section).Name + "]\n"
+
+		for key := range value.Field(section).NumField() {
+			shown := fmt.Sprint(value.Field(section).Field(key).Interface())
+			if shown == "" {
+				shown = "x"
+			}
+
+			text += value.Field(section).Type().Field(key).Name + " = " + shown + "\n"
+		}
+	}
+
+	return text
+}
+
+func TestEveryKeyCanBeSet(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+
+	entry := loader.DefaultEntry()
+	require.NoError(t, os.WriteFile(path, []byte(writeAll(entry)), 0o600))
+	require.NoError(t, loader.Load(path, &entry))
+	require.Equal(t, "x", entry.Instance.Name)
+
+	sidecar := loader.DefaultSidecar()
+	require.NoError(t, os.WriteFile(path, []byte(writeAll(sidecar)), 0o600))
+	require.NoError(t, loader.Load(path, &sidecar))
+	require.Equal(t, "x", sidecar.BackendServer.Service)
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -7,6 +7,8 @@
 	"limpetrail/executor"
 	"limpetrail/keeper"
 	"limpetrail/planner"
+	"limpetrail/puller"
+	"limpetrail/scheduler"
 )
 
 // Entry is the settings of an entry: each field is a section of the INI file,
@@ -20,6 +22,7 @@
 	Calls    keeper.Settings
 	Dispatch dispatcher.Settings
 	Plan     planner.Settings
+	Jobs     scheduler.Settings
 	Data     Data
 	Log      Log
 }
@@ -34,6 +37,7 @@
 	// Calls bounds the use of the key-value service.
 	Calls   keeper.Settings
 	Execute executor.Settings
+	Batch   puller.Settings
 	Log     Log
 }
 
@@ -116,6 +120,7 @@
 		Calls:     keeper.DefaultSettings(),
 		Dispatch:  dispatcher.DefaultSettings(),
 		Plan:      planner.DefaultSettings(),
+		Jobs:      scheduler.DefaultSettings(),
 		Data:      Data{Copies: 2},
 		Log:       Log{Level: "info"},
 	}
@@ -130,6 +135,7 @@
 		BackendServer: BackendServer{Kind: "Engine", Adapter: "http", Places: defaultPlaces},
 		Calls:         keeper.DefaultSettings(),
 		Execute:       executor.DefaultSettings(),
+		Batch:         puller.DefaultSettings(),
 		Log:           Log{Level: "info"},
 	}
 }
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -73,7 +73,9 @@
 	stop  context.CancelFunc
 	// cancelled tells whether the item was stopped here.
 	cancelled bool
-	launched  bool
+	// returned tells whether the item was given back unfinished.
+	returned bool
+	launched bool
 	// result is nil while the item runs.
 	result *messenger.ItemResult
 	// finished is when the result came.
@@ -123,8 +125,8 @@
 	return puller
 }
 
-// Run fetches and runs items until the context ends, then lets the running
-// ones finish and reports them.
+// Run fetches and runs items until the context ends. Then it gives idempotent
+// items back, lets the others finish, and reports them all.
 func (puller *Puller) Run(ctx context.Context) {
 	work := context.WithoutCancel(ctx)
 	reports := sync.WaitGroup{}
@@ -140,6 +142,7 @@
 		puller.sleep(ctx)
 	}
 
+	puller.giveBack()
 	puller.items.Wait()
 	puller.giveUpAlone()
 	stop()
@@ -156,6 +159,20 @@
 	}
 }
 
+// giveBack stops the items that may run again elsewhere, so that a leaving
+// backend server waits for no batch work that it need not finish.
+func (puller *Puller) giveBack() {
+	puller.mutex.Lock()
+	defer puller.mutex.Unlock()
+
+	for _, work := range puller.works {
+		if work.launched && work.result == nil && work.item.GetRequest().GetIdempotent() {
+			work.returned = true
+			work.stop()
+		}
+	}
+}
+
 // giveUpAlone forgets an item that has not started; its lease runs out.
 func (puller *Puller) giveUpAlone() {
 	puller.mutex.Lock()
@@ -332,77 +349,3 @@
 		puller.finish(work, answer)
 	})
 }
-
-// finish notes the result of an item.
-func (puller *Puller) finish(work *work, answer executor.Answer) {
-	puller.mutex.Lock()
-	defer puller.mutex.Unlock()
-
-	puller.running--
-	work.result = puller.result(work, answer)
-	work.finished = time.Now()
-
-	if puller.alone == work {
-		puller.alone = nil
-	}
-
-	select {
-	case puller.wake <- struct{}{}:
-	default:
-	}
-}
-
-// result builds the report of an answer, with the mutex held.
-func (puller *Puller) result(work *work, answer executor.Answer) *messenger.ItemResult {
-	result := &messenger.ItemResult{
-		JobId:        work.key.jobID,
-		Index:        work.key.index,
-		Fate:         answer.End.GetFate(),
-		Status:       answer.End.GetStatus(),
-		Reason:       answer.End.GetReason(),
-		FinishReason: answer.End.GetFinishReason(),
-		PromptTokens: answer.End.GetPromptTokens(),
-		Tokens:       uint32(answer.Tokens),
-		Alone:        work.item.GetAlone(),
-		Confirmed:    puller.healthy,
-	}
-
-	switch answer.End.GetFate() {
-	case messenger.Fate_FATE_ANSWERED:
-		puller.healthy = true
-		puller.breaks = 0
-		result.Body = answer.Body
-	case messenger.Fate_FATE_NOT_RUN:
-		if answer.End.GetUnreached() {
-			puller.broke()
-		}
-	default:
-		// A backend server that refuses an item is well.
-		if result.GetStatus() == 0 && !work.cancelled {
-			puller.broke()
-		}
-	}
-
-	if len(result.GetBody()) > puller.Settings.MaxResultBytes {
-		result.Body = nil
-		result.Reason = "the answer is larger than a result may be"
-		result.Status = 0
-	}
-
-	return result
-}
-
-// broke pauses after a break of the backend server, with the mutex held. Items
-// that ended in the same break count once.
-func (puller *Puller) broke() {
-	puller.healthy = false
-
-	now := time.Now()
-	if now.Before(puller.brokenUntil) {
-		return
-	}
-
-	pause := min(puller.Settings.BreakFirst<<min(puller.breaks, 10), puller.Settings.BreakMost)
-	puller.breaks++
-	puller.brokenUntil = now.Add(pause)
-}
--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -21,6 +21,8 @@
 	mutex sync.Mutex
 	// windows are handed out one after the other, by entry.
 	windows map[string][][]*messenger.Item
+	// fates counts the results by fate.
+	fates map[messenger.Fate]int
 	// taken counts the results by entry; unknown names the entries that own
 	// nothing, down those that don't answer.
 	taken         map[string]int
@@ -53,6 +55,9 @@
 	}
 
 	entries.taken[entry.Name] += len(request.GetResults())
+	for _, result := range request.GetResults() {
+		entries.fates[result.GetFate()]++
+	}
 
 	return &messenger.CompleteReply{}, nil
 }
@@ -99,7 +104,7 @@
 func start(t *testing.T, jobs *entries) *runner {
 	t.Helper()
 
-	jobs.taken = map[string]int{}
+	jobs.taken, jobs.fates = map[string]int{}, map[messenger.Fate]int{}
 	running := &runner{running: map[string]bool{}, beside: map[string]int{}}
 	list := func() []puller.Entry { return []puller.Entry{{Name: "entry-1"}, {Name: "entry-2"}} }
 	fetcher := puller.NewPuller(kernel.Discard("sidecar-1"), "briefing", running, jobs, list, func() int { return 8 })
@@ -140,3 +145,65 @@
 		})
 	}
 }
+
+// longRunner runs each item until it is stopped, or for an hour.
+type longRunner struct{}
+
+func (longRunner) Do(ctx context.Context, request *messenger.ExecuteRequest) executor.Answer {
+	// As the executor does, only an idempotent item ends with its context.
+	if !request.GetIdempotent() {
+		ctx = context.WithoutCancel(ctx)
+	}
+
+	select {
+	case <-time.After(time.Hour):
+		return executor.Answer{End: &messenger.Frame{Fate: messenger.Fate_FATE_ANSWERED}}
+	case <-ctx.Done():
+		return executor.Answer{End: &messenger.Frame{Fate: messenger.Fate_FATE_MAY_HAVE_RUN}}
+	}
+}
+
+func TestLeavingGivesIdempotentItemsBackAtOnce(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		idempotent bool
+		fate       messenger.Fate
+		takes      time.Duration
+	}{
+		"idempotent items are given back": {idempotent: true, fate: messenger.Fate_FATE_QUEUED, takes: time.Second},
+		"the others finish":               {fate: messenger.Fate_FATE_ANSWERED, takes: time.Hour + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				window := items(0, 4, false)
+				for _, item := range window {
+					item.Request.Idempotent = scenario.idempotent
+				}
+
+				jobs := &entries{
+					windows: map[string][][]*messenger.Item{"entry-1": {window}},
+					taken:   map[string]int{},
+					fates:   map[messenger.Fate]int{},
+				}
+				list := func() []puller.Entry { return []puller.Entry{{Name: "entry-1"}} }
+				fetcher := puller.NewPuller(kernel.Discard("sidecar-1"), "briefing", longRunner{}, jobs, list, func() int { return 8 })
+				ctx, leave := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+
+				go func() {
+					fetcher.Run(ctx)
+					close(ended)
+				}()
+
+				time.Sleep(10 * time.Second)
+
+				left := time.Now()
+
+				leave()
+				<-ended
+
+				require.LessOrEqual(t, time.Since(left), scenario.takes)
+				require.Equal(t, map[messenger.Fate]int{scenario.fate: 4}, jobs.fates)
+			})
+		})
+	}
+}
--- a/puller/settings.go
+++ b/puller/settings.go
@@ -8,10 +8,11 @@
 	Interval time.Duration
 	// MaxRunning bounds the items at this sidecar.
 	MaxRunning int
-	// BackoffFirst and BackoffMost bound the time before an entry that had no
-	// items is asked again.
+	// BackoffFirst is the first pause before an entry that had no items is
+	// asked again; it doubles.
 	BackoffFirst time.Duration
-	BackoffMost  time.Duration
+	// BackoffMost is the longest such pause.
+	BackoffMost time.Duration
 	// CallLimit bounds one call of an entry.
 	CallLimit time.Duration
 	// ReportInterval is how long results wait for others to travel with.
@@ -20,9 +21,10 @@
 	Heartbeat time.Duration
 	// Keep is how long a result that no entry takes is kept.
 	Keep time.Duration
-	// BreakFirst and BreakMost bound the pause after the engine broke.
+	// BreakFirst is the first pause after the engine broke; it doubles.
 	BreakFirst time.Duration
-	BreakMost  time.Duration
+	// BreakMost is the longest such pause.
+	BreakMost time.Duration
 	// MaxResultBytes bounds one result.
 	MaxResultBytes int
 }
--- a/scheduler/settings.go
+++ b/scheduler/settings.go
@@ -10,13 +10,16 @@
 	Renew time.Duration
 	// CallLimit bounds one call of the key-value service.
 	CallLimit time.Duration
-	// CommitItems results are committed at once; CommitLeast once the oldest
-	// is CommitInterval old; fewer once it is CommitMost old. A slow job thus
-	// costs few calls for each item too.
-	CommitItems    int
-	CommitLeast    int
+	// CommitItems is how many results are committed at once.
+	CommitItems int
+	// CommitLeast is how many results are committed once the oldest is
+	// CommitInterval old.
+	CommitLeast int
+	// CommitInterval is the age at which CommitLeast results are committed.
 	CommitInterval time.Duration
-	CommitMost     time.Duration
+	// CommitMost is the age at which any result is committed, so that a slow
+	// job costs few calls for each item too.
+	CommitMost time.Duration
 	// BufferItems bounds the results that wait for a commit in an outage.
 	BufferItems int
 	// InlineBytes is the size of results kept in the record itself.
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -266,3 +266,24 @@
 		require.Equal(t, "second", string(results[0].Body))
 	})
 }
+
+func TestItemsThatALeavingSidecarGivesBackRunElsewhereAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t)
+		owner := world.start("entry-1")
+		world.submit("school", 4, nil)
+
+		items := owner.pull("sidecar-1", 4)
+		require.Len(t, items, 4)
+
+		_, err := owner.complete("sidecar-1", messenger.Fate_FATE_QUEUED, "", items...)
+		require.NoError(t, err)
+
+		again := owner.pull("sidecar-2", 4)
+		require.Len(t, again, 4)
+
+		for _, item := range again {
+			require.False(t, item.GetAlone(), "leaving speaks against no item")
+		}
+	})
+}
--- a/surveyor/processes.go
+++ b/surveyor/processes.go
@@ -37,13 +37,13 @@
 // Processes returns the surveys of an entry and a sidecar that serve nothing,
 // as processes built from this module. The listed instances all have the
 // address of the one real sidecar or entry, which answers for them.
-func Processes() ([]Survey, error) {
+func Processes(ctx context.Context) ([]Survey, error) {
 	folder, err := os.MkdirTemp("", "limpetrail-survey-")
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 
-	build := exec.Command("go", "build", "-o", folder, "limpetrail/cmd/limpetrail", "limpetrail/cmd/standin")
+	build := exec.CommandContext(ctx, "go", "build", "-o", folder, "limpetrail/cmd/limpetrail", "limpetrail/cmd/standin")
 	build.Stderr = os.Stderr
 
 	if err := build.Run(); err != nil {
@@ -56,7 +56,7 @@
 	measure := func(role string) func(int) (Cost, error) {
 		return func(size int) (Cost, error) {
 			if _, done := measured[role][size]; !done {
-				costs, err := idleProcesses(folder, size)
+				costs, err := idleProcesses(ctx, folder, size)
 				if err != nil {
 					return Cost{}, errors.Trace(err)
 				}
@@ -85,8 +85,8 @@
 
 // idleProcesses returns the processor time of one second and the resident
 // memory of an entry and a sidecar in a fleet of that many listed instances.
-func idleProcesses(folder string, size int) (map[string]Cost, error) {
-	ctx, stop := context.WithCancel(context.Background())
+func idleProcesses(ctx context.Context, folder string, size int) (map[string]Cost, error) {
+	ctx, stop := context.WithCancel(ctx)
 	site := &site{folder: folder, context: ctx, processes: map[string]*exec.Cmd{}}
 
 	defer site.wait()
@@ -144,7 +144,7 @@
 		return errors.Trace(err)
 	}
 
-	ports, err := freeAddresses(4)
+	ports, err := freeAddresses(site.context, 4)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -273,11 +273,11 @@
 }
 
 // freeAddresses returns loopback addresses that nobody listens on now.
-func freeAddresses(count int) ([]string, error) {
+func freeAddresses(ctx context.Context, count int) ([]string, error) {
 	addresses := []string{}
 
 	for range count {
-		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/verifier/fleet_test.go
+++ b/verifier/fleet_test.go
@@ -143,6 +143,8 @@
 Address = %s
 [Instances]
 Address = %s
+[Batch]
+Heartbeat = 1s
 [BackendServer]
 Kind = %s
 Address = %s
@@ -170,6 +172,13 @@
 Address = %s
 [Instances]
 Address = %s
+[Jobs]
+Lease = 6s
+Renew = 2s
+ItemLease = 6s
+StartedGrace = 10s
+CommitInterval = 1s
+CommitMost = 2s
 `, name, address, peers, fleet.balancerLag, fleet.addresses["kv"], fleet.addresses["instances"]))
 	fleet.addresses[name] = address
 	fleet.instances = append(fleet.instances, locator.Instance{Name: name, Address: peers, DataCentre: "dc1", Entry: true})
