--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,6 +26,7 @@
 	application.Command("engine", "Model engine with continuous batching.")
 	application.Command("service", "Plain service.")
 	application.Command("instances", "List of instances.")
+	application.Command("weights", "Rate-limited weight store.")
 
 	chosen := kingpin.MustParse(application.Parse(os.Args[1:]))
 
@@ -71,6 +72,8 @@
 		return emulator.NewEngineHandler(engine)
 	case "service":
 		return emulator.NewService()
+	case "weights":
+		return emulator.NewWeights()
 	default:
 		return emulator.NewInstances()
 	}
--- /dev/null
+++ b/emulator/weights_test.go
@@ -0,0 +1,34 @@
+package emulator_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/emulator"
+)
+
+func TestWeightsAreRateLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		weights := emulator.NewWeights()
+		get := func() *httptest.ResponseRecorder {
+			answer := httptest.NewRecorder()
+			weights.ServeHTTP(answer, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/weights/forecast-v1", nil))
+
+			return answer
+		}
+
+		require.Equal(t, http.StatusOK, get().Code)
+
+		refused := get()
+		require.Equal(t, http.StatusTooManyRequests, refused.Code)
+		require.Equal(t, "2", refused.Header().Get("Retry-After"))
+
+		time.Sleep(2 * time.Second)
+		require.Equal(t, http.StatusOK, get().Code)
+	})
+}
