--- /dev/null
+++ b/app/gateway.go
@@ -0,0 +1,301 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/exchanger"
+	"limpetrail/follower"
+	"limpetrail/gossiper"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/loader"
+	"limpetrail/matcher"
+	"limpetrail/meter"
+	"limpetrail/placer"
+	"limpetrail/platform"
+	"limpetrail/registrar"
+)
+
+const (
+	// checkInterval is how often suspect backend servers are checked.
+	checkInterval = 400 * time.Millisecond
+	// trimInterval is how often idle connections are looked through.
+	trimInterval = 5 * time.Second
+	// maxHeaderBytes is above what any document allows.
+	maxHeaderBytes = 64 << 10
+	// callerIdle is above the idle time of any document; see the document's limits.
+	callerIdle = 2 * time.Minute
+	// stopMargin is left of the grace at a planned stop, for the last log lines.
+	stopMargin = 500 * time.Millisecond
+	// memoryShare of the limit is where the collector starts to work harder.
+	memoryShare = 0.7
+)
+
+// Gateway is an entry that reaches backend servers itself.
+type Gateway struct {
+	kernel.Common
+	Settings      loader.Gateway
+	Listen        Listen
+	Meter         *meter.Meter
+	Client        *keeper.CatalogClient
+	Configuration *matcher.Current
+	Placer        *placer.Placer
+	Gossiper      *gossiper.Gossiper
+	Registrar     *registrar.Registrar
+	Exchanger     *exchanger.Exchanger
+	Backend       *platform.Backend
+	Handler       *platform.Handler
+
+	// Reread returns the settings as the file has them now.
+	Reread func() (loader.Gateway, error)
+
+	leaving atomic.Bool
+	// complained holds the revisions of entries that were logged as unreadable.
+	complained map[string]keeper.Revision
+}
+
+// Run serves until the context ends, then lets running requests finish.
+func (gateway *Gateway) Run(ctx context.Context) error {
+	if limit := gateway.Settings.Memory.Megabytes; limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit<<20)))
+	}
+
+	gateway.complained = map[string]keeper.Revision{}
+
+	callers, err := gateway.Listen.callers(ctx, gateway.Settings.Listen.Callers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	ready, err := gateway.Listen.callers(ctx, gateway.Settings.Listen.Ready)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	operations, err := gateway.Listen.callers(ctx, gateway.Settings.Listen.Operations)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	// What requests need goes on while they finish.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	duties := sync.WaitGroup{}
+	gateway.startDuties(ctx, serving, &duties)
+
+	server := &http.Server{
+		Handler:           gateway.farewell(gateway.Handler),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	served := make(chan error, 3)
+
+	go func() { served <- server.Serve(callers) }()
+	go func() { served <- gateway.serve(serving, ready, http.HandlerFunc(gateway.ready)) }()
+	go func() { served <- gateway.serve(serving, operations, gateway.operations()) }()
+
+	gateway.Log.WithFields(logrus.Fields{"Callers": callers.Addr(), "Operations": operations.Addr()}).Info("Serving.")
+
+	select {
+	case err := <-served:
+		return errors.Annotate(err, "serving")
+	case <-ctx.Done():
+	}
+
+	err = gateway.stop(server)
+
+	duties.Wait()
+
+	return err
+}
+
+// stop takes the process out of the balancer, lets running requests finish and
+// ends within the grace.
+func (gateway *Gateway) stop(server *http.Server) error {
+	gateway.Log.WithField("Grace", gateway.Settings.Stop.Grace).Info("Stopping.")
+	gateway.leaving.Store(true)
+
+	ctx, cancel := context.WithTimeout(context.Background(), gateway.Settings.Stop.Grace-stopMargin)
+	defer cancel()
+
+	rest(ctx, gateway.Settings.Stop.BalancerLag)
+
+	err := server.Shutdown(ctx)
+	gateway.Log.WithField("Error", err).Info("Stopped.")
+
+	return nil
+}
+
+// startDuties starts what goes on beside requests. Batch work and registration
+// end with the signal, the rest with the process.
+func (gateway *Gateway) startDuties(ctx, serving context.Context, duties *sync.WaitGroup) {
+	duties.Go(func() { gateway.Registrar.Run(ctx) })
+
+	followers := []*follower.Follower{
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators(serving)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, follower.WithHold()),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers),
+	}
+	for _, follower := range followers {
+		go follower.Run(serving)
+	}
+
+	go func() {
+		if err := gateway.Gossiper.Run(serving); err != nil {
+			gateway.Log.WithError(err).Error("Other entries do not hear from this one.")
+		}
+	}()
+	go reloadOnHangup(serving, gateway.Log.Logger, func() (loader.Log, error) {
+		settings, err := gateway.Reread()
+
+		return settings.Log, err
+	})
+	go gateway.check(serving)
+	go gateway.trim(serving)
+}
+
+// applyOperators takes in what operators wrote.
+func (gateway *Gateway) applyOperators(ctx context.Context) func(follower.Copy) {
+	return func(copied follower.Copy) {
+		if item, found := copied[platform.KeyConfiguration]; found {
+			document, err := platform.DecodeDocument(item.Value)
+			if err != nil {
+				gateway.complain(item, err)
+			} else {
+				gateway.Configuration.Apply(document)
+			}
+		}
+
+		for _, name := range platform.Retirements(copied) {
+			gateway.retire(ctx, name)
+		}
+	}
+}
+
+// retire answers the wish to empty an instance with a disk: it holds nothing.
+func (gateway *Gateway) retire(ctx context.Context, name string) {
+	transaction, err := platform.Retired(name)
+	if err == nil {
+		_, err = gateway.Client.Transact(ctx, transaction)
+	}
+
+	gateway.Log.WithFields(logrus.Fields{"Name": name, "Error": err}).Info("Instance may be taken away; it holds nothing.")
+}
+
+func (gateway *Gateway) applyServers(copied follower.Copy) {
+	servers := []placer.Server{}
+
+	for id, item := range copied {
+		server, err := platform.DecodeServer(id, item.Value)
+		if err != nil {
+			gateway.complain(item, err)
+
+			continue
+		}
+
+		servers = append(servers, server)
+	}
+
+	gateway.Placer.Update(servers)
+}
+
+func (gateway *Gateway) applyMembers(copied follower.Copy) {
+	members, err := registrar.Decode(copied)
+	if err != nil {
+		gateway.Log.WithError(err).Warn("Entry of a member cannot be read.")
+	}
+
+	places, addresses := map[string]string{}, map[string]string{}
+
+	for name, member := range members {
+		if name != gateway.Instance {
+			places[name], addresses[name] = member.DataCentre, member.Address
+		}
+	}
+
+	gateway.Log.WithField("Members", len(members)).Info("Members are known.")
+	gateway.Placer.SetPeers(places)
+	gateway.Gossiper.SetPeers(addresses)
+	gateway.Registrar.Notice(members)
+}
+
+// complain logs an unreadable item once for each of its revisions.
+func (gateway *Gateway) complain(item keeper.Item, err error) {
+	if gateway.complained[item.Key] != item.Revision {
+		gateway.complained[item.Key] = item.Revision
+		gateway.Log.WithFields(logrus.Fields{"Key": item.Key, "Revision": item.Revision}).WithError(err).Warn("Item cannot be read and is passed over.")
+	}
+}
+
+// check asks suspect backend servers whether they are back.
+func (gateway *Gateway) check(ctx context.Context) {
+	for rest(ctx, checkInterval) {
+		for _, server := range gateway.Placer.Suspects() {
+			document := gateway.Configuration.Document()
+			if document != nil && gateway.Backend.Check(ctx, server, document.Services[server.Service].HealthPath) {
+				gateway.Placer.Pass(server)
+			}
+		}
+	}
+}
+
+func (gateway *Gateway) trim(ctx context.Context) {
+	for rest(ctx, trimInterval) {
+		gateway.Exchanger.Trim()
+	}
+}
+
+// ready tells the balancer whether to send callers here.
+func (gateway *Gateway) ready(writer http.ResponseWriter, _ *http.Request) {
+	if gateway.leaving.Load() || gateway.Configuration.Document() == nil || !gateway.Placer.Knows() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (gateway *Gateway) operations() http.Handler {
+	mux := http.NewServeMux()
+	gateway.Meter.Register(mux)
+
+	return mux
+}
+
+func (gateway *Gateway) serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+
+	defer stop()
+
+	return errors.Trace(server.Serve(listener))
+}
+
+// farewell asks callers to close their connections while the process leaves.
+func (gateway *Gateway) farewell(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if gateway.leaving.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// rest waits, and tells whether the context is still alive.
+func rest(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-time.After(duration):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/app/gateway_providers.go
@@ -0,0 +1,86 @@
+package app
+
+import (
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/exchanger"
+	"limpetrail/forwarder"
+	"limpetrail/gossiper"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/loader"
+	"limpetrail/matcher"
+	"limpetrail/meter"
+	"limpetrail/placer"
+	"limpetrail/platform"
+	"limpetrail/registrar"
+)
+
+func newGatewayMeter(settings loader.Gateway) *meter.Meter {
+	return meter.NewMeter(settings.Instance.Name, settings.Instance.DataCentre)
+}
+
+// newGatewayCommon logs to standard output, and never waits for its reader.
+func newGatewayCommon(settings loader.Gateway, metrics *meter.Meter) (kernel.Common, error) {
+	logger, err := newOutputLogger(settings.Log)
+	if err != nil {
+		return kernel.Common{}, errors.Trace(err)
+	}
+
+	return kernel.NewCommon(settings.Instance.Name, settings.Instance.DataCentre, logger, metrics.Scope), nil
+}
+
+func newOutputLogger(level loader.Log) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level.Level)
+	if err != nil {
+		return nil, errors.Annotate(err, "log level")
+	}
+
+	logger := logrus.New()
+	logger.SetOutput(kernel.NewWriter(os.Stdout))
+	logger.SetFormatter(kernel.Formatter{})
+	logger.SetLevel(parsed)
+
+	return logger, nil
+}
+
+func newCatalogClient(common kernel.Common, settings loader.Gateway) (*keeper.CatalogClient, error) {
+	factory, err := keeper.Catalogs.Find(settings.Catalog.Adapter)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	catalog, err := factory(common, settings.Catalog.Address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	return keeper.NewCatalogClient(common, catalog, settings.Calls), nil
+}
+
+func newExchanger(common kernel.Common) *exchanger.Exchanger {
+	return exchanger.NewExchanger(common)
+}
+
+func newGossiper(common kernel.Common, places *placer.Placer, settings loader.Gateway) *gossiper.Gossiper {
+	return gossiper.NewGossiper(common, places, settings.Listen.Peers)
+}
+
+// newRegistrar lists this process under an incarnation that no earlier one had.
+func newRegistrar(common kernel.Common, client *keeper.CatalogClient, settings loader.Gateway) *registrar.Registrar {
+	return registrar.NewRegistrar(common, client, registrar.Member{
+		Name:        settings.Instance.Name,
+		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		Address:     settings.Listen.Peers,
+		DataCentre:  settings.Instance.DataCentre,
+	})
+}
+
+func newGatewayHandler(configuration *matcher.Current, calls *forwarder.Forwarder) *platform.Handler {
+	return platform.NewHandler(configuration, calls.Forward, &platform.JobHandler{})
+}
--- a/app/wire.go
+++ b/app/wire.go
@@ -9,10 +9,14 @@
 
 	"limpetrail/admitter"
 	"limpetrail/archiver"
+	"limpetrail/forwarder"
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/locator"
+	"limpetrail/matcher"
 	"limpetrail/observer"
+	"limpetrail/placer"
+	"limpetrail/platform"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/puller"
@@ -85,3 +89,23 @@
 		wire.Struct(new(Sidecar), "*"),
 	))
 }
+
+// NewGateway wires a gateway from its settings.
+func NewGateway(settings loader.Gateway) (*Gateway, error) {
+	panic(wire.Build(
+		NewListen,
+		newGatewayMeter,
+		newGatewayCommon,
+		newCatalogClient,
+		matcher.NewCurrent,
+		placer.NewPlacer,
+		newGossiper,
+		newRegistrar,
+		newExchanger,
+		platform.NewBackend,
+		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
+		forwarder.NewForwarder,
+		newGatewayHandler,
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Exchanger", "Backend", "Handler"),
+	))
+}
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,10 +9,14 @@
 import (
 	"context"
 	"limpetrail/archiver"
+	"limpetrail/forwarder"
 	"limpetrail/handler"
 	"limpetrail/loader"
 	"limpetrail/locator"
+	"limpetrail/matcher"
 	"limpetrail/observer"
+	"limpetrail/placer"
+	"limpetrail/platform"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/puller"
@@ -131,3 +135,40 @@
 	}
 	return sidecar, nil
 }
+
+// NewGateway wires a gateway from its settings.
+func NewGateway(settings loader.Gateway) (*Gateway, error) {
+	meter := newGatewayMeter(settings)
+	common, err := newGatewayCommon(settings, meter)
+	if err != nil {
+		return nil, err
+	}
+	listen := NewListen()
+	catalogClient, err := newCatalogClient(common, settings)
+	if err != nil {
+		return nil, err
+	}
+	current := matcher.NewCurrent(common)
+	placerPlacer := placer.NewPlacer(common)
+	gossiper := newGossiper(common, placerPlacer, settings)
+	registrar := newRegistrar(common, catalogClient, settings)
+	exchanger := newExchanger(common)
+	platformBackend := platform.NewBackend(exchanger)
+	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
+	platformHandler := newGatewayHandler(current, forwarderForwarder)
+	gateway := &Gateway{
+		Common:        common,
+		Settings:      settings,
+		Listen:        listen,
+		Meter:         meter,
+		Client:        catalogClient,
+		Configuration: current,
+		Placer:        placerPlacer,
+		Gossiper:      gossiper,
+		Registrar:     registrar,
+		Exchanger:     exchanger,
+		Backend:       platformBackend,
+		Handler:       platformHandler,
+	}
+	return gateway, nil
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -42,6 +42,8 @@
 	for _, add := range []func(*kingpin.Application) command{
 		commander.entry,
 		commander.sidecar,
+		commander.gateway,
+		commander.holder,
 		commander.check,
 		commander.request,
 		commander.timeLine,
--- a/commander/roles.go
+++ b/commander/roles.go
@@ -48,3 +48,52 @@
 		return sidecar.Run(ctx)
 	}}
 }
+
+func (commander *Commander) gateway(application *kingpin.Application) command {
+	clause := application.Command("gateway", "Run an entry that reaches backend servers itself.")
+	path := clause.Flag("settings", "INI file of the gateway.").Required().String()
+
+	return command{clause: clause, run: func(ctx context.Context) error {
+		read := func() (loader.Gateway, error) {
+			settings := loader.DefaultGateway()
+			err := loader.Load(*path, &settings)
+
+			return settings, err
+		}
+
+		settings, err := read()
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		gateway, err := app.NewGateway(settings)
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		gateway.Reread = read
+
+		return gateway.Run(ctx)
+	}}
+}
+
+func (commander *Commander) holder(application *kingpin.Application) command {
+	clause := application.Command("holder", "Run the process of an instance with a disk.")
+	path := clause.Flag("settings", "INI file of the holder.").Required().String()
+
+	return command{clause: clause, run: func(ctx context.Context) error {
+		read := func() (loader.Holder, error) {
+			settings := loader.DefaultHolder()
+			err := loader.Load(*path, &settings)
+
+			return settings, err
+		}
+
+		settings, err := read()
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		return app.NewHolder(settings, read).Run(ctx)
+	}}
+}
--- /dev/null
+++ b/exchanger/answer.go
@@ -0,0 +1,126 @@
+package exchanger
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Answer is an answer whose head has arrived. It must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's, or -1 where it is not known beforehand.
+	Length int64
+	// Framed answers say where they end; others end with the connection.
+	Framed bool
+
+	exchanger *Exchanger
+	address   string
+	conn      *conn
+	context   context.Context //nolint:containedctx // It ends the reading of the body.
+	stop      func() bool
+	response  *http.Response
+	// written tells whether the whole request was sent.
+	written atomic.Bool
+	// ended tells whether the body was read to its end.
+	ended  bool
+	closed bool
+}
+
+// send writes the request and reads the head of the answer.
+func (answer *Answer) send(request Request, terms Terms) error {
+	conn := answer.conn
+	if err := conn.SetDeadline(terms.FirstBy); err != nil {
+		return errors.Trace(err)
+	}
+
+	head := request.encode()
+
+	if len(request.Body) <= inlineBody {
+		if _, err := conn.Write(append(head, request.Body...)); err != nil {
+			return errors.Annotate(err, "sending")
+		}
+
+		answer.written.Store(true)
+	} else {
+		go answer.sendLong(head, request.Body)
+	}
+
+	for {
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return errors.Annotate(err, "reading the head of an answer")
+		}
+
+		if informational(response) {
+			continue
+		}
+
+		answer.response = response
+		answer.Status, answer.Header, answer.Length = response.StatusCode, response.Header, response.ContentLength
+		answer.Framed = wholeLength(response)
+
+		return errors.Trace(conn.SetDeadline(time.Time{}))
+	}
+}
+
+// sendLong writes a long body while the answer is awaited. A failure shows in
+// the reading of the answer, or in a connection that is not used again.
+func (answer *Answer) sendLong(head, body []byte) {
+	if _, err := answer.conn.Write(head); err != nil {
+		return
+	}
+
+	if _, err := answer.conn.Write(body); err == nil {
+		answer.written.Store(true)
+	}
+}
+
+// SetDeadline bounds the reading of the body.
+func (answer *Answer) SetDeadline(deadline time.Time) {
+	// It fails on a closed connection only, and then the next read fails.
+	_ = answer.conn.SetReadDeadline(deadline)
+}
+
+// Read reads the body. It returns io.EOF only at the end of a whole body;
+// other errors are of the type Failure.
+func (answer *Answer) Read(buffer []byte) (int, error) {
+	count, err := answer.response.Body.Read(buffer)
+
+	switch {
+	case err == nil:
+		return count, nil
+	case errors.Is(err, io.EOF):
+		answer.ended = true
+
+		return count, io.EOF
+	default:
+		return count, answer.exchanger.failure(answer.context, errors.Annotate(err, "reading an answer"))
+	}
+}
+
+// Close ends the exchange. The connection is kept if both sides are done with
+// it; otherwise it is closed, which makes the server stop.
+func (answer *Answer) Close() {
+	if answer.closed {
+		return
+	}
+
+	answer.closed = true
+
+	open := answer.stop()
+	if open && answer.ended && answer.Framed && answer.written.Load() && answer.conn.rest(answer.response, time.Now()) {
+		if answer.conn.SetDeadline(time.Time{}) == nil {
+			answer.exchanger.put(answer.address, answer.conn)
+
+			return
+		}
+	}
+
+	answer.conn.Close()
+}
--- /dev/null
+++ b/exchanger/fate.go
@@ -0,0 +1,37 @@
+package exchanger
+
+// Fate is what is known of a request whose exchange failed.
+type Fate int
+
+// Fates.
+const (
+	// Unsent means that no byte of the request left.
+	Unsent Fate = iota
+	// Unanswered means that nothing came back in time.
+	Unanswered
+	// Cut means that the connection broke, or what came back was no answer.
+	Cut
+	// Left means that the caller's context ended.
+	Left
+)
+
+// String names the fate in logs.
+func (fate Fate) String() string {
+	return [...]string{"Unsent", "Unanswered", "Cut", "Left"}[fate]
+}
+
+// Failure is an exchange without an answer.
+type Failure struct {
+	Fate  Fate
+	Cause error
+}
+
+// Error implements error.
+func (failure Failure) Error() string {
+	return failure.Fate.String() + ": " + failure.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (failure Failure) Unwrap() error {
+	return failure.Cause
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,247 @@
+package follower
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+)
+
+const (
+	// watchWait is how long a watch waits for changes. A watch that has gone
+	// silent is noticed after it; each watch is a call that costs.
+	watchWait = 4 * time.Second
+	// retryPause is the mean pause after a call that failed.
+	retryPause = 250 * time.Millisecond
+	// removalHold is how long a removed key stays in the copy. Keys that lapse
+	// while the service is away are back within two seconds of its return.
+	removalHold = 1200 * time.Millisecond
+	// returnHold replaces removalHold soon after the service failed.
+	returnHold = 2 * time.Second
+	// tick is how often holds are looked at.
+	tick = 100 * time.Millisecond
+)
+
+// Copy is what lies below a prefix, by key without the prefix.
+type Copy map[string]keeper.Item
+
+// Follower keeps a copy of what lies below a prefix.
+type Follower struct {
+	kernel.Common
+	Client *keeper.CatalogClient
+	Prefix string
+	// Hold tells whether removed keys stay in the copy for a while.
+	Hold bool
+	// Pause comes before each watch, so that one answer carries more changes.
+	Pause time.Duration
+	// Apply takes each new copy. It must not be changed or kept.
+	Apply func(copied Copy)
+
+	copied Copy
+	// removed holds the keys that are gone, and when they leave the copy.
+	removed  map[string]time.Time
+	revision keeper.Revision
+	lost     bool
+}
+
+// Option changes a Follower at construction.
+type Option func(*Follower)
+
+// WithHold keeps removed keys for a while, since keys that lapsed during an
+// outage come back soon after it.
+func WithHold() Option {
+	return func(follower *Follower) { follower.Hold = true }
+}
+
+// WithPause gathers changes for that time before each watch.
+func WithPause(pause time.Duration) Option {
+	return func(follower *Follower) { follower.Pause = pause }
+}
+
+// NewFollower returns a follower that hands its copies to apply.
+func NewFollower(common kernel.Common, client *keeper.CatalogClient, prefix string, apply func(Copy), options ...Option) *Follower {
+	follower := &Follower{
+		Common:  common.ForPart("follower"),
+		Client:  client,
+		Prefix:  prefix,
+		Apply:   apply,
+		copied:  Copy{},
+		removed: map[string]time.Time{},
+	}
+	for _, option := range options {
+		option(follower)
+	}
+
+	return follower
+}
+
+// Run follows the prefix until the context ends.
+func (follower *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := follower.list(ctx); err != nil {
+			follower.lose(ctx, err)
+
+			continue
+		}
+
+		follower.regain()
+
+		for ctx.Err() == nil {
+			err := follower.watch(ctx)
+			if errors.Is(err, keeper.ErrCompacted) {
+				follower.Log.WithField("Prefix", follower.Prefix).Info("History is gone; reading anew.")
+
+				break
+			}
+
+			if err != nil {
+				follower.lose(ctx, err)
+
+				continue
+			}
+
+			follower.regain()
+		}
+	}
+}
+
+// list reads everything below the prefix. What is missing now was removed in
+// a gap of the watches.
+func (follower *Follower) list(ctx context.Context) error {
+	items, revision, err := follower.Client.RangeAll(ctx, follower.Prefix)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	present := map[string]bool{}
+
+	for _, item := range items {
+		present[item.Key[len(follower.Prefix):]] = true
+		follower.put(item)
+	}
+
+	for name := range follower.copied {
+		if !present[name] {
+			follower.remove(name)
+		}
+	}
+
+	follower.revision = revision
+	follower.hand()
+
+	return nil
+}
+
+func (follower *Follower) watch(ctx context.Context) error {
+	wait := watchWait
+	if len(follower.removed) > 0 {
+		wait = tick
+	}
+
+	if follower.Pause > 0 {
+		pause(ctx, follower.Pause)
+	}
+
+	changes, err := follower.Client.Watch(ctx, follower.Prefix, follower.revision, wait)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	for _, event := range changes.Events {
+		if event.Deleted {
+			follower.remove(event.Key[len(follower.Prefix):])
+		} else {
+			follower.put(event.Item)
+		}
+	}
+
+	follower.revision = max(follower.revision, changes.Revision)
+
+	if follower.release() || len(changes.Events) > 0 {
+		follower.hand()
+	}
+
+	return nil
+}
+
+// put takes in an item, unless the copy is newer.
+func (follower *Follower) put(item keeper.Item) {
+	name := item.Key[len(follower.Prefix):]
+	if item.Revision < follower.copied[name].Revision {
+		return
+	}
+
+	follower.copied[name] = item
+	delete(follower.removed, name)
+}
+
+func (follower *Follower) remove(name string) {
+	if _, found := follower.copied[name]; !found {
+		return
+	}
+
+	if !follower.Hold {
+		delete(follower.copied, name)
+
+		return
+	}
+
+	if _, held := follower.removed[name]; held {
+		return
+	}
+
+	hold := removalHold
+	if follower.Client.FailedWithin(returnHold) {
+		hold = returnHold
+	}
+
+	follower.removed[name] = time.Now().Add(hold)
+}
+
+// release lets go of removed keys whose hold is over.
+func (follower *Follower) release() bool {
+	released := false
+
+	for name, until := range follower.removed {
+		if time.Now().After(until) {
+			delete(follower.removed, name)
+			delete(follower.copied, name)
+
+			released = true
+		}
+	}
+
+	return released
+}
+
+func (follower *Follower) hand() {
+	follower.Apply(maps.Clone(follower.copied))
+}
+
+func (follower *Follower) lose(ctx context.Context, err error) {
+	if !follower.lost {
+		follower.lost = true
+		follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Warn("Watch is lost; the last copy stays.")
+	}
+
+	pause(ctx, retryPause/2+rand.N(retryPause))
+}
+
+func (follower *Follower) regain() {
+	if follower.lost {
+		follower.lost = false
+		follower.Log.WithField("Prefix", follower.Prefix).WithField("Revision", follower.revision).Info("Watch is back.")
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,184 @@
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetrail/kernel"
+	"limpetrail/placer"
+)
+
+const (
+	// leastInterval between two reports. Two arrivals at the peak are about
+	// that far apart, so that one report rarely carries less than one.
+	leastInterval = 20 * time.Millisecond
+	// longestInterval between two reports while nothing changes; three lost
+	// ones end the life of a report.
+	longestInterval = 400 * time.Millisecond
+	// maxDatagram holds the loads of some hundred servers.
+	maxDatagram = 32 << 10
+)
+
+// Report is what one entry runs.
+type Report struct {
+	Instance string
+	// Incarnation and Number order the reports of an entry.
+	Incarnation int64
+	Number      int64
+	Loads       map[string]placer.Load
+}
+
+// Gossiper exchanges reports with other entries.
+type Gossiper struct {
+	kernel.Common
+	Placer *placer.Placer
+	// Address is the host and port of this entry, for datagrams.
+	Address string
+
+	mutex sync.Mutex
+	peers map[string]*net.UDPAddr
+	// heard holds the newest report of each entry.
+	heard map[string]Report
+}
+
+// NewGossiper returns a gossiper that knows no other entries.
+func NewGossiper(common kernel.Common, places *placer.Placer, address string) *Gossiper {
+	return &Gossiper{
+		Common:  common.ForPart("gossiper"),
+		Placer:  places,
+		Address: address,
+		peers:   map[string]*net.UDPAddr{},
+		heard:   map[string]Report{},
+	}
+}
+
+// SetPeers replaces the addresses of the other entries, by name.
+func (gossiper *Gossiper) SetPeers(addresses map[string]string) {
+	gossiper.mutex.Lock()
+	defer gossiper.mutex.Unlock()
+
+	gossiper.peers = map[string]*net.UDPAddr{}
+
+	for name, address := range addresses {
+		resolved, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			gossiper.Log.WithField("Peer", name).WithError(err).Warn("Address of a peer cannot be read.")
+
+			continue
+		}
+
+		gossiper.peers[name] = resolved
+	}
+}
+
+// Run sends and receives reports until the context ends.
+func (gossiper *Gossiper) Run(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp4", gossiper.Address)
+	if err != nil {
+		return errors.Annotate(err, "address for reports")
+	}
+
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return errors.Annotate(err, "listening for reports")
+	}
+
+	stop := context.AfterFunc(ctx, func() { socket.Close() })
+	defer stop()
+
+	go gossiper.receive(ctx, socket)
+	gossiper.send(ctx, socket)
+
+	return nil
+}
+
+func (gossiper *Gossiper) send(ctx context.Context, socket *net.UDPConn) {
+	report := Report{Instance: gossiper.Instance, Incarnation: time.Now().UnixNano()}
+
+	for ctx.Err() == nil {
+		changed := gossiper.Placer.Changed()
+		report.Number++
+		report.Loads = gossiper.Placer.Own()
+		gossiper.spread(socket, report)
+
+		sleep(ctx, leastInterval)
+
+		select {
+		case <-changed:
+		case <-time.After(longestInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (gossiper *Gossiper) spread(socket *net.UDPConn, report Report) {
+	encoded, err := json.Marshal(report)
+	if err != nil || len(encoded) > maxDatagram {
+		gossiper.Log.WithField("Bytes", len(encoded)).WithError(err).Warn("Report is not sent.")
+
+		return
+	}
+
+	gossiper.mutex.Lock()
+	defer gossiper.mutex.Unlock()
+
+	for _, peer := range gossiper.peers {
+		// A lost datagram is made up for by the next one.
+		_, _ = socket.WriteToUDP(encoded, peer)
+	}
+}
+
+func (gossiper *Gossiper) receive(ctx context.Context, socket *net.UDPConn) {
+	buffer := make([]byte, maxDatagram)
+
+	for ctx.Err() == nil {
+		count, _, err := socket.ReadFromUDP(buffer)
+		if err != nil {
+			// An error of the socket is reported for a datagram that could not
+			// be delivered; the next read goes on.
+			sleep(ctx, time.Millisecond)
+
+			continue
+		}
+
+		report := Report{}
+		if err := json.Unmarshal(buffer[:count], &report); err != nil {
+			gossiper.Metrics.Counter("unreadable_reports").Inc(1)
+
+			continue
+		}
+
+		gossiper.hear(report)
+	}
+}
+
+// hear takes in a report, unless a newer one came before it.
+func (gossiper *Gossiper) hear(report Report) {
+	gossiper.mutex.Lock()
+
+	before := gossiper.heard[report.Instance]
+	known := gossiper.peers[report.Instance] != nil
+	late := report.Incarnation < before.Incarnation || report.Incarnation == before.Incarnation && report.Number <= before.Number
+
+	if known && !late {
+		gossiper.heard[report.Instance] = Report{Incarnation: report.Incarnation, Number: report.Number}
+	}
+
+	gossiper.mutex.Unlock()
+
+	if known && !late {
+		gossiper.Placer.Hear(report.Instance, report.Loads)
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/loader/gateway.go
@@ -0,0 +1,85 @@
+package loader
+
+import (
+	"time"
+
+	"limpetrail/keeper"
+)
+
+// Gateway is the settings of a gateway: an entry that reaches backend servers
+// itself and keeps its jobs in the catalog.
+type Gateway struct {
+	Instance Instance
+	Listen   GatewayListen
+	Catalog  Platform
+	// Calls bounds the use of the catalog.
+	Calls  keeper.Settings
+	Memory Memory
+	Stop   Stop
+	Log    Log
+}
+
+// GatewayListen is where a gateway listens.
+type GatewayListen struct {
+	// Callers is the host and port for callers.
+	Callers string `required:"true"`
+	// Ready is the host and port at which the balancer asks for readiness.
+	Ready string `required:"true"`
+	// Peers is the host and port of other gateways' datagrams.
+	Peers string `required:"true"`
+	// Operations is the host and port for metrics, status and snapshots.
+	Operations string `required:"true"`
+	// Seeds are the operations addresses of other gateways, joined by commas.
+	Seeds string
+}
+
+// Memory bounds the process.
+type Memory struct {
+	// Megabytes is the platform's limit of the process; 0 for none.
+	Megabytes int
+}
+
+// Stop is how a process ends.
+type Stop struct {
+	// BalancerLag is how long the balancer goes on sending after the process
+	// says that it is not ready.
+	BalancerLag time.Duration
+	// Grace is how long the process has from the signal to its end.
+	Grace time.Duration
+}
+
+// Holder is the settings of the process on an instance with a disk.
+type Holder struct {
+	Instance Instance
+	Log      Log
+}
+
+const (
+	// gatewayBalancerLag is two readiness checks a second apart, and a little.
+	gatewayBalancerLag = 2500 * time.Millisecond
+	defaultGrace       = 8 * time.Second
+	// gatewayCallTimeout is many times the catalog's usual 4 ms, and shorter
+	// than a caller waits for a job to be accepted.
+	gatewayCallTimeout = time.Second
+	gatewayProbe       = 200 * time.Millisecond
+	gatewayLastProbe   = time.Second
+)
+
+// DefaultGateway returns the defaults of a gateway.
+func DefaultGateway() Gateway {
+	calls := keeper.DefaultSettings()
+	calls.CallTimeout = gatewayCallTimeout
+	calls.FirstProbe, calls.LastProbe = gatewayProbe, gatewayLastProbe
+
+	return Gateway{
+		Catalog: Platform{Adapter: "platform"},
+		Calls:   calls,
+		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
+		Log:     Log{Level: "info"},
+	}
+}
+
+// DefaultHolder returns the defaults of a holder.
+func DefaultHolder() Holder {
+	return Holder{Log: Log{Level: "info"}}
+}
--- /dev/null
+++ b/matcher/doc.go
@@ -0,0 +1,2 @@
+// Package matcher finds the route of a request in the configuration.
+package matcher
--- /dev/null
+++ b/placer/choose.go
@@ -0,0 +1,149 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// localGain is how many places of load a server in the same data centre is
+	// worth: bytes between data centres cost, and add a round trip.
+	localGain = 1.5
+	// prefixGain is how many places of load a cached prompt prefix is worth. It
+	// saves reading a few hundred tokens, which takes an engine few milliseconds.
+	prefixGain = 1.0
+	// slowFactor times the usual time to the first bytes makes a server slow.
+	slowFactor = 2.5
+	// slowLoss is how many places of load a slow server is charged.
+	slowLoss = 4.0
+)
+
+// chooser ranks servers for online work: the load of the steps and bursts of
+// callers, spread so that no engine queues while another has room.
+type chooser struct {
+	dataCentre string
+	now        time.Time
+	work       Work
+	// usual is the median time to the first bytes over the service's servers.
+	usual time.Duration
+}
+
+// choose returns the best server with a free place, or nil.
+func (chooser chooser) choose(servers []*state) *state {
+	return best(servers, func(server *state) (float64, bool) {
+		return chooser.cost(server), chooser.candidate(server) && server.free() > 0
+	})
+}
+
+// chooseYielding returns the best server whose place is taken by batch work of
+// this entry, which yields at once, or of another entry, which yields when it
+// hears of the arrival.
+func (chooser chooser) chooseYielding(servers []*state) *state {
+	own := best(servers, func(server *state) (float64, bool) {
+		return chooser.cost(server), chooser.candidate(server) && len(server.grants) > 0 && server.online() < server.Places
+	})
+	if own != nil {
+		return own
+	}
+
+	return best(servers, func(server *state) (float64, bool) {
+		return float64(server.online()), chooser.candidate(server) && server.others.Batch > 0 && server.online() < server.Places
+	})
+}
+
+// chooseLast returns the server with the least load, full or not.
+func (chooser chooser) chooseLast(servers []*state) *state {
+	return best(servers, func(server *state) (float64, bool) {
+		return float64(server.total()) / float64(max(1, server.Places)), chooser.candidate(server)
+	})
+}
+
+func (chooser chooser) candidate(server *state) bool {
+	return server.usable(chooser.now) && !slices.Contains(chooser.work.Exclude, server.ID)
+}
+
+func (chooser chooser) cost(server *state) float64 {
+	cost := float64(server.total())
+
+	if server.DataCentre == chooser.dataCentre {
+		cost -= localGain
+	}
+
+	if chooser.slow(server) {
+		cost += slowLoss
+	}
+
+	if chooser.work.Prefix != 0 {
+		cost -= prefixGain * chooser.closeness(server)
+	}
+
+	return cost
+}
+
+func (chooser chooser) slow(server *state) bool {
+	return chooser.usual > 0 && server.health.first > time.Duration(slowFactor*float64(chooser.usual))
+}
+
+// closeness is a rendezvous hash, 0 to 1: entries that do not talk to each
+// other prefer the same server for a prefix.
+func (chooser chooser) closeness(server *state) float64 {
+	const bits = 20
+
+	return float64(mix(chooser.work.Prefix, server.ID)>>(64-bits)) / (1 << bits)
+}
+
+// mix hashes a number and a name; equal in all processes.
+func mix(number uint64, name string) uint64 {
+	const (
+		offset = 14695981039346656037
+		prime  = 1099511628211
+	)
+
+	hash := number ^ offset
+	for index := range len(name) {
+		hash = (hash ^ uint64(name[index])) * prime
+	}
+
+	// The final steps of MurmurHash3 spread the last bytes over all bits.
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+
+	return hash
+}
+
+// best returns the server of the least cost among those that fit, or nil.
+func best(servers []*state, cost func(*state) (float64, bool)) *state {
+	var (
+		found *state
+		least float64
+	)
+
+	for _, server := range servers {
+		value, fits := cost(server)
+		if fits && (found == nil || value < least) {
+			found, least = server, value
+		}
+	}
+
+	return found
+}
+
+// usual returns the median time to the first bytes over the servers.
+func usual(servers []*state) time.Duration {
+	times := []time.Duration{}
+
+	for _, server := range servers {
+		if server.health.first > 0 {
+			times = append(times, server.health.first)
+		}
+	}
+
+	if len(times) == 0 {
+		return 0
+	}
+
+	slices.Sort(times)
+
+	return times[len(times)/2]
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,535 @@
+package placer
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/kernel"
+)
+
+// reportLife is how long another entry's report counts. Reports come several
+// times as often; an entry that is gone runs nothing.
+const reportLife = 1500 * time.Millisecond
+
+// Placer gives out the places of backend servers.
+type Placer struct {
+	kernel.Common
+
+	mutex sync.Mutex
+	// servers by ID.
+	servers  map[string]*state
+	services map[string]*service
+	reports  map[string]report
+	// peers are the data centres of other entries by name.
+	peers map[string]string
+	// changed is closed and replaced when the load here changes.
+	changed chan struct{}
+	// room is closed and replaced when batch work may find a place.
+	room chan struct{}
+}
+
+// service is what is known of all servers of a service.
+type service struct {
+	servers []*state
+	queue   queue
+	// stay is the mean length of an online run.
+	stay time.Duration
+}
+
+// report is what another entry runs, by server ID.
+type report struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+// NewPlacer returns a placer that knows no servers.
+func NewPlacer(common kernel.Common) *Placer {
+	return &Placer{
+		Common:   common.ForPart("placer"),
+		servers:  map[string]*state{},
+		services: map[string]*service{},
+		reports:  map[string]report{},
+		peers:    map[string]string{},
+		changed:  make(chan struct{}),
+		room:     make(chan struct{}),
+	}
+}
+
+// Update replaces the list of servers. What is known of servers that stay is
+// kept; one with another incarnation is new.
+func (placer *Placer) Update(servers []Server) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	before := placer.servers
+	placer.servers = map[string]*state{}
+
+	for _, service := range placer.services {
+		service.servers = nil
+	}
+
+	for _, server := range servers {
+		known := before[server.ID]
+		if known == nil || known.Incarnation != server.Incarnation {
+			known = &state{grants: map[*Grant]bool{}}
+			placer.Log.WithFields(logrus.Fields{"BackendServer": server.ID, "Address": server.Address, "Service": server.Service}).Info("Backend server is listed.")
+		} else if server.Leaving && !known.Leaving {
+			placer.Log.WithField("BackendServer", server.ID).Info("Backend server is leaving.")
+		}
+
+		known.Server = server
+		placer.servers[server.ID] = known
+		placer.service(server.Service).servers = append(placer.service(server.Service).servers, known)
+	}
+
+	for id := range before {
+		if placer.servers[id] == nil {
+			placer.Log.WithField("BackendServer", id).Info("Backend server is gone from the list.")
+		}
+	}
+
+	placer.settleHomes()
+	placer.settle()
+}
+
+func (placer *Placer) settleHomes() {
+	for _, service := range placer.services {
+		homes(service.servers, placer.Instance, placer.DataCentre, placer.peers)
+	}
+}
+
+// SetPeers says which other entries there are, with their data centres.
+func (placer *Placer) SetPeers(peers map[string]string) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	placer.peers = maps.Clone(peers)
+	placer.settleHomes()
+	placer.settle()
+}
+
+// Hear takes in what another entry runs.
+func (placer *Placer) Hear(peer string, loads map[string]Load) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	placer.reports[peer] = report{loads: loads, at: time.Now()}
+	placer.settle()
+}
+
+// Own returns what this entry runs, by server ID.
+func (placer *Placer) Own() map[string]Load {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	loads := map[string]Load{}
+
+	for id, server := range placer.servers {
+		if server.own.Total() > 0 {
+			loads[id] = server.own
+		}
+	}
+
+	return loads
+}
+
+// Changed returns a channel that is closed when Own changes.
+func (placer *Placer) Changed() <-chan struct{} {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	return placer.changed
+}
+
+// Room returns a channel that is closed when batch work may find a place.
+func (placer *Placer) Room() <-chan struct{} {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	return placer.room
+}
+
+// Knows tells whether any server is listed.
+func (placer *Placer) Knows() bool {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	return len(placer.servers) > 0
+}
+
+// Place finds a place for online work, or says at once why there is none.
+func (placer *Placer) Place(ctx context.Context, work Work) Decision {
+	placer.mutex.Lock()
+
+	decision := Decision{Free: placer.freePlaces(work.Service)}
+	if grant := placer.find(work, false); grant != nil {
+		placer.mutex.Unlock()
+
+		decision.Grant = grant
+
+		return decision
+	}
+
+	service := placer.service(work.Service)
+	if placer.chooser(work).chooseLast(service.servers) == nil {
+		placer.mutex.Unlock()
+
+		decision.Verdict, decision.RetryAfter = Absent, absentRetry
+
+		return decision
+	}
+
+	decision.Queued = service.queue.ahead(work.Priority)
+	decision.Forecast = forecast(service.ownOnline(), decision.Queued, service.stay)
+
+	if decision.Forecast > work.Patience {
+		placer.mutex.Unlock()
+
+		decision.Verdict, decision.RetryAfter = Refused, max(leastRetry, decision.Forecast)
+
+		return decision
+	}
+
+	entry := &waiting{work: work, arrived: time.Now(), granted: make(chan *Grant, 1)}
+	service.queue.add(entry)
+	placer.mutex.Unlock()
+
+	return placer.wait(ctx, entry, decision)
+}
+
+// wait waits for the grant of queued work, at most its patience.
+func (placer *Placer) wait(ctx context.Context, entry *waiting, decision Decision) Decision {
+	patience := time.NewTimer(entry.work.Patience)
+	defer patience.Stop()
+
+	select {
+	case decision.Grant = <-entry.granted:
+	case <-ctx.Done():
+		decision.Verdict = Left
+	case <-patience.C:
+		decision.Verdict = Refused
+	}
+
+	decision.Waited = time.Since(entry.arrived)
+	if decision.Verdict == Placed {
+		return decision
+	}
+
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	if !placer.service(entry.work.Service).queue.remove(entry) {
+		grant := <-entry.granted
+		if decision.Verdict == Refused {
+			decision.Verdict, decision.Grant = Placed, grant
+
+			return decision
+		}
+
+		placer.drop(grant)
+
+		return decision
+	}
+
+	if decision.Verdict == Refused {
+		// The forecast failed. An engine's own queue serves the work late; a
+		// refusal now would not serve it at all.
+		if grant := placer.find(entry.work, true); grant != nil {
+			decision.Verdict, decision.Grant = Placed, grant
+		}
+
+		decision.RetryAfter = leastRetry
+	}
+
+	return decision
+}
+
+// PlaceBatch finds a place for batch work, if there is one now.
+func (placer *Placer) PlaceBatch(work Work) (*Grant, bool) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	service := placer.service(work.Service)
+	if len(service.queue.waiting) > 0 {
+		return nil, false
+	}
+
+	chooser := placer.chooser(work)
+
+	server := best(service.servers, func(server *state) (float64, bool) {
+		return -float64(batchRoom(server)), chooser.candidate(server) && batchRoom(server) > 0
+	})
+	if server == nil {
+		return nil, false
+	}
+
+	return placer.grant(server, true), true
+}
+
+// find returns a grant at the best server. In the last resort servers that
+// have no place are taken too. The mutex is held.
+func (placer *Placer) find(work Work, last bool) *Grant {
+	servers := placer.service(work.Service).servers
+	chooser := placer.chooser(work)
+
+	if server := chooser.choose(servers); server != nil {
+		return placer.grant(server, false)
+	}
+
+	if server := chooser.chooseYielding(servers); server != nil {
+		placer.yield(server)
+
+		return placer.grant(server, false)
+	}
+
+	if !last {
+		return nil
+	}
+
+	if server := chooser.chooseLast(servers); server != nil {
+		return placer.grant(server, false)
+	}
+
+	return nil
+}
+
+// yield asks one batch run at the server to stop; its place counts as free.
+func (placer *Placer) yield(server *state) bool {
+	grant := yielding(server)
+	if grant == nil {
+		return false
+	}
+
+	delete(server.grants, grant)
+	server.own.Batch--
+	grant.yielded = true
+	close(grant.Yield)
+
+	return true
+}
+
+func (placer *Placer) grant(server *state, batch bool) *Grant {
+	grant := &Grant{Server: server.Server, Batch: batch, Yield: make(chan struct{}), placer: placer, since: time.Now()}
+
+	if batch {
+		server.own.Batch++
+		server.grants[grant] = true
+	} else {
+		server.own.Online++
+	}
+
+	placer.announce()
+
+	return grant
+}
+
+func (placer *Placer) release(grant *Grant) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	placer.drop(grant)
+	placer.settle()
+}
+
+// drop gives a place back, with the mutex held.
+func (placer *Placer) drop(grant *Grant) {
+	if !grant.Batch {
+		service := placer.service(grant.Server.Service)
+		service.stay = mean(service.stay, time.Since(grant.since))
+	}
+
+	server := placer.servers[grant.Server.ID]
+	if server == nil || server.Incarnation != grant.Server.Incarnation {
+		return
+	}
+
+	switch {
+	case !grant.Batch:
+		server.own.Online--
+	case !grant.yielded:
+		delete(server.grants, grant)
+		server.own.Batch--
+	}
+}
+
+// settle brings all decisions up to date after a change: sums of reports,
+// batch work that has to yield, and waiting work. The mutex is held.
+func (placer *Placer) settle() {
+	placer.sum()
+
+	for _, service := range placer.services {
+		for _, server := range service.servers {
+			for server.free() < 0 && placer.yield(server) {
+				continue
+			}
+		}
+
+		placer.serve(service)
+	}
+
+	placer.announce()
+	close(placer.room)
+	placer.room = make(chan struct{})
+}
+
+// serve grants places to waiting work in order.
+func (placer *Placer) serve(service *service) {
+	for len(service.queue.waiting) > 0 {
+		first := service.queue.waiting[0]
+
+		grant := placer.find(first.work, false)
+		if grant == nil {
+			return
+		}
+
+		service.queue.remove(first)
+		first.granted <- grant
+	}
+}
+
+// sum adds up the fresh reports of other entries.
+func (placer *Placer) sum() {
+	for _, server := range placer.servers {
+		server.others = Load{}
+	}
+
+	for peer, report := range placer.reports {
+		if time.Since(report.at) > reportLife {
+			delete(placer.reports, peer)
+
+			continue
+		}
+
+		for id, load := range report.loads {
+			if server := placer.servers[id]; server != nil {
+				server.others.Online += load.Online
+				server.others.Batch += load.Batch
+			}
+		}
+	}
+}
+
+func (placer *Placer) announce() {
+	close(placer.changed)
+	placer.changed = make(chan struct{})
+}
+
+func (placer *Placer) observe(observed Server, observation Observation, first time.Duration) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	server := placer.servers[observed.ID]
+	if server == nil || server.Incarnation != observed.Incarnation {
+		return
+	}
+
+	if server.health.observe(observation, first, time.Now()) {
+		placer.Log.WithFields(logrus.Fields{
+			"BackendServer": observed.ID, "Suspect": server.health.suspect(), "Observation": observation.String(),
+		}).Warn("Belief about a backend server changed.")
+	}
+}
+
+// Suspects lists the servers that need a health check.
+func (placer *Placer) Suspects() []Server {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	found := []Server{}
+
+	for _, server := range placer.servers {
+		if server.health.suspect() && !server.Leaving {
+			found = append(found, server.Server)
+		}
+	}
+
+	return found
+}
+
+// Pass takes in a good health check.
+func (placer *Placer) Pass(checked Server) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	server := placer.servers[checked.ID]
+	if server == nil || server.Incarnation != checked.Incarnation || !server.health.suspect() {
+		return
+	}
+
+	server.health.pass()
+	placer.Log.WithField("BackendServer", checked.ID).Info("Backend server passed its health check.")
+	placer.settle()
+}
+
+func (placer *Placer) service(name string) *service {
+	found := placer.services[name]
+	if found == nil {
+		found = &service{stay: initialStay}
+		placer.services[name] = found
+	}
+
+	return found
+}
+
+func (placer *Placer) chooser(work Work) chooser {
+	return chooser{
+		dataCentre: placer.DataCentre,
+		now:        time.Now(),
+		work:       work,
+		usual:      usual(placer.service(work.Service).servers),
+	}
+}
+
+func (placer *Placer) freePlaces(name string) int {
+	free := 0
+
+	for _, server := range placer.service(name).servers {
+		if server.usable(time.Now()) {
+			free += max(0, server.free())
+		}
+	}
+
+	return free
+}
+
+func (service *service) ownOnline() int {
+	running := 0
+	for _, server := range service.servers {
+		running += server.own.Online
+	}
+
+	return running
+}
+
+// Status describes the servers in the order of their names.
+func (placer *Placer) Status() []ServerStatus {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	found := []ServerStatus{}
+
+	for _, id := range slices.Sorted(maps.Keys(placer.servers)) {
+		server := placer.servers[id]
+		found = append(found, ServerStatus{
+			Server: server.Server, Own: server.own, Others: server.others,
+			Suspect: server.health.suspect(), FirstBytes: server.health.first,
+		})
+	}
+
+	return found
+}
+
+// ServerStatus is what this entry believes about a server.
+type ServerStatus struct {
+	Server
+	Own     Load
+	Others  Load
+	Suspect bool
+	// FirstBytes is the mean time to the first bytes of an answer.
+	FirstBytes time.Duration
+}
--- /dev/null
+++ b/registrar/member.go
@@ -0,0 +1,43 @@
+package registrar
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"limpetrail/follower"
+)
+
+// Prefix is where members are listed, each under its name.
+const Prefix = "limpetrail/members/"
+
+// Member is a process that others have to find.
+type Member struct {
+	Name string `json:"-"`
+	// Incarnation differs for each start of the process.
+	Incarnation string
+	// Address is the host and port for the system's own processes.
+	Address    string
+	DataCentre string
+}
+
+// Decode reads the members of a copy. Entries that cannot be read are named in
+// the error and left out.
+func Decode(copied follower.Copy) (map[string]Member, error) {
+	members := map[string]Member{}
+
+	var failed error
+
+	for name, item := range copied {
+		member := Member{Name: name}
+		if err := json.Unmarshal(item.Value, &member); err != nil {
+			failed = errors.Annotatef(err, "reading member %s", name)
+
+			continue
+		}
+
+		members[name] = member
+	}
+
+	return members, failed
+}
