Run batch jobs in the free places, kept in the platform's store

Ruled out: the scheduler of the present entries, which keeps segments on disks and rewrites a record at each commit; a watch on results, a call at each listing. Change: batcher. A head a job names its owner; results are segments created once under the head's revision, so a former owner lists nothing. Items run in places that online work leaves, yield at once, and go on after their last event.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/batcher"
 	"limpetrail/exchanger"
 	"limpetrail/follower"
 	"limpetrail/gossiper"
@@ -28,6 +29,8 @@
 const (
 	// checkInterval is how often suspect backend servers are checked.
 	checkInterval = 400 * time.Millisecond
+	// headsPause gathers changes of jobs' heads into one watch.
+	headsPause = 150 * time.Millisecond
 	// trimInterval is how often idle connections are looked through.
 	trimInterval = 5 * time.Second
 	// maxHeaderBytes is above what any document allows.
@@ -53,6 +56,7 @@
 	Registrar     *registrar.Registrar
 	Exchanger     *exchanger.Exchanger
 	Backend       *platform.Backend
+	Batcher       *batcher.Batcher
 	Handler       *platform.Handler
 
 	// Reread returns the settings as the file has them now.
@@ -140,12 +144,22 @@
 // startDuties starts what goes on beside requests. Batch work and registration
 // end with the signal, the rest with the process.
 func (gateway *Gateway) startDuties(ctx, serving context.Context, duties *sync.WaitGroup) {
-	duties.Go(func() { gateway.Registrar.Run(ctx) })
+	// Jobs are given to others before the entry in the list of members goes.
+	duties.Go(func() {
+		registered, leave := context.WithCancel(serving)
+		listed := sync.WaitGroup{}
+		listed.Go(func() { gateway.Registrar.Run(registered) })
+
+		gateway.Batcher.Run(ctx)
+		leave()
+		listed.Wait()
+	})
 
 	followers := []*follower.Follower{
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators(serving)),
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, follower.WithHold()),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, follower.WithHold()),
+		follower.NewFollower(gateway.Common, gateway.Client, batcher.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
 	}
 	for _, follower := range followers {
 		go follower.Run(serving)
@@ -216,9 +230,11 @@
 		gateway.Log.WithError(err).Warn("Entry of a member cannot be read.")
 	}
 
-	places, addresses := map[string]string{}, map[string]string{}
+	places, addresses, live := map[string]string{}, map[string]string{}, map[string]bool{}
 
 	for name, member := range members {
+		live[member.Process()] = true
+
 		if name != gateway.Instance {
 			places[name], addresses[name] = member.DataCentre, member.Address
 		}
@@ -227,6 +243,7 @@
 	gateway.Log.WithField("Members", len(members)).Info("Members are known.")
 	gateway.Placer.SetPeers(places)
 	gateway.Gossiper.SetPeers(addresses)
+	gateway.Batcher.SetMembers(live)
 	gateway.Registrar.Notice(members)
 }
 
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/batcher"
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
 	"limpetrail/gossiper"
@@ -71,16 +72,21 @@
 	return gossiper.NewGossiper(common, places, settings.Listen.Peers)
 }
 
-// newRegistrar lists this process under an incarnation that no earlier one had.
-func newRegistrar(common kernel.Common, client *keeper.CatalogClient, settings loader.Gateway) *registrar.Registrar {
-	return registrar.NewRegistrar(common, client, registrar.Member{
+// newMember describes this process, under an incarnation that no earlier one
+// had.
+func newMember(settings loader.Gateway) registrar.Member {
+	return registrar.Member{
 		Name:        settings.Instance.Name,
 		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		Address:     settings.Listen.Peers,
 		DataCentre:  settings.Instance.DataCentre,
-	})
+	}
+}
+
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, member registrar.Member, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, configuration, member.Process(), settings.Jobs)
 }
 
-func newGatewayHandler(configuration *matcher.Current, calls *forwarder.Forwarder) *platform.Handler {
-	return platform.NewHandler(configuration, calls.Forward, &platform.JobHandler{})
+func newGatewayHandler(configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
+	return platform.NewHandler(configuration, calls.Forward, jobs)
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -20,6 +20,7 @@
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/puller"
+	"limpetrail/registrar"
 	"limpetrail/scheduler"
 	"limpetrail/submitter"
 )
@@ -100,12 +101,15 @@
 		matcher.NewCurrent,
 		placer.NewPlacer,
 		newGossiper,
-		newRegistrar,
+		newMember,
+		registrar.NewRegistrar,
 		newExchanger,
 		platform.NewBackend,
 		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
 		forwarder.NewForwarder,
+		newBatcher,
+		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Exchanger", "Backend", "Handler"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Exchanger", "Backend", "Batcher", "Handler"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -20,6 +20,7 @@
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/puller"
+	"limpetrail/registrar"
 	"limpetrail/scheduler"
 	"limpetrail/submitter"
 )
@@ -151,11 +152,14 @@
 	current := matcher.NewCurrent(common)
 	placerPlacer := placer.NewPlacer(common)
 	gossiper := newGossiper(common, placerPlacer, settings)
-	registrar := newRegistrar(common, catalogClient, settings)
+	member := newMember(settings)
+	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
 	exchanger := newExchanger(common)
 	platformBackend := platform.NewBackend(exchanger)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, member, settings)
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
-	platformHandler := newGatewayHandler(current, forwarderForwarder)
+	jobHandler := platform.NewJobHandler(batcher)
+	platformHandler := newGatewayHandler(current, forwarderForwarder, jobHandler)
 	gateway := &Gateway{
 		Common:        common,
 		Settings:      settings,
@@ -165,9 +169,10 @@
 		Configuration: current,
 		Placer:        placerPlacer,
 		Gossiper:      gossiper,
-		Registrar:     registrar,
+		Registrar:     registrarRegistrar,
 		Exchanger:     exchanger,
 		Backend:       platformBackend,
+		Batcher:       batcher,
 		Handler:       platformHandler,
 	}
 	return gateway, nil
--- /dev/null
+++ b/batcher/batcher.go
@@ -0,0 +1,342 @@
+package batcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/forwarder"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/matcher"
+	"limpetrail/placer"
+)
+
+// Batcher serves jobs: it accepts them, runs the ones it owns and reads all.
+type Batcher struct {
+	kernel.Common
+	Settings Settings
+	// Owner names this incarnation of the process.
+	Owner         string
+	Placer        *placer.Placer
+	Backend       forwarder.Backend
+	Configuration *matcher.Current
+
+	ledger ledger
+	mutex  sync.Mutex
+	// records of all jobs that were asked for or are owned.
+	records map[string]*record
+	// heads is the last copy of all heads, and members the live incarnations.
+	heads   map[string]version
+	members map[string]bool
+	// owned holds the work of this process by job.
+	owned map[string]*work
+	// orphaned is since when a job is seen without an owner.
+	orphaned map[string]time.Time
+	// taking holds the jobs whose takeover is under way.
+	taking map[string]bool
+	// registered tells whether others see this process as live.
+	registered bool
+	leaving    bool
+	// wake asks the dispatcher, listing the committer, to look again.
+	wake    chan struct{}
+	listing chan struct{}
+	running sync.WaitGroup
+}
+
+// Settings bound the jobs of a process.
+type Settings struct {
+	// Retention is how long a job stays readable after it was submitted.
+	Retention time.Duration
+	// CommitInterval is how long results are gathered before they are listed.
+	CommitInterval time.Duration
+}
+
+// DefaultSettings are the defaults of every process.
+func DefaultSettings() Settings {
+	return Settings{Retention: 10 * time.Minute, CommitInterval: 500 * time.Millisecond}
+}
+
+// NewBatcher returns a batcher that owns no job.
+func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, owner string, settings Settings) *Batcher {
+	return &Batcher{
+		Common:        common.ForPart("batcher"),
+		Settings:      settings,
+		Owner:         owner,
+		Placer:        places,
+		Backend:       backend,
+		Configuration: configuration,
+		ledger:        ledger{client: client},
+		records:       map[string]*record{},
+		heads:         map[string]version{},
+		members:       map[string]bool{},
+		owned:         map[string]*work{},
+		orphaned:      map[string]time.Time{},
+		taking:        map[string]bool{},
+		wake:          make(chan struct{}, 1),
+		listing:       make(chan struct{}, 1),
+	}
+}
+
+// Submit accepts a job, once however often it comes.
+func (batcher *Batcher) Submit(ctx context.Context, job Job) Outcome {
+	if batcher.known(job.ID) {
+		return OK
+	}
+
+	head := Head{
+		Owner: batcher.Owner, Host: job.Host, Total: len(job.Items),
+		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp,
+	}
+
+	created, outcome, err := batcher.ledger.create(ctx, job, head)
+	batcher.Log.WithFields(logrus.Fields{
+		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome, "Owner": created.Owner, "Error": err,
+	}).Info("Job was submitted.")
+
+	if outcome != OK {
+		return outcome
+	}
+
+	record := batcher.record(job.ID)
+	record.setHead(created)
+
+	if created.Owner == batcher.Owner && created.Open() {
+		record.mutex.Lock()
+		if record.items == nil {
+			record.items = job.Items
+		}
+		record.mutex.Unlock()
+
+		batcher.own(record, job, created)
+	}
+
+	return OK
+}
+
+// known tells whether the job is certain to exist.
+func (batcher *Batcher) known(id string) bool {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	record := batcher.records[id]
+
+	return batcher.heads[id].revision > 0 || record != nil && record.known().revision > 0
+}
+
+// Reading is a part of a job's results.
+type Reading struct {
+	Total   int
+	Next    int
+	Results []Result
+}
+
+// Read returns the results from a position on. It waits for one if there is
+// none yet.
+func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, Outcome) {
+	record, outcome := batcher.find(ctx, id)
+	if outcome != OK {
+		return Reading{}, outcome
+	}
+
+	until := time.Now().Add(wait)
+
+	for {
+		results, total, grown := record.page(after)
+		if len(results) == 0 && !batcher.authoritative(record) {
+			if err := record.refresh(ctx, batcher.ledger); err != nil {
+				batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
+
+				return Reading{}, NotDone
+			}
+
+			results, total, grown = record.page(after)
+		}
+
+		left := time.Until(until)
+		if len(results) > 0 || left <= 0 || ctx.Err() != nil {
+			return Reading{Total: total, Next: after + len(results), Results: results}, OK
+		}
+
+		if !batcher.authoritative(record) {
+			left = min(left, pollInterval)
+		}
+
+		select {
+		case <-grown:
+		case <-time.After(left):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// pollInterval is how often results of a job with another owner are read for
+// a waiting reader.
+const pollInterval = 500 * time.Millisecond
+
+// authoritative tells whether no other process can list results of the job.
+func (batcher *Batcher) authoritative(record *record) bool {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	return batcher.registered && batcher.owned[record.id] != nil
+}
+
+// Body returns the body of an item.
+func (batcher *Batcher) Body(ctx context.Context, id, item string) ([]byte, Outcome) {
+	record, outcome := batcher.find(ctx, id)
+	if outcome != OK {
+		return nil, outcome
+	}
+
+	items, err := record.load(ctx, batcher.ledger)
+	if err != nil {
+		return nil, NotDone
+	}
+
+	for _, candidate := range items {
+		if candidate.ID == item {
+			return candidate.Body, OK
+		}
+	}
+
+	return nil, NotFound
+}
+
+// End stops a job. Its results stay.
+func (batcher *Batcher) End(ctx context.Context, id string) Outcome {
+	record, outcome := batcher.find(ctx, id)
+	if outcome != OK {
+		return outcome
+	}
+
+	before := record.known()
+
+	for !before.Ended {
+		head := before.Head
+		head.Ended = true
+
+		after, applied, err := batcher.ledger.replace(ctx, id, before, head)
+		if err != nil {
+			batcher.Log.WithField("JobID", id).WithError(err).Info("Job cannot be ended.")
+
+			return NotDone
+		}
+
+		if after.revision == 0 {
+			return NotFound
+		}
+
+		record.setHead(after)
+
+		if applied {
+			batcher.Log.WithField("JobID", id).Info("Job was ended.")
+		}
+
+		before = after
+	}
+
+	batcher.disown(id, "The job was ended.")
+
+	return OK
+}
+
+// find returns the record of a job that exists.
+func (batcher *Batcher) find(ctx context.Context, id string) (*record, Outcome) {
+	batcher.mutex.Lock()
+	head, listed := batcher.heads[id]
+	found := batcher.records[id]
+	batcher.mutex.Unlock()
+
+	if found != nil && found.known().revision > 0 {
+		return found, OK
+	}
+
+	if !listed {
+		var err error
+
+		head, err = batcher.ledger.head(ctx, id)
+		if err != nil {
+			return nil, NotDone
+		}
+
+		if head.revision == 0 {
+			return nil, NotFound
+		}
+	}
+
+	found = batcher.record(id)
+	found.setHead(head)
+
+	return found, OK
+}
+
+func (batcher *Batcher) record(id string) *record {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	found := batcher.records[id]
+	if found == nil {
+		found = newRecord(id)
+		batcher.records[id] = found
+	}
+
+	return found
+}
+
+// own starts the work on a job whose head names this process.
+func (batcher *Batcher) own(record *record, job Job, head version) {
+	record.mutex.Lock()
+	tasks := unlisted(record.items, record.results)
+	record.mutex.Unlock()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	owned := &work{record: record, job: job, context: ctx, cancel: cancel, waiting: tasks}
+
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	if batcher.owned[job.ID] != nil || batcher.leaving || record.known().revision != head.revision {
+		cancel()
+
+		return
+	}
+
+	batcher.owned[job.ID] = owned
+
+	poke(batcher.wake)
+	poke(batcher.listing)
+}
+
+// disown stops the work on a job.
+func (batcher *Batcher) disown(id, reason string) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	batcher.drop(id, reason)
+}
+
+func (batcher *Batcher) drop(id, reason string) {
+	owned := batcher.owned[id]
+	if owned == nil {
+		return
+	}
+
+	delete(batcher.owned, id)
+	owned.cancel()
+	batcher.Log.WithFields(logrus.Fields{"JobID": id, "Reason": reason, "Unlisted": len(owned.finished)}).Info("Work on a job stops here.")
+}
+
+// poke asks a duty to look again. A request that is pending already is enough.
+func poke(duty chan struct{}) {
+	select {
+	case duty <- struct{}{}:
+	default:
+	}
+}
+
+// errNotOwner is the cause of work on a job that has another owner by now.
+var errNotOwner = errors.New("the job has another owner")
--- /dev/null
+++ b/batcher/commit.go
@@ -0,0 +1,304 @@
+package batcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/keeper"
+)
+
+// maxCommit bounds the output in one transaction.
+const maxCommit = 500 << 10
+
+// commit lists finished items in groups until the context ends.
+func (batcher *Batcher) commit(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-batcher.listing:
+		case <-ctx.Done():
+			return
+		}
+
+		// More items finish meanwhile; one call lists all of them.
+		select {
+		case <-time.After(batcher.Settings.CommitInterval):
+		case <-ctx.Done():
+		}
+
+		for batcher.list(ctx) {
+			continue
+		}
+	}
+}
+
+// proposal is the results of one job in a transaction.
+type proposal struct {
+	owned   *work
+	head    version
+	number  int
+	segment segment
+	value   []byte
+	// last tells that the job is done with this segment.
+	last bool
+}
+
+// list writes one group of results. It returns true if there may be more.
+func (batcher *Batcher) list(ctx context.Context) bool {
+	proposals, err := batcher.propose()
+	if err != nil {
+		batcher.Log.WithError(err).Error("Results cannot be written as text.")
+
+		return false
+	}
+
+	if len(proposals) == 0 {
+		return false
+	}
+
+	transaction, err := transactionOf(proposals)
+	if err != nil {
+		batcher.Log.WithError(err).Error("Heads cannot be written as text.")
+
+		return false
+	}
+
+	committed, err := batcher.ledger.client.Transact(ctx, transaction)
+
+	switch {
+	case committed.Applied == keeper.WriteApplied:
+		batcher.listed(proposals, committed.Revision)
+
+		return true
+	case committed.Applied == keeper.WriteRefused && err == nil:
+		batcher.contested(ctx, proposals, committed.Present)
+
+		return true
+	default:
+		batcher.Log.WithField("Jobs", len(proposals)).WithError(err).Info("Results wait for the key-value service.")
+		pauseFor(ctx, settlePause)
+		poke(batcher.listing)
+
+		return false
+	}
+}
+
+// propose gathers finished results. A segment that was proposed before is
+// proposed unchanged: its first copy may still take effect.
+func (batcher *Batcher) propose() ([]proposal, error) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	proposals, size := []proposal{}, 0
+
+	for _, owned := range batcher.owned {
+		if size > maxCommit || len(proposals) == maxProposals {
+			break
+		}
+
+		owned.gather(maxCommit - size)
+
+		if owned.proposed == nil {
+			continue
+		}
+
+		value, err := json.Marshal(owned.proposed)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+
+		owned.record.mutex.Lock()
+		head, number := owned.record.head, owned.record.segments
+		listed := len(owned.record.results)
+		owned.record.mutex.Unlock()
+
+		size += len(value)
+		proposals = append(proposals, proposal{
+			owned: owned, head: head, number: number, segment: *owned.proposed, value: value,
+			last: listed+len(owned.proposed.Results) == head.Total,
+		})
+	}
+
+	return proposals, nil
+}
+
+// maxProposals keeps a transaction within 32 entries, two keys a job.
+const maxProposals = 12
+
+// gather makes a segment of finished results, unless one is proposed already.
+func (work *work) gather(room int) {
+	if work.proposed != nil || len(work.finished) == 0 {
+		return
+	}
+
+	work.record.mutex.Lock()
+	first := len(work.record.results)
+	work.record.mutex.Unlock()
+
+	proposed := &segment{First: first}
+
+	for len(work.finished) > 0 && (len(proposed.Results) == 0 || room > 0) {
+		room -= len(work.finished[0].Output)
+		proposed.Results = append(proposed.Results, work.finished[0])
+		work.finished = work.finished[1:]
+	}
+
+	work.proposed = proposed
+}
+
+// transactionOf lists all proposals or none: each under the head of its job,
+// at a position that is still free.
+func transactionOf(proposals []proposal) (keeper.Transaction, error) {
+	transaction := keeper.Transaction{}
+
+	for _, proposal := range proposals {
+		id := proposal.owned.job.ID
+		key := numbered(resultsPrefix(id), proposal.number)
+
+		transaction.Conditions = append(transaction.Conditions,
+			keeper.Condition{Key: headKey(id), Revision: proposal.head.revision}, keeper.Condition{Key: key})
+		transaction.Puts = append(transaction.Puts, keeper.Put{Key: key, Value: proposal.value})
+
+		if !proposal.last {
+			continue
+		}
+
+		done := proposal.head.Head
+		done.Done = true
+
+		value, err := json.Marshal(done)
+		if err != nil {
+			return transaction, errors.Trace(err)
+		}
+
+		transaction.Puts = append(transaction.Puts, keeper.Put{Key: headKey(id), Value: value})
+	}
+
+	return transaction, nil
+}
+
+// listed takes in that the proposals are listed.
+func (batcher *Batcher) listed(proposals []proposal, revision keeper.Revision) {
+	for _, proposal := range proposals {
+		batcher.accept(proposal, revision)
+	}
+}
+
+func (batcher *Batcher) accept(proposal proposal, revision keeper.Revision) {
+	owned := proposal.owned
+	owned.record.add(proposal.number, []segment{proposal.segment})
+
+	if proposal.last {
+		head := proposal.head
+		head.Done, head.revision = true, revision
+		owned.record.setHead(head)
+	}
+
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	owned.proposed = nil
+
+	batcher.Log.WithFields(logrus.Fields{
+		"JobID": owned.job.ID, "First": proposal.segment.First, "Results": len(proposal.segment.Results),
+		"Done": proposal.last, "Late": proposal.last && time.Now().After(owned.job.Due),
+	}).Info("Results are listed.")
+
+	if proposal.last {
+		batcher.drop(owned.job.ID, "All results are listed.")
+	}
+}
+
+// contested decides after a refusal, job by job: an earlier copy of the
+// proposal took effect, or the job has another head.
+func (batcher *Batcher) contested(ctx context.Context, proposals []proposal, present []keeper.Item) {
+	items := map[string]keeper.Item{}
+	for _, item := range present {
+		items[item.Key] = item
+	}
+
+	for _, proposal := range proposals {
+		id := proposal.owned.job.ID
+
+		listed := items[numbered(resultsPrefix(id), proposal.number)]
+		if listed.Revision > 0 && bytes.Equal(listed.Value, proposal.value) {
+			batcher.accept(proposal, listed.Revision)
+
+			continue
+		}
+
+		head := items[headKey(id)]
+		if head.Revision == proposal.head.revision && listed.Revision == 0 {
+			continue
+		}
+
+		batcher.reconsider(ctx, proposal.owned, head)
+	}
+}
+
+// reconsider takes in a head that changed under the owner's work.
+func (batcher *Batcher) reconsider(ctx context.Context, owned *work, item keeper.Item) {
+	id := owned.job.ID
+
+	head, err := decodeHead(item)
+	if err != nil || item.Revision == 0 {
+		batcher.disown(id, "Its head is gone or cannot be read.")
+
+		return
+	}
+
+	owned.record.setHead(head)
+
+	if head.Owner != batcher.Owner || !head.Open() {
+		batcher.disown(id, errNotOwner.Error())
+
+		return
+	}
+
+	// Results that are listed here already were written by a former owner.
+	if err := owned.record.refresh(ctx, batcher.ledger); err != nil {
+		batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
+
+		return
+	}
+
+	batcher.rebase(owned)
+}
+
+// rebase drops what others have listed from the owner's own results.
+func (batcher *Batcher) rebase(owned *work) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	owned.record.mutex.Lock()
+	defer owned.record.mutex.Unlock()
+
+	listed := map[string]bool{}
+	for _, result := range owned.record.results {
+		listed[result.ID] = true
+	}
+
+	finished := owned.finished
+	if owned.proposed != nil {
+		finished = append(append([]Result{}, owned.proposed.Results...), finished...)
+	}
+
+	owned.proposed, owned.finished = nil, nil
+
+	for _, result := range finished {
+		if !listed[result.ID] {
+			owned.finished = append(owned.finished, result)
+		}
+	}
+}
+
+func pauseFor(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/batcher/duty.go
@@ -0,0 +1,142 @@
+package batcher
+
+import (
+	"context"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"limpetrail/keeper"
+)
+
+const (
+	// janitorInterval is how often old jobs are looked for.
+	janitorInterval = 20 * time.Second
+	// unusedTime is how long the results of another owner's job stay here.
+	unusedTime = 20 * time.Second
+	// releaseTimeout bounds the last writes at a planned stop.
+	releaseTimeout = 2 * time.Second
+	// maxRemoves is the most keys of a transaction besides its condition.
+	maxRemoves = 30
+)
+
+// Run works on jobs until the context ends, and then gives them to others.
+func (batcher *Batcher) Run(ctx context.Context) {
+	duties := sync.WaitGroup{}
+	duties.Go(func() { batcher.dispatch(ctx) })
+	duties.Go(func() { batcher.commit(ctx) })
+	duties.Go(func() { batcher.oversee(ctx) })
+	duties.Go(func() { batcher.tidy(ctx) })
+	duties.Wait()
+
+	batcher.running.Wait()
+
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+
+	for batcher.list(last) {
+		continue
+	}
+
+	batcher.release(last)
+}
+
+// tidy removes what is past its retention, and forgets what nobody reads.
+func (batcher *Batcher) tidy(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(janitorInterval):
+		case <-ctx.Done():
+			return
+		}
+
+		batcher.forget()
+
+		for _, id := range batcher.expired() {
+			if err := batcher.remove(ctx, id); err != nil {
+				batcher.Log.WithField("JobID", id).WithError(err).Info("Old job cannot be removed yet.")
+			}
+		}
+	}
+}
+
+// forget drops the results of other owners' jobs that nobody has read lately.
+func (batcher *Batcher) forget() {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	for id, record := range batcher.records {
+		record.mutex.Lock()
+		unused := time.Since(record.used) > unusedTime
+		record.mutex.Unlock()
+
+		if unused && batcher.owned[id] == nil && !batcher.taking[id] {
+			delete(batcher.records, id)
+		}
+	}
+}
+
+// expired returns the jobs that this member removes.
+func (batcher *Batcher) expired() []string {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	found := []string{}
+
+	for id, head := range batcher.heads {
+		// Twice the retention allows for clocks that differ.
+		old := time.Since(head.Submitted) > 2*batcher.Settings.Retention
+		if old && !head.Open() && successor(id, batcher.members) == batcher.Owner {
+			found = append(found, id)
+		}
+	}
+
+	return found
+}
+
+// remove deletes a job, its head last, so that what is left is found again.
+func (batcher *Batcher) remove(ctx context.Context, id string) error {
+	head, err := batcher.ledger.head(ctx, id)
+	if err != nil || head.revision == 0 {
+		return err
+	}
+
+	condition := []keeper.Condition{{Key: headKey(id), Revision: head.revision}}
+	keys := []string{}
+
+	for _, prefix := range []string{itemsPrefix(id), resultsPrefix(id)} {
+		items, _, err := batcher.ledger.client.RangeAll(ctx, prefix)
+		if err != nil {
+			return err
+		}
+
+		for _, item := range items {
+			keys = append(keys, item.Key)
+		}
+	}
+
+	for len(keys) > 0 {
+		part := keys[:min(maxRemoves, len(keys))]
+		keys = keys[len(part):]
+
+		if _, err := batcher.ledger.settle(ctx, keeper.Transaction{Conditions: condition, Removes: part}); err != nil {
+			return err
+		}
+	}
+
+	_, err = batcher.ledger.settle(ctx, keeper.Transaction{Conditions: condition, Removes: []string{headKey(id)}})
+
+	return err
+}
+
+// idOf returns the job of a head's key.
+func idOf(key string) string {
+	id, err := url.QueryUnescape(strings.TrimPrefix(key, PrefixHeads))
+	if err != nil {
+		// Only this package writes such keys; another spelling is its own ID.
+		return strings.TrimPrefix(key, PrefixHeads)
+	}
+
+	return id
+}
--- /dev/null
+++ b/batcher/record.go
@@ -0,0 +1,157 @@
+package batcher
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// record is what this process knows of a job.
+type record struct {
+	id string
+
+	mutex sync.Mutex
+	head  version
+	// items is nil until they are read.
+	items []Item
+	// results are the listed ones, in their positions without a gap.
+	results []Result
+	// segments is how many segments the results came in.
+	segments int
+	// grown is closed and replaced when results come or the head changes.
+	grown chan struct{}
+	// used is when the record was last asked for.
+	used time.Time
+	// work is set while this process owns the job.
+	work *work
+	// reading serialises reads of the service, so that readers share one.
+	reading sync.Mutex
+	// readAt is when the last complete read began.
+	readAt time.Time
+}
+
+func newRecord(id string) *record {
+	return &record{id: id, grown: make(chan struct{}), used: time.Now()}
+}
+
+// page returns the results from a position on, at least one if there is one,
+// and at most about maxPage bytes.
+func (record *record) page(after int) ([]Result, int, <-chan struct{}) {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	record.used = time.Now()
+
+	if after >= len(record.results) {
+		return nil, record.head.Total, record.grown
+	}
+
+	size, end := 0, after
+	for end < len(record.results) && (end == after || size+len(record.results[end].Output) <= maxPage) {
+		size += len(record.results[end].Output)
+		end++
+	}
+
+	return record.results[after:end:end], record.head.Total, record.grown
+}
+
+// maxPage leaves room for names and escapes in an answer of 1 MB.
+const maxPage = 600 << 10
+
+// setHead takes in a head unless it is older than the known one.
+func (record *record) setHead(head version) {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	if head.revision <= record.head.revision {
+		return
+	}
+
+	record.head = head
+	record.wake()
+}
+
+// add takes in segments that follow the known ones.
+func (record *record) add(from int, segments []segment) {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	for index, read := range segments {
+		if from+index != record.segments || read.First != len(record.results) {
+			continue
+		}
+
+		record.results = append(record.results, read.Results...)
+		record.segments++
+	}
+
+	record.wake()
+}
+
+// wake tells readers to look again, with the mutex held.
+func (record *record) wake() {
+	close(record.grown)
+	record.grown = make(chan struct{})
+}
+
+func (record *record) known() version {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	return record.head
+}
+
+// refresh reads the segments that are new since the last read. A read that
+// began after the call did serves it too.
+func (record *record) refresh(ctx context.Context, ledger ledger) error {
+	asked := time.Now()
+
+	record.reading.Lock()
+	defer record.reading.Unlock()
+
+	if record.readAt.After(asked) {
+		return nil
+	}
+
+	record.mutex.Lock()
+	from := record.segments
+	record.mutex.Unlock()
+
+	begun := time.Now()
+
+	segments, err := ledger.results(ctx, record.id, from)
+	if err != nil {
+		return err
+	}
+
+	record.add(from, segments)
+	record.readAt = begun
+
+	return nil
+}
+
+// load reads the items once.
+func (record *record) load(ctx context.Context, ledger ledger) ([]Item, error) {
+	record.reading.Lock()
+	defer record.reading.Unlock()
+
+	record.mutex.Lock()
+	items := record.items
+	record.mutex.Unlock()
+
+	if items != nil {
+		return items, nil
+	}
+
+	items, err := ledger.items(ctx, record.id)
+	if err != nil {
+		return nil, err
+	}
+
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	record.items = items
+
+	return items, nil
+}
--- /dev/null
+++ b/batcher/takeover.go
@@ -0,0 +1,224 @@
+package batcher
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/follower"
+)
+
+const (
+	// orphanTime is how long the chosen member has for a job without an owner
+	// before any other may take it.
+	orphanTime = 1500 * time.Millisecond
+	// overseeInterval is how often jobs without an owner are looked for.
+	overseeInterval = 500 * time.Millisecond
+	// takeTimeout bounds the reading and writing of a takeover.
+	takeTimeout = 5 * time.Second
+)
+
+// SetHeads takes in the heads of all jobs.
+func (batcher *Batcher) SetHeads(copied follower.Copy) {
+	heads := map[string]version{}
+
+	for _, item := range copied {
+		head, err := decodeHead(item)
+		if err != nil {
+			batcher.Log.WithField("Key", item.Key).WithError(err).Warn("Head of a job cannot be read.")
+
+			continue
+		}
+
+		heads[idOf(item.Key)] = head
+	}
+
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	batcher.heads = heads
+
+	for id, head := range heads {
+		if record := batcher.records[id]; record != nil {
+			record.setHead(head)
+		}
+
+		if owned := batcher.owned[id]; owned != nil && head.revision >= owned.record.known().revision && (head.Owner != batcher.Owner || !head.Open()) {
+			batcher.drop(id, "Its head changed.")
+		}
+	}
+}
+
+// SetMembers takes in the live incarnations.
+func (batcher *Batcher) SetMembers(members map[string]bool) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	batcher.members = members
+	batcher.registered = members[batcher.Owner]
+}
+
+// oversee takes over jobs without a live owner until the context ends.
+func (batcher *Batcher) oversee(ctx context.Context) {
+	for {
+		for _, id := range batcher.orphans() {
+			go batcher.take(ctx, id)
+		}
+
+		select {
+		case <-time.After(overseeInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// orphans returns the jobs that this process is to take over now.
+func (batcher *Batcher) orphans() []string {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	if !batcher.registered || batcher.leaving {
+		return nil
+	}
+
+	found := []string{}
+
+	for id, head := range batcher.heads {
+		if !batcher.orphan(id, head) {
+			delete(batcher.orphaned, id)
+
+			continue
+		}
+
+		since, seen := batcher.orphaned[id]
+		if !seen {
+			since = time.Now()
+			batcher.orphaned[id] = since
+		}
+
+		// A job that names this process may be about to start here.
+		mine := head.Owner != batcher.Owner && successor(id, batcher.members) == batcher.Owner
+		if (mine || time.Since(since) > orphanTime) && !batcher.taking[id] {
+			batcher.taking[id] = true
+			found = append(found, id)
+		}
+	}
+
+	return found
+}
+
+// orphan tells whether nobody works on a job that is open.
+func (batcher *Batcher) orphan(id string, head version) bool {
+	if !head.Open() || batcher.owned[id] != nil {
+		return false
+	}
+
+	return head.Owner == batcher.Owner || !batcher.members[head.Owner]
+}
+
+// successor is the member that takes over a job, the same for all who ask. The
+// jobs of one member spread over the others.
+func successor(id string, members map[string]bool) string {
+	best, most := "", uint64(0)
+
+	for member := range members {
+		hash := fnv.New64a()
+		// Writing to a hash does not fail.
+		_, _ = hash.Write([]byte(id + "/" + member))
+
+		if value := hash.Sum64(); best == "" || value > most || value == most && member > best {
+			best, most = member, value
+		}
+	}
+
+	return best
+}
+
+// take makes this process the owner of a job and goes on where its results end.
+func (batcher *Batcher) take(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+
+	defer func() {
+		batcher.mutex.Lock()
+		defer batcher.mutex.Unlock()
+
+		delete(batcher.taking, id)
+		delete(batcher.orphaned, id)
+	}()
+
+	record, outcome := batcher.find(ctx, id)
+	if outcome != OK {
+		return
+	}
+
+	before := record.known()
+	if !before.Open() {
+		return
+	}
+
+	head := before.Head
+	head.Owner = batcher.Owner
+
+	taken, applied, err := batcher.ledger.replace(ctx, id, before, head)
+	record.setHead(taken)
+
+	if err != nil || !applied {
+		batcher.Log.WithField("JobID", id).WithError(err).Info("Job is not taken over.")
+
+		return
+	}
+
+	if err := batcher.resume(ctx, record, taken); err != nil {
+		batcher.Log.WithField("JobID", id).WithError(err).Warn("Job was taken over and cannot be read.")
+	}
+}
+
+// resume starts the work on a job that was taken over.
+func (batcher *Batcher) resume(ctx context.Context, record *record, head version) error {
+	items, err := record.load(ctx, batcher.ledger)
+	if err != nil {
+		return err
+	}
+
+	// Whatever earlier owners listed came before the head that was just written.
+	if err := record.refresh(ctx, batcher.ledger); err != nil {
+		return err
+	}
+
+	batcher.own(record, Job{
+		ID: record.id, Host: head.Host, Items: items,
+		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp,
+	}, head)
+
+	batcher.Log.WithFields(logrus.Fields{"JobID": record.id, "Revision": head.revision, "Items": len(items)}).Info("Job was taken over.")
+
+	return nil
+}
+
+// release gives the jobs of a process that stops to the others.
+func (batcher *Batcher) release(ctx context.Context) {
+	batcher.mutex.Lock()
+	batcher.leaving = true
+	owned := []*record{}
+
+	for id, work := range batcher.owned {
+		owned = append(owned, work.record)
+		batcher.drop(id, "The process stops.")
+	}
+
+	batcher.mutex.Unlock()
+
+	for _, record := range owned {
+		before := record.known()
+		head := before.Head
+		head.Owner = ""
+
+		if _, _, err := batcher.ledger.replace(ctx, record.id, before, head); err != nil {
+			batcher.Log.WithField("JobID", record.id).WithError(err).Warn("Job waits for the end of this member's lease.")
+		}
+	}
+}
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetrail/batcher"
 	"limpetrail/keeper"
 )
 
@@ -14,6 +15,7 @@
 	Catalog  Platform
 	// Calls bounds the use of the catalog.
 	Calls  keeper.Settings
+	Jobs   batcher.Settings
 	Memory Memory
 	Stop   Stop
 	Log    Log
@@ -74,6 +76,7 @@
 	return Gateway{
 		Catalog: Platform{Adapter: "platform"},
 		Calls:   calls,
+		Jobs:    batcher.DefaultSettings(),
 		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
 		Log:     Log{Level: "info"},
 	}
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -21,6 +21,11 @@
 	DataCentre string
 }
 
+// Process names this start of the member; no other start has the same name.
+func (member Member) Process() string {
+	return member.Name + "#" + member.Incarnation
+}
+
 // Decode reads the members of a copy. Entries that cannot be read are named in
 // the error and left out.
 func Decode(copied follower.Copy) (map[string]Member, error) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,6 +31,8 @@
 	Member Member
 
 	lease keeper.LeaseID
+	// registered tells whether the entry was written under the present lease.
+	registered atomic.Bool
 	// missing asks for a new entry; it holds at most one request.
 	missing chan struct{}
 }
@@ -42,7 +45,7 @@
 // Notice takes in the list of members. The platform can take keys away without
 // any call that shows it, so an entry that is missing is written anew.
 func (registrar *Registrar) Notice(members map[string]Member) {
-	if members[registrar.Member.Name] == registrar.Member {
+	if !registrar.registered.Load() || members[registrar.Member.Name] == registrar.Member {
 		return
 	}
 
@@ -54,26 +57,22 @@
 
 // Run keeps the entry until the context ends, and then removes it.
 func (registrar *Registrar) Run(ctx context.Context) {
-	registered := false
-
 	for ctx.Err() == nil {
 		pause := renewInterval
 
-		err := registrar.keep(ctx, registered)
+		err := registrar.keep(ctx)
 		if err != nil {
 			pause = retryInterval
 		}
 
-		if registered != (err == nil) {
+		if registrar.registered.Swap(err == nil) != (err == nil) {
 			registrar.Log.WithField("Registered", err == nil).WithField("Error", err).Info("Registration changed.")
 		}
 
-		registered = err == nil
-
 		select {
 		case <-time.After(pause):
 		case <-registrar.missing:
-			registered = false
+			registrar.registered.Store(false)
 		case <-ctx.Done():
 		}
 	}
@@ -81,8 +80,8 @@
 	registrar.leave(ctx)
 }
 
-func (registrar *Registrar) keep(ctx context.Context, registered bool) error {
-	if registered {
+func (registrar *Registrar) keep(ctx context.Context) error {
+	if registrar.registered.Load() {
 		return errors.Trace(registrar.Client.Renew(ctx, registrar.lease))
 	}
 
