Reach the store through other gateways, and share servers by what is heard

Ruled out: slow engines (all of them were silent at once, none was listed slow). Change: relayer makes store calls through another gateway and gives copies to one that starts while the store is away; gossip alone says who shares the servers; repeats after silence have a budget (10% of the answers), and silence makes at most half of a service's servers suspect.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -24,6 +24,7 @@
 	"limpetrail/placer"
 	"limpetrail/platform"
 	"limpetrail/registrar"
+	"limpetrail/relayer"
 )
 
 const (
@@ -54,6 +55,7 @@
 	Placer        *placer.Placer
 	Gossiper      *gossiper.Gossiper
 	Registrar     *registrar.Registrar
+	Relay         *relayer.Relay
 	Exchanger     *exchanger.Exchanger
 	Backend       *platform.Backend
 	Batcher       *batcher.Batcher
@@ -63,6 +65,8 @@
 	Reread func() (loader.Gateway, error)
 
 	leaving atomic.Bool
+	// copies are the followers by their prefixes; written once before serving.
+	copies map[string]*follower.Follower
 	// complained holds the revisions of entries that were logged as unreadable.
 	complained map[string]keeper.Revision
 }
@@ -155,13 +159,7 @@
 		listed.Wait()
 	})
 
-	followers := []*follower.Follower{
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators(serving), follower.WithPromptness()),
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, follower.WithHold(), follower.WithPromptness()),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, follower.WithHold()),
-		follower.NewFollower(gateway.Common, gateway.Client, batcher.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
-	}
-	for _, follower := range followers {
+	for _, follower := range gateway.followers(serving) {
 		go follower.Run(serving)
 	}
 
@@ -179,6 +177,32 @@
 	go gateway.trim(serving)
 }
 
+// followers returns the followers of the store by prefix.
+func (gateway *Gateway) followers(ctx context.Context) map[string]*follower.Follower {
+	borrow := follower.WithFallback(gateway.Relay.Copy)
+	gateway.copies = map[string]*follower.Follower{}
+
+	for _, made := range []*follower.Follower{
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators(ctx), borrow, follower.WithPromptness()),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, follower.WithHold(), follower.WithPromptness()),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, follower.WithHold()),
+		follower.NewFollower(gateway.Common, gateway.Client, batcher.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
+	} {
+		gateway.copies[made.Prefix] = made
+	}
+
+	return gateway.copies
+}
+
+// copied returns what this process last saw below a prefix.
+func (gateway *Gateway) copied(prefix string) ([]keeper.Item, keeper.Revision, bool) {
+	if found := gateway.copies[prefix]; found != nil {
+		return found.Shown()
+	}
+
+	return nil, 0, false
+}
+
 // applyOperators takes in what operators wrote.
 func (gateway *Gateway) applyOperators(ctx context.Context) func(follower.Copy) {
 	return func(copied follower.Copy) {
@@ -230,18 +254,19 @@
 		gateway.Log.WithError(err).Warn("Entry of a member cannot be read.")
 	}
 
-	places, addresses, live := map[string]string{}, map[string]string{}, map[string]bool{}
+	addresses, relays, live := map[string]string{}, []string{}, map[string]bool{}
 
 	for name, member := range members {
 		live[member.Process()] = true
 
 		if name != gateway.Instance {
-			places[name], addresses[name] = member.DataCentre, member.Address
+			addresses[name] = member.Address
+			relays = append(relays, member.Operations)
 		}
 	}
 
 	gateway.Log.WithField("Members", len(members)).Info("Members are known.")
-	gateway.Placer.SetPeers(places)
+	gateway.Relay.SetPeers(relays)
 	gateway.Gossiper.SetPeers(addresses)
 	gateway.Batcher.SetMembers(live)
 	gateway.Registrar.Notice(members)
@@ -283,6 +308,7 @@
 func (gateway *Gateway) operations() http.Handler {
 	mux := http.NewServeMux()
 	gateway.Meter.Register(mux)
+	mux.Handle("POST "+relayer.Path, relayer.NewServer(gateway.Common, gateway.Client.Direct(), gateway.copied))
 
 	return mux
 }
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,7 @@
 	"limpetrail/placer"
 	"limpetrail/platform"
 	"limpetrail/registrar"
+	"limpetrail/relayer"
 )
 
 func newGatewayMeter(settings loader.Gateway) *meter.Meter {
@@ -50,7 +52,20 @@
 	return logger, nil
 }
 
-func newCatalogClient(common kernel.Common, settings loader.Gateway) (*keeper.CatalogClient, error) {
+// newRelay knows the seeds but this process itself.
+func newRelay(common kernel.Common, settings loader.Gateway) *relayer.Relay {
+	seeds := []string{}
+
+	for _, seed := range strings.Split(settings.Listen.Seeds, ",") {
+		if seed = strings.TrimSpace(seed); seed != "" && seed != settings.Listen.Operations {
+			seeds = append(seeds, seed)
+		}
+	}
+
+	return relayer.NewRelay(common, seeds)
+}
+
+func newCatalogClient(common kernel.Common, settings loader.Gateway, relay *relayer.Relay) (*keeper.CatalogClient, error) {
 	factory, err := keeper.Catalogs.Find(settings.Catalog.Adapter)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -61,7 +76,7 @@
 		return nil, errors.Trace(err)
 	}
 
-	return keeper.NewCatalogClient(common, catalog, settings.Calls), nil
+	return keeper.NewCatalogClient(common, catalog, settings.Calls, keeper.WithRelay(relay)), nil
 }
 
 func newExchanger(common kernel.Common) *exchanger.Exchanger {
@@ -79,6 +94,7 @@
 		Name:        settings.Instance.Name,
 		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		Address:     settings.Listen.Peers,
+		Operations:  settings.Listen.Operations,
 		DataCentre:  settings.Instance.DataCentre,
 	}
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -97,6 +97,7 @@
 		NewListen,
 		newGatewayMeter,
 		newGatewayCommon,
+		newRelay,
 		newCatalogClient,
 		matcher.NewCurrent,
 		placer.NewPlacer,
@@ -110,6 +111,6 @@
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Exchanger", "Backend", "Batcher", "Handler"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Exchanger", "Backend", "Batcher", "Handler"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -145,7 +145,8 @@
 		return nil, err
 	}
 	listen := NewListen()
-	catalogClient, err := newCatalogClient(common, settings)
+	relay := newRelay(common, settings)
+	catalogClient, err := newCatalogClient(common, settings, relay)
 	if err != nil {
 		return nil, err
 	}
@@ -170,6 +171,7 @@
 		Placer:        placerPlacer,
 		Gossiper:      gossiper,
 		Registrar:     registrarRegistrar,
+		Relay:         relay,
 		Exchanger:     exchanger,
 		Backend:       platformBackend,
 		Batcher:       batcher,
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -15,6 +15,7 @@
 	"limpetrail/forwarder"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/retrier"
 )
 
 const (
@@ -23,10 +24,10 @@
 	firstWait = 2 * time.Second
 	// itemSilence between two events is taken for a fault of the server.
 	itemSilence = time.Second
-	// failurePause is the mean pause after a failed attempt; it doubles.
-	failurePause = 150 * time.Millisecond
-	// maxDoublings keeps the pause below five seconds.
-	maxDoublings = 5
+	// failurePause is the longest first pause after a failed attempt.
+	failurePause = 300 * time.Millisecond
+	// longestPause is the longest of all; a few of them fit before the due time.
+	longestPause = 4 * time.Second
 	// chunk is read from a stream at once.
 	chunk = 4 << 10
 )
@@ -166,9 +167,7 @@
 }
 
 func backoff(tries int) time.Duration {
-	pause := failurePause << min(tries-1, maxDoublings)
-
-	return pause/2 + rand.N(pause)
+	return retrier.Backoff{Base: failurePause, Limit: longestPause}.Pause(tries - 1)
 }
 
 // attempt sends an item to a server and reads its events.
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +36,7 @@
 // send writes the request and reads the head of the answer.
 func (answer *Answer) send(request Request, terms Terms) error {
 	conn := answer.conn
-	if err := conn.SetDeadline(terms.FirstBy); err != nil {
+	if err := conn.SetDeadline(terms.LastBy); err != nil {
 		return errors.Trace(err)
 	}
 
@@ -51,6 +52,10 @@
 		go answer.sendLong(head, request.Body)
 	}
 
+	if err := answer.awaitFirst(terms); err != nil {
+		return errors.Trace(err)
+	}
+
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -69,6 +74,34 @@
 	}
 }
 
+// awaitFirst waits for the first byte of the answer.
+func (answer *Answer) awaitFirst(terms Terms) error {
+	if terms.FirstBy.Before(terms.LastBy) {
+		err := answer.Await(terms.FirstBy)
+		if err != nil && (terms.GiveUp == nil || terms.GiveUp()) {
+			return errors.Annotate(err, "awaiting an answer")
+		}
+	}
+
+	answer.SetDeadline(terms.LastBy)
+
+	return nil
+}
+
+// Await waits until something can be read, at most until a time. A wait that
+// fails leaves the answer as it was, so that it can be awaited again.
+func (answer *Answer) Await(until time.Time) error {
+	answer.SetDeadline(until)
+
+	_, err := answer.conn.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return Failure{Fate: Unanswered, Cause: err}
+	}
+
+	// Any other end shows in the next read.
+	return nil
+}
+
 // sendLong writes a long body while the answer is awaited. A failure shows in
 // the reading of the answer, or in a connection that is not used again.
 func (answer *Answer) sendLong(head, body []byte) {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -68,8 +68,13 @@
 
 // Terms are how an exchange is made.
 type Terms struct {
-	// FirstBy is when the head of the answer must be there; zero for never.
+	// FirstBy is when the answer should have begun.
 	FirstBy time.Time
+	// LastBy is when the head of the answer must be there.
+	LastBy time.Time
+	// GiveUp is asked when FirstBy has passed and nothing came. Without it, or
+	// if it agrees, the exchange ends.
+	GiveUp func() bool
 	// Repeatable requests may use connections that have been idle for long.
 	Repeatable bool
 }
@@ -99,9 +104,13 @@
 }
 
 func (exchanger *Exchanger) failure(ctx context.Context, err error) error {
+	known := Failure{}
+
 	switch {
 	case ctx.Err() != nil:
 		return Failure{Fate: Left, Cause: errors.Trace(ctx.Err())}
+	case errors.As(err, &known):
+		return known
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return Failure{Fate: Unanswered, Cause: err}
 	default:
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,6 +49,13 @@
 	// Apply takes each new copy. It must not be changed or kept.
 	Apply func(copied Copy)
 
+	// Fallback returns another process's copy, for a start while the service is
+	// away; nil for none.
+	Fallback func(ctx context.Context, prefix string) (keeper.Page, error)
+
+	// shown is what was handed last, for other processes.
+	shown atomic.Pointer[keeper.Page]
+
 	copied Copy
 	// removed holds the keys that are gone, and when they leave the copy.
 	removed  map[string]time.Time
@@ -73,6 +82,11 @@
 	return func(follower *Follower) { follower.Wait = promptWait }
 }
 
+// WithFallback sets where to get a copy while the service is away.
+func WithFallback(fallback func(ctx context.Context, prefix string) (keeper.Page, error)) Option {
+	return func(follower *Follower) { follower.Fallback = fallback }
+}
+
 // NewFollower returns a follower that hands its copies to apply.
 func NewFollower(common kernel.Common, client *keeper.CatalogClient, prefix string, apply func(Copy), options ...Option) *Follower {
 	follower := &Follower{
@@ -95,6 +109,7 @@
 func (follower *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := follower.list(ctx); err != nil {
+			follower.borrow(ctx)
 			follower.lose(ctx, err)
 
 			continue
@@ -231,9 +246,41 @@
 }
 
 func (follower *Follower) hand() {
+	follower.shown.Store(&keeper.Page{Items: slices.Collect(maps.Values(follower.copied)), Revision: follower.revision})
 	follower.Apply(maps.Clone(follower.copied))
 }
 
+// Shown returns what was handed last, and whether anything was.
+func (follower *Follower) Shown() ([]keeper.Item, keeper.Revision, bool) {
+	page := follower.shown.Load()
+	if page == nil {
+		return nil, 0, false
+	}
+
+	return page.Items, page.Revision, true
+}
+
+// borrow takes in another process's copy, until there is one of one's own.
+func (follower *Follower) borrow(ctx context.Context) {
+	if follower.Fallback == nil || follower.shown.Load() != nil {
+		return
+	}
+
+	page, err := follower.Fallback(ctx, follower.Prefix)
+	if err != nil {
+		follower.Log.WithField("Prefix", follower.Prefix).WithError(err).Info("No other process has a copy.")
+
+		return
+	}
+
+	for _, item := range page.Items {
+		follower.put(item)
+	}
+
+	follower.Log.WithField("Prefix", follower.Prefix).WithField("Revision", page.Revision).Info("Copy of another process is used.")
+	follower.hand()
+}
+
 func (follower *Follower) lose(ctx context.Context, err error) {
 	if !follower.lost {
 		follower.lost = true
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -12,8 +12,10 @@
 type Attempt struct {
 	// Left is the time that the server gets for it.
 	Left time.Duration
-	// FirstBy is when the head of the answer must be there.
+	// FirstBy is when the answer should have begun.
 	FirstBy time.Time
+	// GiveUp is asked when FirstBy has passed; nil to end the attempt then.
+	GiveUp func() bool
 	// After is the number of the last event that need not come again, or -1.
 	After int
 	// Repeatable calls may use connections that have been idle for long.
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -85,7 +85,9 @@
 	buffer := make([]byte, chunk)
 
 	for {
-		journey.bound(answer, last)
+		if silent := journey.await(answer, last); silent != nil {
+			return journey.cut(grant, silent, last)
+		}
 
 		count, err := answer.Read(buffer)
 		if failed := journey.passOn(events, buffer[:count]); failed != nil {
@@ -105,13 +107,19 @@
 	}
 }
 
-// bound sets how long the next part of a stream may take.
-func (journey *journey) bound(answer *exchanger.Answer, last bool) {
-	if last {
-		answer.SetDeadline(journey.call.Deadline)
-	} else {
-		answer.SetDeadline(time.Now().Add(silence(journey.call.Route)))
+// await waits for the next part of a stream. A silent one is given up if it may
+// go on elsewhere.
+func (journey *journey) await(answer *exchanger.Answer, last bool) error {
+	if !last {
+		silent := answer.Await(time.Now().Add(silence(journey.call.Route)))
+		if silent != nil && journey.mayGiveUp() {
+			return silent
+		}
 	}
+
+	answer.SetDeadline(journey.call.Deadline)
+
+	return nil
 }
 
 // errCallerLeft is the cause of a part that could not be passed on.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 
 	"limpetrail/kernel"
 	"limpetrail/placer"
+	"limpetrail/retrier"
 )
 
 // Forwarder takes calls to backend servers.
@@ -15,11 +16,29 @@
 	kernel.Common
 	Placer  *placer.Placer
 	Backend Backend
+
+	// budgets bound the attempts that are given up for silence, by service.
+	budgets *retrier.Group[string, *retrier.Budget]
 }
 
+const (
+	// repeatShare of the answered requests may be repeated for silence: more is
+	// an overload, which repeats make worse.
+	repeatShare = 0.1
+	// repeatBurst lets the requests at a server that went dark move at once.
+	repeatBurst = 20
+	// maxServices bounds the budgets.
+	maxServices = 1000
+)
+
 // NewForwarder returns a forwarder.
 func NewForwarder(common kernel.Common, places *placer.Placer, backend Backend) *Forwarder {
-	return &Forwarder{Common: common.ForPart("forwarder"), Placer: places, Backend: backend}
+	return &Forwarder{
+		Common:  common.ForPart("forwarder"),
+		Placer:  places,
+		Backend: backend,
+		budgets: retrier.NewGroup[string](maxServices, func() *retrier.Budget { return retrier.NewBudget(repeatShare, repeatBurst) }),
+	}
 }
 
 // Forward takes a call to its end. What the sink has taken when the call ends
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -101,6 +101,7 @@
 	attempt := Attempt{Left: time.Until(journey.call.Deadline), FirstBy: journey.call.Deadline, After: journey.after, Repeatable: journey.call.Route.Repeatable()}
 
 	if !last {
+		attempt.GiveUp = journey.mayGiveUp
 		attempt.FirstBy = begun.Add(share(firstShare, target(journey.call.Route)))
 	}
 
@@ -124,6 +125,7 @@
 	defer reply.Answer.Close()
 
 	grant.Observe(placer.Answered, time.Since(begun))
+	journey.forwarder.budgets.Get(journey.call.Service).Earn()
 
 	journey.sent++
 	journey.tried = append(journey.tried, grant.Server.ID)
@@ -143,6 +145,12 @@
 	return journey.whole(grant, reply.Answer, last)
 }
 
+// mayGiveUp tells whether an attempt that is silent may be made elsewhere. In
+// an overload many are, and repeating them would add to it.
+func (journey *journey) mayGiveUp() bool {
+	return journey.forwarder.budgets.Get(journey.call.Service).Spend()
+}
+
 // lastAttempt tells whether the call may be sent to no further server after
 // the next one.
 func (journey *journey) lastAttempt() bool {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -20,19 +20,30 @@
 	// longestInterval between two reports while nothing changes; three lost
 	// ones end the life of a report.
 	longestInterval = 400 * time.Millisecond
+	// unlistedTime is how long an entry that is missing from the list of members
+	// still gets reports; longer than the service is usually away.
+	unlistedTime = 30 * time.Second
 	// maxDatagram holds the loads of some hundred servers.
 	maxDatagram = 32 << 10
 )
 
 // Report is what one entry runs.
 type Report struct {
-	Instance string
+	Instance   string
+	DataCentre string
 	// Incarnation and Number order the reports of an entry.
 	Incarnation int64
 	Number      int64
 	Loads       map[string]placer.Load
 }
 
+// peer is where another entry is reached.
+type peer struct {
+	address *net.UDPAddr
+	// listed is when it was last in the list of members.
+	listed time.Time
+}
+
 // Gossiper exchanges reports with other entries.
 type Gossiper struct {
 	kernel.Common
@@ -41,7 +52,9 @@
 	Address string
 
 	mutex sync.Mutex
-	peers map[string]*net.UDPAddr
+	// peers are the addresses of other entries. They stay while an entry is
+	// missing from the list of members: it may only have lost the service.
+	peers map[string]*peer
 	// heard holds the newest report of each entry.
 	heard map[string]Report
 }
@@ -52,18 +65,16 @@
 		Common:  common.ForPart("gossiper"),
 		Placer:  places,
 		Address: address,
-		peers:   map[string]*net.UDPAddr{},
+		peers:   map[string]*peer{},
 		heard:   map[string]Report{},
 	}
 }
 
-// SetPeers replaces the addresses of the other entries, by name.
+// SetPeers takes in the addresses of the other entries, by name.
 func (gossiper *Gossiper) SetPeers(addresses map[string]string) {
 	gossiper.mutex.Lock()
 	defer gossiper.mutex.Unlock()
 
-	gossiper.peers = map[string]*net.UDPAddr{}
-
 	for name, address := range addresses {
 		resolved, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
@@ -72,7 +83,14 @@
 			continue
 		}
 
-		gossiper.peers[name] = resolved
+		gossiper.peers[name] = &peer{address: resolved, listed: time.Now()}
+	}
+
+	for name, known := range gossiper.peers {
+		if _, listed := addresses[name]; !listed && time.Since(known.listed) > unlistedTime {
+			delete(gossiper.peers, name)
+			delete(gossiper.heard, name)
+		}
 	}
 }
 
@@ -98,7 +116,7 @@
 }
 
 func (gossiper *Gossiper) send(ctx context.Context, socket *net.UDPConn) {
-	report := Report{Instance: gossiper.Instance, Incarnation: time.Now().UnixNano()}
+	report := Report{Instance: gossiper.Instance, DataCentre: gossiper.DataCentre, Incarnation: time.Now().UnixNano()}
 
 	for ctx.Err() == nil {
 		changed := gossiper.Placer.Changed()
@@ -129,7 +147,7 @@
 
 	for _, peer := range gossiper.peers {
 		// A lost datagram is made up for by the next one.
-		_, _ = socket.WriteToUDP(encoded, peer)
+		_, _ = socket.WriteToUDP(encoded, peer.address)
 	}
 }
 
@@ -172,7 +190,7 @@
 	gossiper.mutex.Unlock()
 
 	if known && !late {
-		gossiper.Placer.Hear(report.Instance, report.Loads)
+		gossiper.Placer.Hear(report.Instance, report.DataCentre, report.Loads)
 	}
 }
 
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -63,8 +63,11 @@
 	// gatewayCallTimeout is many times the catalog's usual 4 ms, and shorter
 	// than a caller waits for a job to be accepted.
 	gatewayCallTimeout = time.Second
-	gatewayProbe       = 200 * time.Millisecond
-	gatewayLastProbe   = time.Second
+	// gatewayFailures in a row are fewer than the calls that a process has under
+	// way at once, so that an outage is noticed with the first time-outs.
+	gatewayFailures  = 3
+	gatewayProbe     = 200 * time.Millisecond
+	gatewayLastProbe = time.Second
 )
 
 // DefaultGateway returns the defaults of a gateway.
@@ -72,6 +75,7 @@
 	calls := keeper.DefaultSettings()
 	calls.CallTimeout = gatewayCallTimeout
 	calls.FirstProbe, calls.LastProbe = gatewayProbe, gatewayLastProbe
+	calls.Failures = gatewayFailures
 
 	return Gateway{
 		Catalog: Platform{Adapter: "platform"},
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,9 +24,8 @@
 	// servers by ID.
 	servers  map[string]*state
 	services map[string]*service
-	reports  map[string]report
-	// peers are the data centres of other entries by name.
-	peers map[string]string
+	// reports holds the fresh reports of other entries by name.
+	reports map[string]report
 	// changed is closed and replaced when the load here changes.
 	changed chan struct{}
 	// room is closed and replaced when batch work may find a place.
@@ -43,8 +42,9 @@
 
 // report is what another entry runs, by server ID.
 type report struct {
-	loads map[string]Load
-	at    time.Time
+	dataCentre string
+	loads      map[string]Load
+	at         time.Time
 }
 
 // NewPlacer returns a placer that knows no servers.
@@ -54,7 +54,6 @@
 		servers:  map[string]*state{},
 		services: map[string]*service{},
 		reports:  map[string]report{},
-		peers:    map[string]string{},
 		changed:  make(chan struct{}),
 		room:     make(chan struct{}),
 	}
@@ -97,28 +96,32 @@
 	placer.settle()
 }
 
+// settleHomes shares the servers anew, with the mutex held.
 func (placer *Placer) settleHomes() {
+	peers := map[string]string{}
+	for peer, report := range placer.reports {
+		peers[peer] = report.dataCentre
+	}
+
 	for _, service := range placer.services {
-		homes(service.servers, placer.Instance, placer.DataCentre, placer.peers)
+		homes(service.servers, placer.Instance, placer.DataCentre, peers)
 	}
 }
 
-// SetPeers says which other entries there are, with their data centres.
-func (placer *Placer) SetPeers(peers map[string]string) {
+// Hear takes in what another entry runs. Entries that are heard share the
+// servers, whatever the platform's store says of them.
+func (placer *Placer) Hear(peer, dataCentre string, loads map[string]Load) {
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	placer.peers = maps.Clone(peers)
-	placer.settleHomes()
-	placer.settle()
-}
+	_, known := placer.reports[peer]
+	placer.reports[peer] = report{dataCentre: dataCentre, loads: loads, at: time.Now()}
 
-// Hear takes in what another entry runs.
-func (placer *Placer) Hear(peer string, loads map[string]Load) {
-	placer.mutex.Lock()
-	defer placer.mutex.Unlock()
+	if !known {
+		placer.Log.WithFields(logrus.Fields{"Peer": peer, "DataCentre": dataCentre}).Info("Another entry is heard.")
+		placer.settleHomes()
+	}
 
-	placer.reports[peer] = report{loads: loads, at: time.Now()}
 	placer.settle()
 }
 
@@ -394,6 +397,8 @@
 
 // sum adds up the fresh reports of other entries.
 func (placer *Placer) sum() {
+	silent := false
+
 	for _, server := range placer.servers {
 		server.others = Load{}
 	}
@@ -401,6 +406,9 @@
 	for peer, report := range placer.reports {
 		if time.Since(report.at) > reportLife {
 			delete(placer.reports, peer)
+			placer.Log.WithField("Peer", peer).Info("Another entry is no longer heard.")
+
+			silent = true
 
 			continue
 		}
@@ -412,6 +420,10 @@
 			}
 		}
 	}
+
+	if silent {
+		placer.settleHomes()
+	}
 }
 
 func (placer *Placer) announce() {
@@ -428,6 +440,10 @@
 		return
 	}
 
+	if observation == Silent && placer.crowded(server.Service) {
+		return
+	}
+
 	if server.health.observe(observation, first, time.Now()) {
 		placer.Log.WithFields(logrus.Fields{
 			"BackendServer": observed.ID, "Suspect": server.health.suspect(), "Observation": observation.String(),
@@ -435,6 +451,24 @@
 	}
 }
 
+// maxSuspectShare of a service's servers may be suspect for silence. If more
+// are silent, the load is too high, not the servers at fault.
+const maxSuspectShare = 0.5
+
+// crowded tells whether so many servers are suspect that silence says nothing.
+func (placer *Placer) crowded(name string) bool {
+	servers := placer.service(name).servers
+	suspects := 0
+
+	for _, server := range servers {
+		if server.health.suspect() {
+			suspects++
+		}
+	}
+
+	return float64(suspects) >= maxSuspectShare*float64(len(servers))
+}
+
 // Suspects lists the servers that need a health check.
 func (placer *Placer) Suspects() []Server {
 	placer.mutex.Lock()
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -16,8 +16,10 @@
 	Name string `json:"-"`
 	// Incarnation differs for each start of the process.
 	Incarnation string
-	// Address is the host and port for the system's own processes.
-	Address    string
+	// Address is the host and port for reports of load.
+	Address string
+	// Operations is the host and port for calls of other gateways.
+	Operations string
 	DataCentre string
 }
 
--- /dev/null
+++ b/relayer/relay.go
@@ -0,0 +1,196 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+)
+
+const (
+	// dialTimeout is many round trips between data centres.
+	dialTimeout = 200 * time.Millisecond
+	// idlePerPeer holds the watches and a few calls.
+	idlePerPeer = 8
+	// copyTimeout of the question for a copy; it is answered from memory.
+	copyTimeout = 500 * time.Millisecond
+)
+
+// Relay is a keeper.Catalog that is reached through other gateways.
+type Relay struct {
+	kernel.Common
+	Client *http.Client
+
+	mutex sync.Mutex
+	// peers are the operations addresses of other gateways; the first is asked
+	// and moves to the end when it cannot help.
+	peers []string
+}
+
+var _ keeper.Catalog = (*Relay)(nil)
+
+// NewRelay returns a relay that knows the seeds.
+func NewRelay(common kernel.Common, seeds []string) *Relay {
+	return &Relay{
+		Common: common.ForPart("relayer"),
+		Client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerPeer,
+			DisableCompression:  true,
+		}},
+		peers: seeds,
+	}
+}
+
+// SetPeers replaces the addresses, unless there are none: the last ones may
+// still be right.
+func (relay *Relay) SetPeers(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+
+	relay.peers = addresses
+}
+
+// Get implements keeper.Catalog.
+func (relay *Relay) Get(ctx context.Context, key string) (keeper.Item, error) {
+	answer, err := relay.call(ctx, call{Operation: operationGet, Key: key})
+
+	return answer.Item, errors.Trace(err)
+}
+
+// Range implements keeper.Catalog.
+func (relay *Relay) Range(ctx context.Context, prefix, after string, stale bool) (keeper.Page, error) {
+	answer, err := relay.call(ctx, call{Operation: operationRange, Prefix: prefix, After: after, Stale: stale})
+
+	return answer.Page, errors.Trace(err)
+}
+
+// Watch implements keeper.Catalog.
+func (relay *Relay) Watch(ctx context.Context, prefix string, after keeper.Revision, wait time.Duration) (keeper.Changes, error) {
+	answer, err := relay.call(ctx, call{Operation: operationWatch, Prefix: prefix, Revision: after, Duration: wait})
+
+	return answer.Changes, errors.Trace(err)
+}
+
+// Transact implements keeper.Catalog.
+func (relay *Relay) Transact(ctx context.Context, transaction keeper.Transaction) (keeper.Committed, error) {
+	answer, err := relay.call(ctx, call{Operation: operationTransact, Transaction: &transaction})
+	if err != nil && answer.Cause == causeNone {
+		return keeper.Committed{Applied: keeper.WriteUnknown}, errors.Trace(err)
+	}
+
+	return answer.Committed, errors.Trace(err)
+}
+
+// Grant implements keeper.Catalog.
+func (relay *Relay) Grant(ctx context.Context, duration time.Duration) (keeper.LeaseID, time.Duration, error) {
+	answer, err := relay.call(ctx, call{Operation: operationGrant, Duration: duration})
+
+	return answer.Lease, answer.Duration, errors.Trace(err)
+}
+
+// Renew implements keeper.Catalog.
+func (relay *Relay) Renew(ctx context.Context, lease keeper.LeaseID) error {
+	_, err := relay.call(ctx, call{Operation: operationRenew, Lease: lease})
+
+	return errors.Trace(err)
+}
+
+// Revoke implements keeper.Catalog.
+func (relay *Relay) Revoke(ctx context.Context, lease keeper.LeaseID) error {
+	_, err := relay.call(ctx, call{Operation: operationRevoke, Lease: lease})
+
+	return errors.Trace(err)
+}
+
+// Copy returns what some other gateway last saw below a prefix.
+func (relay *Relay) Copy(ctx context.Context, prefix string) (keeper.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+
+	answer, err := relay.call(ctx, call{Operation: operationCopy, Prefix: prefix})
+
+	return answer.Page, errors.Trace(err)
+}
+
+// call asks one gateway. One that cannot help is not asked next.
+func (relay *Relay) call(ctx context.Context, asked call) (reply, error) {
+	peer, err := relay.peer()
+	if err != nil {
+		return reply{Cause: causeFailed, Committed: keeper.Committed{Applied: keeper.WriteRefused}}, errors.Trace(err)
+	}
+
+	answer, err := relay.ask(ctx, peer, asked)
+	if err == nil {
+		err = answer.err()
+	}
+
+	if err != nil && (answer.Cause == causeNone || answer.Cause == causeFailed) {
+		relay.turn(peer)
+	}
+
+	return answer, errors.Annotatef(err, "through %s", peer)
+}
+
+func (relay *Relay) ask(ctx context.Context, peer string, asked call) (reply, error) {
+	body, err := json.Marshal(asked)
+	if err != nil {
+		return reply{}, errors.Trace(err)
+	}
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+Path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}, errors.Trace(err)
+	}
+	// Without GetBody the transport cannot send the call a second time.
+	request.GetBody = nil
+
+	response, err := relay.Client.Do(request)
+	if err != nil {
+		return reply{}, errors.Trace(err)
+	}
+	defer response.Body.Close()
+
+	if response.StatusCode != http.StatusOK {
+		// The other gateway has not begun the call.
+		return reply{Cause: causeFailed, Committed: keeper.Committed{Applied: keeper.WriteRefused}},
+			errors.Errorf("gateway answered %s", response.Status)
+	}
+
+	answer := reply{}
+
+	return answer, errors.Trace(json.NewDecoder(response.Body).Decode(&answer))
+}
+
+func (relay *Relay) peer() (string, error) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+
+	if len(relay.peers) == 0 {
+		return "", errors.NotFoundf("another gateway")
+	}
+
+	return relay.peers[0], nil
+}
+
+// turn puts a gateway at the end, unless that was done already.
+func (relay *Relay) turn(peer string) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+
+	if len(relay.peers) > 1 && relay.peers[0] == peer {
+		relay.peers = append(append([]string{}, relay.peers[1:]...), peer)
+	}
+}
