Prefer home servers, spread returns, share reads of results

Change: placer.homeGain; placer.returns gives out times to come back one after the other; reads of results are shared for 400 ms; watches end after 2 s.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -31,7 +31,7 @@
 	// checkInterval is how often suspect backend servers are checked.
 	checkInterval = 400 * time.Millisecond
 	// headsPause gathers changes of jobs' heads into one watch.
-	headsPause = 150 * time.Millisecond
+	headsPause = 600 * time.Millisecond
 	// trimInterval is how often idle connections are looked through.
 	trimInterval = 5 * time.Second
 	// maxHeaderBytes is above what any document allows.
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -147,7 +147,7 @@
 	for {
 		results, total, grown := record.page(after)
 		if len(results) == 0 && !batcher.authoritative(record) {
-			if err := record.refresh(ctx, batcher.ledger); err != nil {
+			if err := record.refresh(ctx, batcher.ledger, readAge); err != nil {
 				batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
 
 				return Reading{}, NotDone
@@ -173,9 +173,14 @@
 	}
 }
 
-// pollInterval is how often results of a job with another owner are read for
-// a waiting reader.
-const pollInterval = 500 * time.Millisecond
+const (
+	// pollInterval is how often results of a job with another owner are read
+	// for a waiting reader. A read costs a call.
+	pollInterval = 800 * time.Millisecond
+	// readAge is how old such a read may be when nothing new is answered: what
+	// one gateway has shown, all show within a second.
+	readAge = 400 * time.Millisecond
+)
 
 // authoritative tells whether no other process can list results of the job.
 func (batcher *Batcher) authoritative(record *record) bool {
--- a/batcher/record.go
+++ b/batcher/record.go
@@ -101,15 +101,15 @@
 	return record.head
 }
 
-// refresh reads the segments that are new since the last read. A read that
-// began after the call did serves it too.
-func (record *record) refresh(ctx context.Context, ledger ledger) error {
+// refresh reads the segments that are new since the last read, unless that
+// began within the age.
+func (record *record) refresh(ctx context.Context, ledger ledger, age time.Duration) error {
 	asked := time.Now()
 
 	record.reading.Lock()
 	defer record.reading.Unlock()
 
-	if record.readAt.After(asked) {
+	if record.readAt.After(asked.Add(-age)) {
 		return nil
 	}
 
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -185,7 +185,7 @@
 	}
 
 	// Whatever earlier owners listed came before the head that was just written.
-	if err := record.refresh(ctx, batcher.ledger); err != nil {
+	if err := record.refresh(ctx, batcher.ledger, 0); err != nil {
 		return err
 	}
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -20,7 +20,7 @@
 	watchWait = 4 * time.Second
 	// promptWait replaces it where the platform bounds the age of a copy: two
 	// seconds after a change, three after an outage, with the answer's slack.
-	promptWait = 1500 * time.Millisecond
+	promptWait = 2 * time.Second
 	// retryPause is the mean pause after a call that failed.
 	retryPause = 250 * time.Millisecond
 	// removalHold is how long a removed key stays in the copy. Keys that lapse
--- a/forwarder/patience.go
+++ b/forwarder/patience.go
@@ -8,8 +8,8 @@
 
 const (
 	// queueShare of the latency target may pass in the queue; the rest is for
-	// the first bytes, which take a third of it when an engine is full.
-	queueShare = 0.6
+	// the first bytes, which take about 60 ms at a full engine.
+	queueShare = 0.7
 	// firstShare of the latency target may pass before an attempt is made
 	// elsewhere, so that the second one can still be in time.
 	firstShare = 0.5
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -9,6 +9,9 @@
 	// localGain is how many places of load a server in the same data centre is
 	// worth: bytes between data centres cost, and add a round trip.
 	localGain = 1.5
+	// homeGain keeps entries that have not heard of each other's last arrivals
+	// from choosing the same server: each server is the home of one entry.
+	homeGain = 1.0
 	// prefixGain is how many places of load a cached prompt prefix is worth. It
 	// saves reading a few hundred tokens, which takes an engine few milliseconds.
 	prefixGain = 1.0
@@ -69,6 +72,10 @@
 		cost -= localGain
 	}
 
+	if server.home {
+		cost -= homeGain
+	}
+
 	if chooser.slow(server) {
 		cost += slowLoss
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,7 +37,8 @@
 	servers []*state
 	queue   queue
 	// stay is the mean length of an online run.
-	stay time.Duration
+	stay    time.Duration
+	returns returns
 }
 
 // report is what another entry runs, by server ID.
@@ -191,10 +192,10 @@
 	decision.Forecast = forecast(service.ownOnline(), decision.Queued, service.stay)
 
 	if decision.Forecast > work.Patience {
+		decision.Verdict = Refused
+		decision.RetryAfter = service.returns.next(time.Now(), decision.Forecast, service.ownOnline(), service.stay)
 		placer.mutex.Unlock()
 
-		decision.Verdict, decision.RetryAfter = Refused, max(leastRetry, decision.Forecast)
-
 		return decision
 	}
 
@@ -226,7 +227,8 @@
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	if !placer.service(entry.work.Service).queue.remove(entry) {
+	service := placer.service(entry.work.Service)
+	if !service.queue.remove(entry) {
 		grant := <-entry.granted
 		if decision.Verdict == Refused {
 			decision.Verdict, decision.Grant = Placed, grant
@@ -246,7 +248,7 @@
 			decision.Verdict, decision.Grant = Placed, grant
 		}
 
-		decision.RetryAfter = leastRetry
+		decision.RetryAfter = service.returns.next(time.Now(), 0, service.ownOnline(), service.stay)
 	}
 
 	return decision
