Hold accepted jobs on disks while the store is away

Ruled out: waiting for the store (it is away for 4 to 9 s, callers wait 4 s); a replicated store of our own (no order or election is needed: the store's record, created once by the job's ID, decides). Change: custodian. A gateway that gets no answer from the store hands a job to the custodians and accepts it once one more than may be lost hold it; each brings it into the store when that is back.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/batcher"
+	"limpetrail/custodian"
 	"limpetrail/exchanger"
 	"limpetrail/follower"
 	"limpetrail/gossiper"
@@ -56,6 +57,7 @@
 	Gossiper      *gossiper.Gossiper
 	Registrar     *registrar.Registrar
 	Relay         *relayer.Relay
+	Depositor     *custodian.Depositor
 	Exchanger     *exchanger.Exchanger
 	Backend       *platform.Backend
 	Batcher       *batcher.Batcher
@@ -159,7 +161,7 @@
 		listed.Wait()
 	})
 
-	for _, follower := range gateway.followers(serving) {
+	for _, follower := range gateway.followers() {
 		go follower.Run(serving)
 	}
 
@@ -178,12 +180,12 @@
 }
 
 // followers returns the followers of the store by prefix.
-func (gateway *Gateway) followers(ctx context.Context) map[string]*follower.Follower {
+func (gateway *Gateway) followers() map[string]*follower.Follower {
 	borrow := follower.WithFallback(gateway.Relay.Copy)
 	gateway.copies = map[string]*follower.Follower{}
 
 	for _, made := range []*follower.Follower{
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators(ctx), borrow, follower.WithPromptness()),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, follower.WithPromptness()),
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, follower.WithHold(), follower.WithPromptness()),
 		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, follower.WithHold()),
 		follower.NewFollower(gateway.Common, gateway.Client, batcher.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
@@ -204,31 +206,20 @@
 }
 
 // applyOperators takes in what operators wrote.
-func (gateway *Gateway) applyOperators(ctx context.Context) func(follower.Copy) {
-	return func(copied follower.Copy) {
-		if item, found := copied[platform.KeyConfiguration]; found {
-			document, err := platform.DecodeDocument(item.Value)
-			if err != nil {
-				gateway.complain(item, err)
-			} else {
-				gateway.Configuration.Apply(document)
-			}
-		}
-
-		for _, name := range platform.Retirements(copied) {
-			gateway.retire(ctx, name)
-		}
+func (gateway *Gateway) applyOperators(copied follower.Copy) {
+	item, found := copied[platform.KeyConfiguration]
+	if !found {
+		return
 	}
-}
 
-// retire answers the wish to empty an instance with a disk: it holds nothing.
-func (gateway *Gateway) retire(ctx context.Context, name string) {
-	transaction, err := platform.Retired(name)
-	if err == nil {
-		_, err = gateway.Client.Transact(ctx, transaction)
+	document, err := platform.DecodeDocument(item.Value)
+	if err != nil {
+		gateway.complain(item, err)
+
+		return
 	}
 
-	gateway.Log.WithFields(logrus.Fields{"Name": name, "Error": err}).Info("Instance may be taken away; it holds nothing.")
+	gateway.Configuration.Apply(document)
 }
 
 func (gateway *Gateway) applyServers(copied follower.Copy) {
@@ -256,7 +247,15 @@
 
 	addresses, relays, live := map[string]string{}, []string{}, map[string]bool{}
 
+	custodians := map[string]string{}
+
 	for name, member := range members {
+		if member.Custodian {
+			custodians[name] = member.Operations
+
+			continue
+		}
+
 		live[member.Process()] = true
 
 		if name != gateway.Instance {
@@ -267,6 +266,7 @@
 
 	gateway.Log.WithField("Members", len(members)).Info("Members are known.")
 	gateway.Relay.SetPeers(relays)
+	gateway.Depositor.SetCustodians(custodians)
 	gateway.Gossiper.SetPeers(addresses)
 	gateway.Batcher.SetMembers(live)
 	gateway.Registrar.Notice(members)
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/batcher"
+	"limpetrail/custodian"
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
 	"limpetrail/gossiper"
@@ -54,29 +55,43 @@
 
 // newRelay knows the seeds but this process itself.
 func newRelay(common kernel.Common, settings loader.Gateway) *relayer.Relay {
+	return relayer.NewRelay(common, seedsOf(settings.Listen.Seeds, settings.Listen.Operations))
+}
+
+func seedsOf(joined, own string) []string {
 	seeds := []string{}
 
-	for _, seed := range strings.Split(settings.Listen.Seeds, ",") {
-		if seed = strings.TrimSpace(seed); seed != "" && seed != settings.Listen.Operations {
+	for _, seed := range strings.Split(joined, ",") {
+		if seed = strings.TrimSpace(seed); seed != "" && seed != own {
 			seeds = append(seeds, seed)
 		}
 	}
 
-	return relayer.NewRelay(common, seeds)
+	return seeds
 }
 
 func newCatalogClient(common kernel.Common, settings loader.Gateway, relay *relayer.Relay) (*keeper.CatalogClient, error) {
-	factory, err := keeper.Catalogs.Find(settings.Catalog.Adapter)
+	return newClientOf(common, settings.Catalog, settings.Calls, relay)
+}
+
+// newClientOf puts the process's client in front of the platform's adapter.
+func newClientOf(common kernel.Common, platform loader.Platform, calls keeper.Settings, relay *relayer.Relay) (*keeper.CatalogClient, error) {
+	factory, err := keeper.Catalogs.Find(platform.Adapter)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 
-	catalog, err := factory(common, settings.Catalog.Address)
+	catalog, err := factory(common, platform.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 
-	return keeper.NewCatalogClient(common, catalog, settings.Calls, keeper.WithRelay(relay)), nil
+	return keeper.NewCatalogClient(common, catalog, calls, keeper.WithRelay(relay)), nil
+}
+
+// newDepositor asks for one disk more than may be lost at once.
+func newDepositor(common kernel.Common, settings loader.Gateway) *custodian.Depositor {
+	return custodian.NewDepositor(common, settings.Jobs.LostDisks+1)
 }
 
 func newExchanger(common kernel.Common) *exchanger.Exchanger {
@@ -99,8 +114,8 @@
 	}
 }
 
-func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, member registrar.Member, settings loader.Gateway) *batcher.Batcher {
-	return batcher.NewBatcher(common, client, places, backend, configuration, member.Process(), settings.Jobs)
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), settings.Jobs)
 }
 
 func newGatewayHandler(configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
--- /dev/null
+++ b/app/holder_providers.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetrail/archiver"
+	"limpetrail/batcher"
+	"limpetrail/custodian"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/loader"
+	"limpetrail/meter"
+	"limpetrail/registrar"
+	"limpetrail/relayer"
+)
+
+// diskShare of a holder's disk may be filled with jobs.
+const diskShare = 0.8
+
+func newHolderMeter(settings loader.Holder) *meter.Meter {
+	return meter.NewMeter(settings.Instance.Name, settings.Instance.DataCentre)
+}
+
+func newHolderCommon(settings loader.Holder, metrics *meter.Meter) (kernel.Common, error) {
+	logger, err := newOutputLogger(settings.Log)
+	if err != nil {
+		return kernel.Common{}, errors.Trace(err)
+	}
+
+	return kernel.NewCommon(settings.Instance.Name, settings.Instance.DataCentre, logger, metrics.Scope), nil
+}
+
+func newHolderRelay(common kernel.Common, settings loader.Holder) *relayer.Relay {
+	return relayer.NewRelay(common, seedsOf(settings.Listen.Seeds, settings.Listen.Operations))
+}
+
+func newHolderClient(common kernel.Common, settings loader.Holder, relay *relayer.Relay) (*keeper.CatalogClient, error) {
+	return newClientOf(common, settings.Catalog, settings.Calls, relay)
+}
+
+func newHolderMember(settings loader.Holder) registrar.Member {
+	return registrar.Member{
+		Name:        settings.Instance.Name,
+		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		Operations:  settings.Listen.Operations,
+		DataCentre:  settings.Instance.DataCentre,
+		Custodian:   true,
+	}
+}
+
+func newHolderFolder(settings loader.Holder) (*archiver.Folder, error) {
+	return archiver.NewFolder(settings.Data.Folder, int64(diskShare*float64(settings.Data.Megabytes<<20)))
+}
+
+func newCustodian(common kernel.Common, folder *archiver.Folder, client *keeper.CatalogClient, settings loader.Holder) (*custodian.Custodian, error) {
+	kept, err := custodian.NewCustodian(common, folder, settings.Jobs.Retention, func(ctx context.Context, job batcher.Job) batcher.Outcome {
+		return batcher.Restore(ctx, client, job)
+	})
+
+	return kept, errors.Trace(err)
+}
--- a/app/wire.go
+++ b/app/wire.go
@@ -9,6 +9,8 @@
 
 	"limpetrail/admitter"
 	"limpetrail/archiver"
+	"limpetrail/batcher"
+	"limpetrail/custodian"
 	"limpetrail/forwarder"
 	"limpetrail/handler"
 	"limpetrail/loader"
@@ -98,6 +100,8 @@
 		newGatewayMeter,
 		newGatewayCommon,
 		newRelay,
+		newDepositor,
+		wire.Bind(new(batcher.Depositor), new(*custodian.Depositor)),
 		newCatalogClient,
 		matcher.NewCurrent,
 		placer.NewPlacer,
@@ -111,6 +115,22 @@
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Exchanger", "Backend", "Batcher", "Handler"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Depositor", "Exchanger", "Backend", "Batcher", "Handler"),
+	))
+}
+
+// NewHolder wires a holder from its settings.
+func NewHolder(settings loader.Holder) (*Holder, error) {
+	panic(wire.Build(
+		NewListen,
+		newHolderMeter,
+		newHolderCommon,
+		newHolderRelay,
+		newHolderClient,
+		newHolderMember,
+		registrar.NewRegistrar,
+		newHolderFolder,
+		newCustodian,
+		wire.Struct(new(Holder), "Common", "Settings", "Listen", "Meter", "Client", "Relay", "Registrar", "Custodian"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -155,9 +155,10 @@
 	gossiper := newGossiper(common, placerPlacer, settings)
 	member := newMember(settings)
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
+	depositor := newDepositor(common, settings)
 	exchanger := newExchanger(common)
 	platformBackend := platform.NewBackend(exchanger)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, member, settings)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, settings)
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(current, forwarderForwarder, jobHandler)
@@ -172,6 +173,7 @@
 		Gossiper:      gossiper,
 		Registrar:     registrarRegistrar,
 		Relay:         relay,
+		Depositor:     depositor,
 		Exchanger:     exchanger,
 		Backend:       platformBackend,
 		Batcher:       batcher,
@@ -179,3 +181,39 @@
 	}
 	return gateway, nil
 }
+
+// NewHolder wires a holder from its settings.
+func NewHolder(settings loader.Holder) (*Holder, error) {
+	meter := newHolderMeter(settings)
+	common, err := newHolderCommon(settings, meter)
+	if err != nil {
+		return nil, err
+	}
+	listen := NewListen()
+	relay := newHolderRelay(common, settings)
+	catalogClient, err := newHolderClient(common, settings, relay)
+	if err != nil {
+		return nil, err
+	}
+	member := newHolderMember(settings)
+	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
+	folder, err := newHolderFolder(settings)
+	if err != nil {
+		return nil, err
+	}
+	custodian, err := newCustodian(common, folder, catalogClient, settings)
+	if err != nil {
+		return nil, err
+	}
+	holder := &Holder{
+		Common:    common,
+		Settings:  settings,
+		Listen:    listen,
+		Meter:     meter,
+		Client:    catalogClient,
+		Relay:     relay,
+		Registrar: registrarRegistrar,
+		Custodian: custodian,
+	}
+	return holder, nil
+}
--- a/archiver/folder.go
+++ b/archiver/folder.go
@@ -248,3 +248,28 @@
 func (folder *Folder) file(name string) string {
 	return filepath.Join(folder.Path, name)
 }
+
+// Names lists the segments.
+func (folder *Folder) Names() ([]string, error) {
+	entries, err := os.ReadDir(folder.Path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	names := []string{}
+
+	for _, entry := range entries {
+		if validName(entry.Name()) {
+			names = append(names, entry.Name())
+		}
+	}
+
+	return names, nil
+}
+
+// Drop removes a segment that nobody needs any more.
+func (folder *Folder) Drop(name string) {
+	if validName(name) {
+		folder.remove(name, 0)
+	}
+}
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -24,6 +24,8 @@
 	Placer        *placer.Placer
 	Backend       forwarder.Backend
 	Configuration *matcher.Current
+	// Depositor is nil where jobs are refused while the service is away.
+	Depositor Depositor
 
 	ledger ledger
 	mutex  sync.Mutex
@@ -51,17 +53,20 @@
 type Settings struct {
 	// Retention is how long a job stays readable after it was submitted.
 	Retention time.Duration
+	// LostDisks is how many disks may be lost at once without losing a job that
+	// was accepted while the service was away.
+	LostDisks int
 	// CommitInterval is how long results are gathered before they are listed.
 	CommitInterval time.Duration
 }
 
 // DefaultSettings are the defaults of every process.
 func DefaultSettings() Settings {
-	return Settings{Retention: 10 * time.Minute, CommitInterval: 500 * time.Millisecond}
+	return Settings{Retention: 10 * time.Minute, LostDisks: 1, CommitInterval: 500 * time.Millisecond}
 }
 
 // NewBatcher returns a batcher that owns no job.
-func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, owner string, settings Settings) *Batcher {
+func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor Depositor, owner string, settings Settings) *Batcher {
 	return &Batcher{
 		Common:        common.ForPart("batcher"),
 		Settings:      settings,
@@ -69,6 +74,7 @@
 		Placer:        places,
 		Backend:       backend,
 		Configuration: configuration,
+		Depositor:     depositor,
 		ledger:        ledger{client: client},
 		records:       map[string]*record{},
 		heads:         map[string]version{},
@@ -92,12 +98,12 @@
 		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp,
 	}
 
-	created, outcome, err := batcher.ledger.create(ctx, job, head)
+	created, outcome, err := batcher.accept(ctx, job, head)
 	batcher.Log.WithFields(logrus.Fields{
 		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome, "Owner": created.Owner, "Error": err,
 	}).Info("Job was submitted.")
 
-	if outcome != OK {
+	if outcome != OK || created.revision == 0 {
 		return outcome
 	}
 
@@ -268,6 +274,10 @@
 			return nil, NotDone
 		}
 
+		if head.revision == 0 && !batcher.absent(ctx, id) {
+			return nil, NotDone
+		}
+
 		if head.revision == 0 {
 			return nil, NotFound
 		}
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -184,11 +184,11 @@
 // listed takes in that the proposals are listed.
 func (batcher *Batcher) listed(proposals []proposal, revision keeper.Revision) {
 	for _, proposal := range proposals {
-		batcher.accept(proposal, revision)
+		batcher.acceptListed(proposal, revision)
 	}
 }
 
-func (batcher *Batcher) accept(proposal proposal, revision keeper.Revision) {
+func (batcher *Batcher) acceptListed(proposal proposal, revision keeper.Revision) {
 	owned := proposal.owned
 	owned.record.add(proposal.number, []segment{proposal.segment})
 
@@ -226,7 +226,7 @@
 
 		listed := items[numbered(resultsPrefix(id), proposal.number)]
 		if listed.Revision > 0 && bytes.Equal(listed.Value, proposal.value) {
-			batcher.accept(proposal, listed.Revision)
+			batcher.acceptListed(proposal, listed.Revision)
 
 			continue
 		}
--- a/commander/roles.go
+++ b/commander/roles.go
@@ -94,6 +94,13 @@
 			return errors.Trace(err)
 		}
 
-		return app.NewHolder(settings, read).Run(ctx)
+		holder, err := app.NewHolder(settings)
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		holder.Reread = read
+
+		return holder.Run(ctx)
 	}}
 }
--- /dev/null
+++ b/custodian/server.go
@@ -0,0 +1,42 @@
+package custodian
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"limpetrail/batcher"
+)
+
+const (
+	// Path is where jobs are handed over and asked for.
+	Path = "/v1/held"
+	// maxJobBytes bounds a job: bodies of some megabytes, in base64.
+	maxJobBytes = 16 << 20
+)
+
+// Register adds the custodian's calls to a mux.
+func (custodian *Custodian) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+Path, custodian.take)
+	mux.HandleFunc("GET "+Path, custodian.tell)
+}
+
+func (custodian *Custodian) take(writer http.ResponseWriter, request *http.Request) {
+	job := batcher.Job{}
+	if err := json.NewDecoder(io.LimitReader(request.Body, maxJobBytes)).Decode(&job); err != nil || job.ID == "" {
+		http.Error(writer, "The body is no job.", http.StatusBadRequest)
+
+		return
+	}
+
+	if err := custodian.Accept(job); err != nil {
+		custodian.Log.WithField("JobID", job.ID).WithError(err).Warn("Job is not held.")
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+func (custodian *Custodian) tell(writer http.ResponseWriter, request *http.Request) {
+	if !custodian.Holds(request.URL.Query().Get("id")) {
+		http.Error(writer, "No such job is held here.", http.StatusNotFound)
+	}
+}
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -50,10 +50,33 @@
 	Grace time.Duration
 }
 
-// Holder is the settings of the process on an instance with a disk.
+// Holder is the settings of the process on an instance with a disk. It keeps
+// jobs that were accepted while the catalog was away.
 type Holder struct {
 	Instance Instance
-	Log      Log
+	Listen   HolderListen
+	Catalog  Platform
+	// Calls bounds the use of the catalog.
+	Calls keeper.Settings
+	Jobs  batcher.Settings
+	Data  HolderData
+	Log   Log
+}
+
+// HolderListen is where a holder listens.
+type HolderListen struct {
+	// Operations is the host and port for jobs, metrics and status.
+	Operations string `required:"true"`
+	// Seeds are the operations addresses of gateways, joined by commas.
+	Seeds string
+}
+
+// HolderData is the disk of a holder.
+type HolderData struct {
+	// Folder is for jobs.
+	Folder string `required:"true"`
+	// Megabytes is the size of the disk; 0 for the disk's own limit.
+	Megabytes int
 }
 
 const (
@@ -72,14 +95,9 @@
 
 // DefaultGateway returns the defaults of a gateway.
 func DefaultGateway() Gateway {
-	calls := keeper.DefaultSettings()
-	calls.CallTimeout = gatewayCallTimeout
-	calls.FirstProbe, calls.LastProbe = gatewayProbe, gatewayLastProbe
-	calls.Failures = gatewayFailures
-
 	return Gateway{
 		Catalog: Platform{Adapter: "platform"},
-		Calls:   calls,
+		Calls:   gatewayCalls(),
 		Jobs:    batcher.DefaultSettings(),
 		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
 		Log:     Log{Level: "info"},
@@ -88,5 +106,19 @@
 
 // DefaultHolder returns the defaults of a holder.
 func DefaultHolder() Holder {
-	return Holder{Log: Log{Level: "info"}}
+	return Holder{
+		Catalog: Platform{Adapter: "platform"},
+		Calls:   gatewayCalls(),
+		Jobs:    batcher.DefaultSettings(),
+		Log:     Log{Level: "info"},
+	}
+}
+
+func gatewayCalls() keeper.Settings {
+	calls := keeper.DefaultSettings()
+	calls.CallTimeout = gatewayCallTimeout
+	calls.FirstProbe, calls.LastProbe = gatewayProbe, gatewayLastProbe
+	calls.Failures = gatewayFailures
+
+	return calls
 }
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -21,6 +21,8 @@
 	// Operations is the host and port for calls of other gateways.
 	Operations string
 	DataCentre string
+	// Custodian members hold jobs on a disk and serve no callers.
+	Custodian bool `json:",omitempty"`
 }
 
 // Process names this start of the member; no other start has the same name.
