--- /dev/null
+++ b/emulator/event_backend.go
@@ -0,0 +1,61 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"limpetrail/exchanger"
+	"limpetrail/forwarder"
+	"limpetrail/placer"
+)
+
+// EventBackend speaks to EventServers under their default names.
+type EventBackend struct {
+	Exchanger *exchanger.Exchanger
+}
+
+var _ forwarder.Backend = (*EventBackend)(nil)
+
+// NewEventBackend returns a backend over the exchanger's connections.
+func NewEventBackend(connections *exchanger.Exchanger) *EventBackend {
+	return &EventBackend{Exchanger: connections}
+}
+
+// Send implements forwarder.Backend.
+func (backend *EventBackend) Send(ctx context.Context, server placer.Server, call *forwarder.Call, attempt forwarder.Attempt) (forwarder.Reply, error) {
+	headers := DefaultEventHeaders()
+	header := http.Header{}
+	header.Set(headers.RequestID, call.ID)
+	header.Set(headers.Expect, server.ID)
+
+	if attempt.After >= 0 {
+		header.Set("Last-Event-Id", strconv.Itoa(attempt.After))
+	}
+
+	answer, err := backend.Exchanger.Exchange(ctx, server.Address,
+		exchanger.Request{Method: http.MethodPost, Target: call.Target, Host: call.Host, Header: header, Body: call.Body},
+		exchanger.Terms{FirstBy: attempt.FirstBy, LastBy: call.Deadline, GiveUp: attempt.GiveUp, Repeatable: attempt.Repeatable})
+	if err != nil {
+		return forwarder.Reply{}, errors.Trace(err)
+	}
+
+	reply := forwarder.Reply{Answer: answer}
+
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		reply.Sense = forwarder.Misdirected
+	case answer.Header.Get(headers.NotRun) != "":
+		reply.Sense = forwarder.Full
+	case answer.Header.Get(headers.RequestID) != call.ID:
+		reply.Sense = forwarder.Foreign
+	}
+
+	if reply.Sense != forwarder.Served {
+		answer.Close()
+	}
+
+	return reply, nil
+}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -54,11 +54,9 @@
 	})
 }
 
-// chooseLast returns the server with the least load, full or not.
-func (chooser chooser) chooseLast(servers []*state) *state {
-	return best(servers, func(server *state) (float64, bool) {
-		return float64(server.total()) / float64(max(1, server.Places)), chooser.candidate(server)
-	})
+// any tells whether some server may take the work, now or later.
+func (chooser chooser) any(servers []*state) bool {
+	return slices.ContainsFunc(servers, chooser.candidate)
 }
 
 func (chooser chooser) candidate(server *state) bool {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -171,7 +171,7 @@
 	placer.mutex.Lock()
 
 	decision := Decision{Free: placer.freePlaces(work.Service)}
-	if grant := placer.find(work, false); grant != nil {
+	if grant := placer.find(work); grant != nil {
 		placer.mutex.Unlock()
 
 		decision.Grant = grant
@@ -180,7 +180,7 @@
 	}
 
 	service := placer.service(work.Service)
-	if placer.chooser(work).chooseLast(service.servers) == nil {
+	if !placer.chooser(work).any(service.servers) {
 		placer.mutex.Unlock()
 
 		decision.Verdict, decision.RetryAfter = Absent, absentRetry
@@ -242,12 +242,8 @@
 	}
 
 	if decision.Verdict == Refused {
-		// The forecast failed. An engine's own queue serves the work late; a
-		// refusal now would not serve it at all.
-		if grant := placer.find(entry.work, true); grant != nil {
-			decision.Verdict, decision.Grant = Placed, grant
-		}
-
+		// The forecast failed. Sent to an engine's own queue now, the request
+		// would be late and make others late.
 		decision.RetryAfter = service.returns.next(time.Now(), 0, service.ownOnline(), service.stay)
 	}
 
@@ -276,9 +272,8 @@
 	return placer.grant(server, true), true
 }
 
-// find returns a grant at the best server. In the last resort servers that
-// have no place are taken too. The mutex is held.
-func (placer *Placer) find(work Work, last bool) *Grant {
+// find returns a grant at the best server, or nil. The mutex is held.
+func (placer *Placer) find(work Work) *Grant {
 	servers := placer.service(work.Service).servers
 	chooser := placer.chooser(work)
 
@@ -292,14 +287,6 @@
 		return placer.grant(server, false)
 	}
 
-	if !last {
-		return nil
-	}
-
-	if server := chooser.chooseLast(servers); server != nil {
-		return placer.grant(server, false)
-	}
-
 	return nil
 }
 
@@ -387,7 +374,7 @@
 	for len(service.queue.waiting) > 0 {
 		first := service.queue.waiting[0]
 
-		grant := placer.find(first.work, false)
+		grant := placer.find(first.work)
 		if grant == nil {
 			return
 		}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,209 @@
+package placer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/kernel"
+	"limpetrail/placer"
+)
+
+// story is a placer of one entry and what happened to it.
+type story struct {
+	t      *testing.T
+	placer *placer.Placer
+	list   []placer.Server
+}
+
+func tell(t *testing.T, play func(story *story)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		common := kernel.Discard("entry-1")
+		common.DataCentre = "a"
+		play(&story{t: t, placer: placer.NewPlacer(common)})
+		time.Sleep(time.Minute)
+	})
+}
+
+// lists replaces the list of servers, with two places each.
+func (story *story) lists(ids ...string) {
+	story.list = nil
+	for _, id := range ids {
+		story.list = append(story.list, placer.Server{ID: id, Incarnation: 1, Address: id, DataCentre: "a", Service: modelService, Places: 2})
+	}
+
+	story.placer.Update(story.list)
+}
+
+// places places work without patience and returns the server.
+func (story *story) places(exclude ...string) (*placer.Grant, string) {
+	decision := story.placer.Place(story.t.Context(), placer.Work{Service: modelService, Exclude: exclude})
+	if decision.Grant == nil {
+		return nil, decision.Verdict.String()
+	}
+
+	return decision.Grant, decision.Grant.Server.ID
+}
+
+func TestServersThatFailGetNoWork(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		observations []placer.Observation
+		suspect      bool
+	}{
+		"unreachable once":        {[]placer.Observation{placer.Unreachable}, true},
+		"silent once":             {[]placer.Observation{placer.Silent}, false},
+		"silent twice":            {[]placer.Observation{placer.Silent, placer.Silent}, true},
+		"answered in between":     {[]placer.Observation{placer.Silent, placer.Answered, placer.Silent}, false},
+		"broken twice":            {[]placer.Observation{placer.Broken, placer.Broken}, false},
+		"broken three times":      {[]placer.Observation{placer.Broken, placer.Broken, placer.Broken}, true},
+		"answered as unreachable": {[]placer.Observation{placer.Unreachable, placer.Answered}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tell(t, func(story *story) {
+				story.lists("x", "y", "z")
+
+				grant, _ := story.places("y", "z")
+				for _, observation := range scenario.observations {
+					grant.Observe(observation, time.Millisecond)
+				}
+
+				_, server := story.places("y", "z")
+				require.Equal(t, scenario.suspect, server != "x")
+
+				if scenario.suspect {
+					require.Len(t, story.placer.Suspects(), 1)
+					story.placer.Pass(grant.Server)
+
+					_, server = story.places("y", "z")
+					require.Equal(t, "x", server)
+				}
+			})
+		})
+	}
+}
+
+// A server that was started again under its ID is a new one: nothing that was
+// known of the former holds, and its grants take no place.
+func TestAnotherIncarnationIsAnotherServer(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x")
+
+		first, _ := story.places()
+		second, _ := story.places()
+		first.Observe(placer.Unreachable, 0)
+
+		story.list[0].Incarnation = 2
+		story.placer.Update(story.list)
+
+		_, server := story.places()
+		require.Equal(t, "x", server)
+
+		first.Release()
+		second.Release()
+		require.Equal(t, placer.Load{Online: 1}, story.placer.Own()["x"])
+	})
+}
+
+func TestLeavingServersGetNoWork(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x", "y")
+
+		story.list[0].Leaving = true
+		story.placer.Update(story.list)
+
+		for range 2 {
+			_, server := story.places()
+			require.Equal(t, "y", server)
+		}
+
+		_, server := story.places("y")
+		require.Equal(t, placer.Absent.String(), server)
+	})
+}
+
+// Batch work gives its place to an online request at once.
+func TestBatchYieldsToOnline(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x")
+
+		batch, placed := story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.True(t, placed)
+
+		_, placed = story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.False(t, placed, "a place is left for the next online request")
+
+		_, server := story.places()
+		require.Equal(t, "x", server)
+
+		select {
+		case <-batch.Yield:
+			require.Fail(t, "there was a free place")
+		default:
+		}
+
+		_, server = story.places()
+		require.Equal(t, "x", server)
+		<-batch.Yield
+
+		batch.Release()
+		require.Equal(t, placer.Load{Online: 2}, story.placer.Own()["x"])
+	})
+}
+
+// What other entries run counts while their reports are fresh, whether or not
+// the platform's store lists them.
+func TestOtherEntriesAreHeard(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x", "y")
+		story.placer.Hear("entry-2", "a", map[string]placer.Load{"x": {Online: 2}, "y": {Online: 1}})
+
+		_, server := story.places()
+		require.Equal(t, "y", server)
+
+		_, verdict := story.places()
+		require.Equal(t, placer.Refused.String(), verdict)
+
+		time.Sleep(2 * time.Second)
+		story.placer.Hear("entry-3", "a", nil)
+
+		_, server = story.places()
+		require.Equal(t, "x", server, "old reports say nothing")
+	})
+}
+
+// A queue serves the more urgent first, and equals in the order of arrival.
+func TestOrderOfTheQueue(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x")
+
+		first, _ := story.places()
+		second, _ := story.places()
+		served := make(chan int, 3)
+
+		for index, priority := range []int{2, 2, 0} {
+			go func() {
+				decision := story.placer.Place(story.t.Context(), placer.Work{Service: modelService, Priority: priority, Patience: 10 * time.Second})
+				require.Equal(t, placer.Placed, decision.Verdict)
+
+				served <- index
+
+				time.Sleep(time.Millisecond)
+				decision.Grant.Release()
+			}()
+
+			synctest.Wait()
+		}
+
+		first.Release()
+
+		for _, expected := range []int{2, 0, 1} {
+			require.Equal(t, expected, <-served)
+		}
+
+		second.Release()
+	})
+}
