Let only a certain owner answer that a job has nothing new

Cause: an owner that was cut off from the store past its lease and came back answered that there were no results, though its successor had listed twelve: it went by the last list of members that it had seen. Found by the new test of batcher ('the owner is cut off from the service past its lease and returns'). Ruled out: the reader's cache (the owner answered from memory, without a read). Change: registrar.Certain holds only while the lease cannot have run out, by the steady clock and by the time of day; without it an owner reads before it says 'nothing'. Broken answers, like silence, make at most half of a service's servers suspect.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -114,8 +114,8 @@
 	}
 }
 
-func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, settings loader.Gateway) *batcher.Batcher {
-	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), settings.Jobs)
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, listing *registrar.Registrar, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), listing.Certain, settings.Jobs)
 }
 
 func newGatewayHandler(configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -158,7 +158,7 @@
 	depositor := newDepositor(common, settings)
 	exchanger := newExchanger(common)
 	platformBackend := platform.NewBackend(exchanger)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, settings)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, settings)
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(current, forwarderForwarder, jobHandler)
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -24,6 +24,8 @@
 	Placer        *placer.Placer
 	Backend       forwarder.Backend
 	Configuration *matcher.Current
+	// Certain tells whether others certainly see this process as live.
+	Certain func() bool
 	// Depositor is nil where jobs are refused while the service is away.
 	Depositor Depositor
 
@@ -66,7 +68,7 @@
 }
 
 // NewBatcher returns a batcher that owns no job.
-func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor Depositor, owner string, settings Settings) *Batcher {
+func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor Depositor, owner string, certain func() bool, settings Settings) *Batcher {
 	return &Batcher{
 		Common:        common.ForPart("batcher"),
 		Settings:      settings,
@@ -75,6 +77,7 @@
 		Backend:       backend,
 		Configuration: configuration,
 		Depositor:     depositor,
+		Certain:       certain,
 		ledger:        ledger{client: client},
 		records:       map[string]*record{},
 		heads:         map[string]version{},
@@ -193,7 +196,7 @@
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	return batcher.registered && batcher.owned[record.id] != nil
+	return batcher.registered && batcher.owned[record.id] != nil && batcher.Certain()
 }
 
 // Body returns the body of an item.
--- /dev/null
+++ b/batcher/batcher_test.go
@@ -0,0 +1,286 @@
+package batcher_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/batcher"
+	"limpetrail/emulator"
+)
+
+const usual = 30 * time.Second
+
+// Each scenario disturbs the fleet after a job of 12 items was accepted. The
+// job is whole at all gateways in the end, each item listed once.
+func TestJobIsWholeInTheEnd(t *testing.T) {
+	const items = 12
+
+	for name, happen := range map[string]func(fleet *fleet){
+		"nothing": func(*fleet) {},
+		"streams break": func(fleet *fleet) {
+			fleet.all(emulator.EventFaults{BreakAfter: 7, BreakWithin: true})
+		},
+		"streams fall silent": func(fleet *fleet) {
+			fleet.all(emulator.EventFaults{StallAfter: 7})
+			time.Sleep(3 * time.Second)
+			fleet.all(emulator.EventFaults{})
+		},
+		"servers fail for a moment": func(fleet *fleet) {
+			fleet.servers[0].Set(emulator.EventFaults{Fail: 500})
+			time.Sleep(100 * time.Millisecond)
+			fleet.servers[0].Set(emulator.EventFaults{})
+		},
+		"answers of the service are lost": func(fleet *fleet) {
+			fleet.gateways[0].catalog.Faults.Set(emulator.Switches{DropAnswers: 3})
+		},
+		"lost answers took effect late": func(fleet *fleet) {
+			fleet.gateways[0].catalog.Late = 4 * time.Second
+			fleet.gateways[0].catalog.Faults.Set(emulator.Switches{DropAnswers: 3})
+		},
+		"the service is away": func(fleet *fleet) {
+			for _, gateway := range fleet.gateways {
+				gateway.catalog.Faults.Set(emulator.Switches{Outage: true})
+			}
+
+			time.Sleep(6 * time.Second)
+
+			for _, gateway := range fleet.gateways {
+				gateway.catalog.Faults.Set(emulator.Switches{})
+			}
+		},
+		"the owner dies": func(fleet *fleet) {
+			time.Sleep(300 * time.Millisecond)
+			fleet.kill(0)
+			fleet.gateways = fleet.gateways[1:]
+		},
+		"the owner is cut off from the service past its lease and returns": func(fleet *fleet) {
+			fleet.gateways[0].catalog.Faults.Set(emulator.Switches{Freeze: true})
+			time.Sleep(8 * time.Second)
+			fleet.gateways[0].catalog.Faults.Set(emulator.Switches{})
+		},
+		"the owner stops as planned": func(fleet *fleet) {
+			fleet.gateways[0].stop()
+			<-fleet.gateways[0].stopped
+			fleet.gateways = fleet.gateways[1:]
+		},
+		"the history is forgotten": func(fleet *fleet) {
+			fleet.catalog.Compact()
+		},
+		"all gateways die and others start": func(fleet *fleet) {
+			time.Sleep(300 * time.Millisecond)
+
+			for index := range fleet.gateways {
+				fleet.kill(index)
+			}
+
+			fleet.gateways = []*gateway{fleet.start("gateway-1"), fleet.start("gateway-2")}
+
+			time.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			newFleet(t, 3, 4, func(fleet *fleet) {
+				require.Equal(t, batcher.OK, fleet.submits(0, "job", items))
+				happen(fleet)
+				fleet.expectWhole("job", items, usual)
+
+				// Whoever woke up late lists nothing twice.
+				for _, gateway := range fleet.started {
+					gateway.catalog.Faults.Set(emulator.Switches{})
+				}
+
+				time.Sleep(10 * time.Second)
+				fleet.expectWhole("job", items, usual)
+			})
+		})
+	}
+}
+
+// A job that comes again, also through other gateways, is accepted once.
+func TestResentJobIsAcceptedOnce(t *testing.T) {
+	newFleet(t, 3, 2, func(fleet *fleet) {
+		for gateway := range 3 {
+			require.Equal(t, batcher.OK, fleet.submits(gateway, "job", 5))
+		}
+
+		fleet.expectWhole("job", 5, usual)
+
+		for gateway := range 3 {
+			require.Equal(t, batcher.OK, fleet.submits(gateway, "job", 5))
+		}
+
+		time.Sleep(10 * time.Second)
+		fleet.expectWhole("job", 5, usual)
+
+		for number := range 5 {
+			require.Equal(t, 1, fleet.runs(itemID("job", number)))
+		}
+	})
+}
+
+// An item that was interrupted goes on after its last event.
+func TestInterruptedItemIsResumed(t *testing.T) {
+	newFleet(t, 1, 2, func(fleet *fleet) {
+		fleet.all(emulator.EventFaults{BreakAfter: 7})
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 1))
+		fleet.expectWhole("job", 1, usual)
+
+		begun := []int{}
+		for _, server := range fleet.servers {
+			begun = append(begun, server.Resumed(itemID("job", 0))...)
+		}
+
+		require.ElementsMatch(t, []int{-1, 6, 13}, begun)
+	})
+}
+
+// Items that fail each time are given up after the route's attempts, others are
+// done all the same.
+func TestItemsThatCannotBeDoneAreGivenUp(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		status int
+		runs   int
+	}{
+		"failed":     {500, 3},
+		"impossible": {422, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			newFleet(t, 2, 2, func(fleet *fleet) {
+				fleet.all(emulator.EventFaults{Fail: scenario.status})
+				require.Equal(t, batcher.OK, fleet.submits(0, "job", 3))
+				time.Sleep(20 * time.Second)
+
+				results, _ := fleet.reads(1, "job")
+				require.Len(t, results, 3)
+
+				for _, result := range results {
+					require.Equal(t, batcher.GivenUp, result.State)
+					require.Equal(t, scenario.runs, fleet.runs(result.ID))
+				}
+			})
+		})
+	}
+}
+
+// An ended job starts no further item, whichever gateway was told.
+func TestEndedJobStops(t *testing.T) {
+	newFleet(t, 3, 1, func(fleet *fleet) {
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 60))
+		time.Sleep(700 * time.Millisecond)
+
+		require.Equal(t, batcher.OK, fleet.gateways[2].batcher.End(context.Background(), "job"))
+		require.Equal(t, batcher.OK, fleet.gateways[1].batcher.End(context.Background(), "job"))
+
+		// The platform allows three seconds.
+		time.Sleep(3 * time.Second)
+
+		begun := fleet.servers[0].Total()
+		require.Less(t, begun, 60)
+
+		time.Sleep(20 * time.Second)
+		require.Equal(t, begun, fleet.servers[0].Total())
+	})
+}
+
+// While the service is away nothing is accepted, and what is unknown is not
+// said to be absent.
+func TestNothingIsClaimedWithoutTheService(t *testing.T) {
+	newFleet(t, 1, 1, func(fleet *fleet) {
+		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{Outage: true})
+
+		require.Equal(t, batcher.NotDone, fleet.submits(0, "job", 2))
+
+		_, outcome := fleet.gateways[0].batcher.Read(context.Background(), "job", 0, 0)
+		require.Equal(t, batcher.NotDone, outcome)
+
+		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{})
+		time.Sleep(10 * time.Second)
+
+		_, outcome = fleet.gateways[0].batcher.Read(context.Background(), "job", 0, 0)
+		require.Equal(t, batcher.NotFound, outcome)
+		require.Zero(t, fleet.servers[0].Total(), "a refused job does not run")
+	})
+}
+
+// A submission whose answer was lost is unknown or accepted, never refused.
+func TestLostAnswerOfASubmissionIsSettled(t *testing.T) {
+	newFleet(t, 1, 2, func(fleet *fleet) {
+		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{DropAnswers: 2})
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 2))
+		fleet.expectWhole("job", 2, usual)
+	})
+}
+
+// Items of a route that is no longer configured are given up and do not run.
+func TestItemsWithoutARouteDoNotRun(t *testing.T) {
+	newFleet(t, 1, 1, func(fleet *fleet) {
+		fleet.configures(2, false)
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 2))
+		time.Sleep(5 * time.Second)
+
+		results, _ := fleet.reads(0, "job")
+		require.Len(t, results, 2)
+		require.Equal(t, batcher.GivenUp, results[0].State)
+		require.Zero(t, fleet.servers[0].Total())
+	})
+}
+
+// The body of an item is the one that was sent, at every gateway.
+func TestBodiesAreKept(t *testing.T) {
+	newFleet(t, 2, 1, func(fleet *fleet) {
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 3))
+
+		for _, gateway := range fleet.gateways {
+			body, outcome := gateway.batcher.Body(context.Background(), "job", itemID("job", 2))
+			require.Equal(t, batcher.OK, outcome)
+			require.Equal(t, "body of job-2", string(body))
+
+			_, outcome = gateway.batcher.Body(context.Background(), "job", "other")
+			require.Equal(t, batcher.NotFound, outcome)
+		}
+	})
+}
+
+// What one gateway has shown, every other shows within a second.
+func TestReadersOfAllGatewaysSeeTheSame(t *testing.T) {
+	newFleet(t, 3, 1, func(fleet *fleet) {
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 20))
+
+		for range 100 {
+			seen, _ := fleet.reads(0, "job")
+
+			time.Sleep(time.Second)
+
+			for gateway := range fleet.gateways {
+				results, _ := fleet.reads(gateway, "job")
+				require.GreaterOrEqual(t, len(results), len(seen))
+				require.Equal(t, seen, results[:len(seen)])
+			}
+
+			if len(seen) == 20 {
+				return
+			}
+		}
+
+		require.Fail(t, "the job was not done")
+	})
+}
+
+// Jobs are removed when their retention is over, and not before.
+func TestOldJobsAreRemoved(t *testing.T) {
+	newFleet(t, 2, 2, func(fleet *fleet) {
+		require.Equal(t, batcher.OK, fleet.submits(0, "job", 2))
+		fleet.expectWhole("job", 2, usual)
+
+		time.Sleep(15 * time.Minute)
+		fleet.expectWhole("job", 2, usual)
+
+		time.Sleep(10 * time.Minute)
+
+		_, outcome := fleet.gateways[1].batcher.Read(context.Background(), "job", 0, 0)
+		require.Equal(t, batcher.NotFound, outcome)
+	})
+}
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -233,11 +233,15 @@
 		return Result{}, false
 	}
 
-	if journey.started {
+	switch {
+	case journey.started:
 		return Result{Kind: Broken, Reason: reason}, true
+	case !time.Now().Before(journey.call.Deadline):
+		// The read's deadline is the call's, and may be noticed before it.
+		return Result{Kind: TimedOut, Reason: reason}, true
+	default:
+		return Result{Kind: Failed, Reason: reason}, true
 	}
-
-	return Result{Kind: Failed, Reason: reason}, true
 }
 
 func (journey *journey) log(grant *placer.Grant, reason string) *logrus.Entry {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -429,7 +429,7 @@
 		return
 	}
 
-	if observation == Silent && placer.crowded(server.Service) {
+	if (observation == Silent || observation == Broken) && placer.crowded(server.Service) {
 		return
 	}
 
@@ -440,11 +440,11 @@
 	}
 }
 
-// maxSuspectShare of a service's servers may be suspect for silence. If more
-// are silent, the load is too high, not the servers at fault.
+// maxSuspectShare of a service's servers may be suspect for silence or broken
+// answers. If more are, the cause is probably elsewhere: the load, or a link.
 const maxSuspectShare = 0.5
 
-// crowded tells whether so many servers are suspect that silence says nothing.
+// crowded tells whether so many servers are suspect that one more says nothing.
 func (placer *Placer) crowded(name string) bool {
 	servers := placer.service(name).servers
 	suspects := 0
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -33,6 +33,8 @@
 	lease keeper.LeaseID
 	// registered tells whether the entry was written under the present lease.
 	registered atomic.Bool
+	// renewed is when the last call that kept the lease began.
+	renewed atomic.Pointer[time.Time]
 	// missing asks for a new entry; it holds at most one request.
 	missing chan struct{}
 }
@@ -42,6 +44,20 @@
 	return &Registrar{Common: common.ForPart("registrar"), Client: client, Member: member, missing: make(chan struct{}, 1)}
 }
 
+// Certain tells whether others see this process as live: its lease cannot have
+// run out yet. The steady clock stands still while a machine is suspended, and
+// the time of day may be set, so both have to agree.
+func (registrar *Registrar) Certain() bool {
+	renewed := registrar.renewed.Load()
+	if renewed == nil || !registrar.registered.Load() {
+		return false
+	}
+
+	steady, ofDay := time.Since(*renewed), time.Now().Round(0).Sub(renewed.Round(0))
+
+	return max(steady, ofDay) < leaseTime
+}
+
 // Notice takes in the list of members. The platform can take keys away without
 // any call that shows it, so an entry that is missing is written anew.
 func (registrar *Registrar) Notice(members map[string]Member) {
@@ -60,9 +76,13 @@
 	for ctx.Err() == nil {
 		pause := renewInterval
 
+		begun := time.Now()
+
 		err := registrar.keep(ctx)
 		if err != nil {
 			pause = retryInterval
+		} else {
+			registrar.renewed.Store(&begun)
 		}
 
 		if registrar.registered.Swap(err == nil) != (err == nil) {
@@ -73,6 +93,8 @@
 		case <-time.After(pause):
 		case <-registrar.missing:
 			registrar.registered.Store(false)
+			// Two processes of one name must not overwrite each other without end.
+			sleep(ctx, retryInterval)
 		case <-ctx.Done():
 		}
 	}
@@ -137,3 +159,10 @@
 		registrar.Log.WithError(err).Warn("The entry stays listed until its lease ends.")
 	}
 }
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
