--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -84,9 +84,14 @@
 	}
 
 	custodian.mutex.Lock()
-	leaving := custodian.leaving
+	leaving, held := custodian.leaving, custodian.held[job.ID] != ""
 	custodian.mutex.Unlock()
 
+	// A job that comes again is the one that is held.
+	if held {
+		return nil
+	}
+
 	if leaving {
 		return errors.Forbiddenf("new jobs: %s is being emptied", custodian.Instance)
 	}
--- a/keeper/catalog_client.go
+++ b/keeper/catalog_client.go
@@ -232,7 +232,7 @@
 func (client *CatalogClient) observe(breaker *Breaker, err error) {
 	succeeded := err == nil || semantic(err)
 	if !succeeded {
-		client.failedAt.Store(int64(time.Since(client.started)))
+		client.failedAt.Store(max(1, int64(time.Since(client.started))))
 		client.Metrics.Counter("failed_calls").Inc(1)
 	}
 
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -273,12 +273,14 @@
 			running.Go(func() { happen(world) })
 		}
 
+		arrivals := rand.New(rand.NewPCG(seed, 0))
+
 		begun := time.Now()
 		for time.Since(begun) < length {
-			pause := world.random.ExpFloat64() / load(time.Since(begun))
+			pause := arrivals.ExpFloat64() / load(time.Since(begun))
 			time.Sleep(time.Duration(pause * float64(time.Second)))
 
-			entry := world.random.IntN(entries)
+			entry := arrivals.IntN(entries)
 			running.Go(func() { world.arrive(ctx, entry, choose) })
 		}
 
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -120,9 +120,25 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 
-	answer, err := relay.call(ctx, call{Operation: operationCopy, Prefix: prefix})
+	err := errors.NotFoundf("another gateway")
 
-	return answer.Page, errors.Trace(err)
+	for range relay.count() {
+		var answer reply
+
+		answer, err = relay.call(ctx, call{Operation: operationCopy, Prefix: prefix})
+		if err == nil {
+			return answer.Page, nil
+		}
+	}
+
+	return keeper.Page{}, errors.Trace(err)
+}
+
+func (relay *Relay) count() int {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+
+	return len(relay.peers)
 }
 
 // call asks one gateway. One that cannot help is not asked next.
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,132 @@
+package relayer_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/emulator"
+	"limpetrail/keeper"
+	"limpetrail/kernel"
+	"limpetrail/relayer"
+)
+
+// pair is a relay and the gateways that it asks, before one catalog.
+type pair struct {
+	relay   *relayer.Relay
+	catalog *emulator.Catalog
+	copied  []keeper.Item
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+
+	pair := &pair{catalog: emulator.NewCatalog()}
+	server := httptest.NewServer(relayer.NewServer(kernel.Discard("other"), pair.catalog, func(string) ([]keeper.Item, keeper.Revision, bool) {
+		return pair.copied, 7, pair.copied != nil
+	}))
+	t.Cleanup(server.Close)
+
+	// The first gateway is gone; the second one is asked in its place.
+	pair.relay = relayer.NewRelay(kernel.Discard("entry"), []string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")})
+
+	_, err := pair.relay.Get(t.Context(), "key")
+	require.Error(t, err)
+
+	return pair
+}
+
+// All that a Catalog does comes through a relay unchanged.
+func TestCallsThroughAnotherGateway(t *testing.T) {
+	pair := newPair(t)
+	ctx := t.Context()
+
+	lease, duration, err := pair.relay.Grant(ctx, time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, time.Minute, duration)
+
+	committed, err := pair.relay.Transact(ctx, keeper.Transaction{
+		Conditions: []keeper.Condition{{Key: "p/key"}},
+		Puts:       []keeper.Put{{Key: "p/key", Value: []byte{0, 255}, Lease: lease}},
+	})
+	require.NoError(t, err)
+	require.Equal(t, keeper.WriteApplied, committed.Applied)
+
+	item, err := pair.relay.Get(ctx, "p/key")
+	require.NoError(t, err)
+	require.Equal(t, keeper.Item{Key: "p/key", Value: []byte{0, 255}, Revision: committed.Revision, Created: committed.Revision, Lease: lease}, item)
+
+	page, err := pair.relay.Range(ctx, "p/", "", false)
+	require.NoError(t, err)
+	require.Equal(t, []keeper.Item{item}, page.Items)
+
+	changes, err := pair.relay.Watch(ctx, "p/", committed.Revision-1, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, item, changes.Events[0].Item)
+
+	refused, err := pair.relay.Transact(ctx, keeper.Transaction{Conditions: []keeper.Condition{{Key: "p/key"}}})
+	require.NoError(t, err)
+	require.Equal(t, keeper.WriteRefused, refused.Applied)
+	require.Equal(t, []keeper.Item{item}, refused.Present)
+
+	require.NoError(t, pair.relay.Renew(ctx, lease))
+	require.NoError(t, pair.relay.Revoke(ctx, lease))
+	require.True(t, errors.Is(pair.relay.Renew(ctx, lease), keeper.ErrLeaseEnded))
+
+	pair.catalog.Compact()
+
+	_, err = pair.relay.Watch(ctx, "p/", 1, time.Second)
+	require.True(t, errors.Is(err, keeper.ErrCompacted))
+}
+
+// What is known of a write comes through as it is.
+func TestFateOfARelayedWrite(t *testing.T) {
+	transaction := keeper.Transaction{Conditions: []keeper.Condition{{Key: "key"}}, Puts: []keeper.Put{{Key: "key"}}}
+
+	for name, scenario := range map[string]struct {
+		switches emulator.Switches
+		applied  keeper.Applied
+	}{
+		"turned away there too":     {emulator.Switches{Outage: true}, keeper.WriteRefused},
+		"its answer was lost there": {emulator.Switches{DropAnswers: 1}, keeper.WriteUnknown},
+		"the other way is silent":   {emulator.Switches{Freeze: true}, keeper.WriteUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pair := newPair(t)
+			pair.catalog.Faults.Set(scenario.switches)
+
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+
+			committed, err := pair.relay.Transact(ctx, transaction)
+			require.Error(t, err)
+			require.Equal(t, scenario.applied, committed.Applied)
+			pair.catalog.Faults.Set(emulator.Switches{})
+		})
+	}
+}
+
+// A transaction without a condition could take effect twice.
+func TestUnconditionalWriteIsNotRelayed(t *testing.T) {
+	committed, err := newPair(t).relay.Transact(t.Context(), keeper.Transaction{Puts: []keeper.Put{{Key: "key"}}})
+	require.Error(t, err)
+	require.Equal(t, keeper.WriteRefused, committed.Applied)
+}
+
+func TestCopyOfAnotherGateway(t *testing.T) {
+	pair := newPair(t)
+
+	_, err := pair.relay.Copy(t.Context(), "op/")
+	require.Error(t, err)
+
+	pair.copied = []keeper.Item{{Key: "op/config", Value: []byte("x"), Revision: 3}}
+
+	page, err := pair.relay.Copy(t.Context(), "op/")
+	require.NoError(t, err)
+	require.Equal(t, keeper.Page{Items: pair.copied, Revision: 7}, page)
+}
