--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -76,7 +76,7 @@
 
 // awaitFirst waits for the first byte of the answer.
 func (answer *Answer) awaitFirst(terms Terms) error {
-	if terms.FirstBy.Before(terms.LastBy) {
+	if !terms.FirstBy.IsZero() && terms.FirstBy.Before(terms.LastBy) {
 		err := answer.Await(terms.FirstBy)
 		if err != nil && (terms.GiveUp == nil || terms.GiveUp()) {
 			return errors.Annotate(err, "awaiting an answer")
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -68,7 +68,7 @@
 
 // Terms are how an exchange is made.
 type Terms struct {
-	// FirstBy is when the answer should have begun.
+	// FirstBy is when the answer should have begun; zero for no bound but LastBy.
 	FirstBy time.Time
 	// LastBy is when the head of the answer must be there.
 	LastBy time.Time
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,102 @@
+package gossiper_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/gossiper"
+	"limpetrail/kernel"
+	"limpetrail/placer"
+)
+
+// freePort returns a loopback address that nobody listens at now.
+func freePort(t *testing.T) string {
+	t.Helper()
+
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+
+	defer socket.Close()
+
+	return socket.LocalAddr().String()
+}
+
+func newEntry(t *testing.T, name, address string) (*gossiper.Gossiper, *placer.Placer) {
+	t.Helper()
+
+	common := kernel.Discard(name)
+	places := placer.NewPlacer(common)
+	places.Update([]placer.Server{{ID: "x", Service: "model", Places: 8}})
+
+	made := gossiper.NewGossiper(common, places, address)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() { done <- made.Run(ctx) }()
+
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+
+	return made, places
+}
+
+func othersOnline(places *placer.Placer) int {
+	return places.Status()[0].Others.Online
+}
+
+// What one entry runs is known at the other soon, and its end as well.
+func TestEntriesHearOfEachOther(t *testing.T) {
+	addresses := []string{freePort(t), freePort(t)}
+	first, running := newEntry(t, "a", addresses[0])
+	second, hearing := newEntry(t, "b", addresses[1])
+
+	first.SetPeers(map[string]string{"b": addresses[1]})
+	second.SetPeers(map[string]string{"a": addresses[0]})
+
+	decision := running.Place(t.Context(), placer.Work{Service: "model"})
+	require.Equal(t, placer.Placed, decision.Verdict)
+	require.Eventually(t, func() bool { return othersOnline(hearing) == 1 }, 5*time.Second, time.Millisecond)
+
+	decision.Grant.Release()
+	require.Eventually(t, func() bool { return othersOnline(hearing) == 0 }, 5*time.Second, time.Millisecond)
+}
+
+// Reports that come late, from strangers or in no readable form change nothing.
+func TestReportsThatDoNotCount(t *testing.T) {
+	address := freePort(t)
+	made, places := newEntry(t, "b", address)
+	made.SetPeers(map[string]string{"a": freePort(t)})
+
+	socket, err := net.Dial("udp4", address)
+	require.NoError(t, err)
+
+	defer socket.Close()
+
+	send := func(report gossiper.Report) {
+		encoded, err := json.Marshal(report)
+		require.NoError(t, err)
+		_, err = socket.Write(encoded)
+		require.NoError(t, err)
+	}
+	loads := func(online int) map[string]placer.Load { return map[string]placer.Load{"x": {Online: online}} }
+
+	send(gossiper.Report{Instance: "a", Incarnation: 2, Number: 5, Loads: loads(3)})
+	require.Eventually(t, func() bool { return othersOnline(places) == 3 }, 5*time.Second, time.Millisecond)
+
+	send(gossiper.Report{Instance: "a", Incarnation: 2, Number: 4, Loads: loads(7)})
+	send(gossiper.Report{Instance: "a", Incarnation: 1, Number: 9, Loads: loads(7)})
+	send(gossiper.Report{Instance: "stranger", Incarnation: 3, Number: 1, Loads: loads(7)})
+
+	_, err = socket.Write([]byte("{"))
+	require.NoError(t, err)
+
+	send(gossiper.Report{Instance: "a", Incarnation: 2, Number: 6, Loads: loads(4)})
+	require.Eventually(t, func() bool { return othersOnline(places) == 4 }, 5*time.Second, time.Millisecond)
+}
