--- a/commander/operations.go
+++ b/commander/operations.go
@@ -37,21 +37,11 @@
 
 func (commander *Commander) check(application *kingpin.Application) command {
 	clause := application.Command("check", "Check a settings file without starting anything.")
-	role := clause.Arg("role", "Role the file is for.").Required().Enum("entry", "sidecar")
+	role := clause.Arg("role", "Role the file is for.").Required().Enum("entry", "sidecar", "gateway", "holder")
 	path := clause.Arg("file", "INI file.").Required().String()
 
 	return command{clause: clause, run: func(context.Context) error {
-		var err error
-
-		if *role == "entry" {
-			settings := loader.DefaultEntry()
-			err = loader.Load(*path, &settings)
-		} else {
-			settings := loader.DefaultSidecar()
-			err = loader.Load(*path, &settings)
-		}
-
-		if err != nil {
+		if err := checkSettings(*role, *path); err != nil {
 			return errors.WithType(err, errors.NotValid)
 		}
 
@@ -61,6 +51,27 @@
 	}}
 }
 
+func checkSettings(role, path string) error {
+	switch role {
+	case "entry":
+		settings := loader.DefaultEntry()
+
+		return loader.Load(path, &settings)
+	case "sidecar":
+		settings := loader.DefaultSidecar()
+
+		return loader.Load(path, &settings)
+	case "gateway":
+		settings := loader.DefaultGateway()
+
+		return loader.Load(path, &settings)
+	default:
+		settings := loader.DefaultHolder()
+
+		return loader.Load(path, &settings)
+	}
+}
+
 func (commander *Commander) request(application *kingpin.Application) command {
 	clause := application.Command("request", "Send a completion and print its answer as it comes.")
 	entry := entryFlag(clause)
