Log how requests end, count them, show status and metrics

Cause: only failures had a line; nothing was counted; the platform's metrics port was open. Change: one line a request that did not end in time, one in sixteen of the others with how many it stands for; counters and latency histograms by kind and outcome; /v1/status on the operations address; metrics on a port of their own.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -111,6 +111,8 @@
 	}
 	served := make(chan error, 3)
 
+	go gateway.Listen.showMetrics(serving, gateway.Common, gateway.Settings.Listen.Metrics, gateway.Meter)
+
 	go func() { served <- server.Serve(callers) }()
 	go func() { served <- gateway.serve(serving, ready, http.HandlerFunc(gateway.ready)) }()
 	go func() { served <- gateway.serve(serving, operations, gateway.operations()) }()
@@ -308,6 +310,7 @@
 func (gateway *Gateway) operations() http.Handler {
 	mux := http.NewServeMux()
 	gateway.Meter.Register(mux)
+	mux.HandleFunc("GET "+PathStatus, gateway.status)
 	mux.Handle("POST "+relayer.Path, relayer.NewServer(gateway.Common, gateway.Client.Direct(), gateway.copied))
 
 	return mux
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -118,6 +118,6 @@
 	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), listing.Certain, settings.Jobs)
 }
 
-func newGatewayHandler(configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
-	return platform.NewHandler(configuration, calls.Forward, jobs)
+func newGatewayHandler(common kernel.Common, configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
+	return platform.NewHandler(common, configuration, calls.Forward, jobs)
 }
--- a/app/holder.go
+++ b/app/holder.go
@@ -61,6 +61,8 @@
 		})
 	})
 
+	go holder.Listen.showMetrics(ctx, holder.Common, holder.Settings.Listen.Metrics, holder.Meter)
+
 	mux := http.NewServeMux()
 	holder.Custodian.Register(mux)
 	holder.Meter.Register(mux)
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -161,7 +161,7 @@
 	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, settings)
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
 	jobHandler := platform.NewJobHandler(batcher)
-	platformHandler := newGatewayHandler(current, forwarderForwarder, jobHandler)
+	platformHandler := newGatewayHandler(common, current, forwarderForwarder, jobHandler)
 	gateway := &Gateway{
 		Common:        common,
 		Settings:      settings,
--- a/cmd/documenter/main.go
+++ b/cmd/documenter/main.go
@@ -50,5 +50,13 @@
 		return errors.Trace(err)
 	}
 
+	if err := writer.Write(text, "limpetrail gateway", loader.DefaultGateway()); err != nil {
+		return errors.Trace(err)
+	}
+
+	if err := writer.Write(text, "limpetrail holder", loader.DefaultHolder()); err != nil {
+		return errors.Trace(err)
+	}
+
 	return errors.Trace(os.WriteFile(page, text.Bytes(), pageMode))
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 
 	// budgets bound the attempts that are given up for silence, by service.
 	budgets *retrier.Group[string, *retrier.Budget]
+	account *account
 }
 
 const (
@@ -33,8 +34,11 @@
 
 // NewForwarder returns a forwarder.
 func NewForwarder(common kernel.Common, places *placer.Placer, backend Backend) *Forwarder {
+	common = common.ForPart("forwarder")
+
 	return &Forwarder{
-		Common:  common.ForPart("forwarder"),
+		Common:  common,
+		account: newAccount(common),
 		Placer:  places,
 		Backend: backend,
 		budgets: retrier.NewGroup[string](maxServices, func() *retrier.Budget { return retrier.NewBudget(repeatShare, repeatBurst) }),
@@ -57,7 +61,10 @@
 
 	for {
 		if result, ended := journey.step(ctx); ended {
-			return journey.end(ctx, result)
+			result = journey.end(ctx, result)
+			forwarder.account.end(call, result, time.Since(journey.begun))
+
+			return result
 		}
 	}
 }
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -250,7 +250,7 @@
 	})
 }
 
-// end completes the result of a call and logs it.
+// end completes the result of a call.
 func (journey *journey) end(ctx context.Context, result Result) Result {
 	if ctx.Err() != nil && result.Kind != Answered {
 		result = journey.overdue(ctx, result)
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -29,8 +29,11 @@
 	Ready string `required:"true"`
 	// Peers is the host and port of other gateways' datagrams.
 	Peers string `required:"true"`
-	// Operations is the host and port for metrics, status and snapshots.
+	// Operations is the host and port for status, metrics and calls of other
+	// gateways.
 	Operations string `required:"true"`
+	// Metrics is a host and port for metrics alone; empty for none.
+	Metrics string
 	// Seeds are the operations addresses of other gateways, joined by commas.
 	Seeds string
 }
@@ -65,8 +68,10 @@
 
 // HolderListen is where a holder listens.
 type HolderListen struct {
-	// Operations is the host and port for jobs, metrics and status.
+	// Operations is the host and port for jobs and metrics.
 	Operations string `required:"true"`
+	// Metrics is a host and port for metrics alone; empty for none.
+	Metrics string
 	// Seeds are the operations addresses of gateways, joined by commas.
 	Seeds string
 }
