Mend what the linter found in the new code

Change: names (exchanger.FailureError, story.takes), contexts, unused fields; the test sends its first report until it is heard. Conclusion: mended.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -125,7 +125,7 @@
 	case <-ctx.Done():
 	}
 
-	err = gateway.stop(server)
+	err = gateway.stop(serving, server)
 
 	duties.Wait()
 
@@ -134,11 +134,11 @@
 
 // stop takes the process out of the balancer, lets running requests finish and
 // ends within the grace.
-func (gateway *Gateway) stop(server *http.Server) error {
+func (gateway *Gateway) stop(ctx context.Context, server *http.Server) error {
 	gateway.Log.WithField("Grace", gateway.Settings.Stop.Grace).Info("Stopping.")
 	gateway.leaving.Store(true)
 
-	ctx, cancel := context.WithTimeout(context.Background(), gateway.Settings.Stop.Grace-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, gateway.Settings.Stop.Grace-stopMargin)
 	defer cancel()
 
 	rest(ctx, gateway.Settings.Stop.BalancerLag)
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -11,8 +11,6 @@
 	"limpetrail/emulator"
 )
 
-const usual = 30 * time.Second
-
 // Each scenario disturbs the fleet after a job of 12 items was accepted. The
 // job is whole at all gateways in the end, each item listed once.
 func TestJobIsWholeInTheEnd(t *testing.T) {
@@ -83,9 +81,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			newFleet(t, 3, 4, func(fleet *fleet) {
-				require.Equal(t, batcher.OK, fleet.submits(0, "job", items))
+				require.Equal(t, batcher.OK, fleet.submits(0, items))
 				happen(fleet)
-				fleet.expectWhole("job", items, usual)
+				fleet.expectWhole(items)
 
 				// Whoever woke up late lists nothing twice.
 				for _, gateway := range fleet.started {
@@ -93,7 +91,7 @@
 				}
 
 				time.Sleep(10 * time.Second)
-				fleet.expectWhole("job", items, usual)
+				fleet.expectWhole(items)
 			})
 		})
 	}
@@ -103,20 +101,20 @@
 func TestResentJobIsAcceptedOnce(t *testing.T) {
 	newFleet(t, 3, 2, func(fleet *fleet) {
 		for gateway := range 3 {
-			require.Equal(t, batcher.OK, fleet.submits(gateway, "job", 5))
+			require.Equal(t, batcher.OK, fleet.submits(gateway, 5))
 		}
 
-		fleet.expectWhole("job", 5, usual)
+		fleet.expectWhole(5)
 
 		for gateway := range 3 {
-			require.Equal(t, batcher.OK, fleet.submits(gateway, "job", 5))
+			require.Equal(t, batcher.OK, fleet.submits(gateway, 5))
 		}
 
 		time.Sleep(10 * time.Second)
-		fleet.expectWhole("job", 5, usual)
+		fleet.expectWhole(5)
 
 		for number := range 5 {
-			require.Equal(t, 1, fleet.runs(itemID("job", number)))
+			require.Equal(t, 1, fleet.runs(itemID(number)))
 		}
 	})
 }
@@ -125,12 +123,12 @@
 func TestInterruptedItemIsResumed(t *testing.T) {
 	newFleet(t, 1, 2, func(fleet *fleet) {
 		fleet.all(emulator.EventFaults{BreakAfter: 7})
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 1))
-		fleet.expectWhole("job", 1, usual)
+		require.Equal(t, batcher.OK, fleet.submits(0, 1))
+		fleet.expectWhole(1)
 
 		begun := []int{}
 		for _, server := range fleet.servers {
-			begun = append(begun, server.Resumed(itemID("job", 0))...)
+			begun = append(begun, server.Resumed(itemID(0))...)
 		}
 
 		require.ElementsMatch(t, []int{-1, 6, 13}, begun)
@@ -150,10 +148,10 @@
 		t.Run(name, func(t *testing.T) {
 			newFleet(t, 2, 2, func(fleet *fleet) {
 				fleet.all(emulator.EventFaults{Fail: scenario.status})
-				require.Equal(t, batcher.OK, fleet.submits(0, "job", 3))
+				require.Equal(t, batcher.OK, fleet.submits(0, 3))
 				time.Sleep(20 * time.Second)
 
-				results, _ := fleet.reads(1, "job")
+				results, _ := fleet.reads(1)
 				require.Len(t, results, 3)
 
 				for _, result := range results {
@@ -168,11 +166,11 @@
 // An ended job starts no further item, whichever gateway was told.
 func TestEndedJobStops(t *testing.T) {
 	newFleet(t, 3, 1, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 60))
+		require.Equal(t, batcher.OK, fleet.submits(0, 60))
 		time.Sleep(700 * time.Millisecond)
 
-		require.Equal(t, batcher.OK, fleet.gateways[2].batcher.End(context.Background(), "job"))
-		require.Equal(t, batcher.OK, fleet.gateways[1].batcher.End(context.Background(), "job"))
+		require.Equal(t, batcher.OK, fleet.gateways[2].batcher.End(context.Background(), jobID))
+		require.Equal(t, batcher.OK, fleet.gateways[1].batcher.End(context.Background(), jobID))
 
 		// The platform allows three seconds.
 		time.Sleep(3 * time.Second)
@@ -191,15 +189,15 @@
 	newFleet(t, 1, 1, func(fleet *fleet) {
 		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{Outage: true})
 
-		require.Equal(t, batcher.NotDone, fleet.submits(0, "job", 2))
+		require.Equal(t, batcher.NotDone, fleet.submits(0, 2))
 
-		_, outcome := fleet.gateways[0].batcher.Read(context.Background(), "job", 0, 0)
+		_, outcome := fleet.gateways[0].batcher.Read(context.Background(), jobID, 0, 0)
 		require.Equal(t, batcher.NotDone, outcome)
 
 		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{})
 		time.Sleep(10 * time.Second)
 
-		_, outcome = fleet.gateways[0].batcher.Read(context.Background(), "job", 0, 0)
+		_, outcome = fleet.gateways[0].batcher.Read(context.Background(), jobID, 0, 0)
 		require.Equal(t, batcher.NotFound, outcome)
 		require.Zero(t, fleet.servers[0].Total(), "a refused job does not run")
 	})
@@ -209,8 +207,8 @@
 func TestLostAnswerOfASubmissionIsSettled(t *testing.T) {
 	newFleet(t, 1, 2, func(fleet *fleet) {
 		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{DropAnswers: 2})
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 2))
-		fleet.expectWhole("job", 2, usual)
+		require.Equal(t, batcher.OK, fleet.submits(0, 2))
+		fleet.expectWhole(2)
 	})
 }
 
@@ -218,10 +216,10 @@
 func TestItemsWithoutARouteDoNotRun(t *testing.T) {
 	newFleet(t, 1, 1, func(fleet *fleet) {
 		fleet.configures(2, false)
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 2))
+		require.Equal(t, batcher.OK, fleet.submits(0, 2))
 		time.Sleep(5 * time.Second)
 
-		results, _ := fleet.reads(0, "job")
+		results, _ := fleet.reads(0)
 		require.Len(t, results, 2)
 		require.Equal(t, batcher.GivenUp, results[0].State)
 		require.Zero(t, fleet.servers[0].Total())
@@ -231,14 +229,14 @@
 // The body of an item is the one that was sent, at every gateway.
 func TestBodiesAreKept(t *testing.T) {
 	newFleet(t, 2, 1, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 3))
+		require.Equal(t, batcher.OK, fleet.submits(0, 3))
 
 		for _, gateway := range fleet.gateways {
-			body, outcome := gateway.batcher.Body(context.Background(), "job", itemID("job", 2))
+			body, outcome := gateway.batcher.Body(context.Background(), jobID, itemID(2))
 			require.Equal(t, batcher.OK, outcome)
 			require.Equal(t, "body of job-2", string(body))
 
-			_, outcome = gateway.batcher.Body(context.Background(), "job", "other")
+			_, outcome = gateway.batcher.Body(context.Background(), jobID, "other")
 			require.Equal(t, batcher.NotFound, outcome)
 		}
 	})
@@ -247,15 +245,15 @@
 // What one gateway has shown, every other shows within a second.
 func TestReadersOfAllGatewaysSeeTheSame(t *testing.T) {
 	newFleet(t, 3, 1, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 20))
+		require.Equal(t, batcher.OK, fleet.submits(0, 20))
 
 		for range 100 {
-			seen, _ := fleet.reads(0, "job")
+			seen, _ := fleet.reads(0)
 
 			time.Sleep(time.Second)
 
 			for gateway := range fleet.gateways {
-				results, _ := fleet.reads(gateway, "job")
+				results, _ := fleet.reads(gateway)
 				require.GreaterOrEqual(t, len(results), len(seen))
 				require.Equal(t, seen, results[:len(seen)])
 			}
@@ -272,15 +270,15 @@
 // Jobs are removed when their retention is over, and not before.
 func TestOldJobsAreRemoved(t *testing.T) {
 	newFleet(t, 2, 2, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, "job", 2))
-		fleet.expectWhole("job", 2, usual)
+		require.Equal(t, batcher.OK, fleet.submits(0, 2))
+		fleet.expectWhole(2)
 
 		time.Sleep(15 * time.Minute)
-		fleet.expectWhole("job", 2, usual)
+		fleet.expectWhole(2)
 
 		time.Sleep(10 * time.Minute)
 
-		_, outcome := fleet.gateways[1].batcher.Read(context.Background(), "job", 0, 0)
+		_, outcome := fleet.gateways[1].batcher.Read(context.Background(), jobID, 0, 0)
 		require.Equal(t, batcher.NotFound, outcome)
 	})
 }
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -27,6 +27,10 @@
 	host        = "host"
 	serviceName = "model"
 	itemEvents  = 20
+	// jobID is the job that stories submit.
+	jobID = "job"
+	// usual is far more than a job needs without disturbance.
+	usual = 30 * time.Second
 )
 
 // gateway is one process with jobs.
@@ -175,10 +179,10 @@
 }
 
 // submits hands a job to a gateway.
-func (fleet *fleet) submits(gateway int, id string, items int) batcher.Outcome {
-	job := batcher.Job{ID: id, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
+func (fleet *fleet) submits(gateway, items int) batcher.Outcome {
+	job := batcher.Job{ID: jobID, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
 	for number := range items {
-		job.Items = append(job.Items, batcher.Item{ID: itemID(id, number), Target: "/batch/" + id, Body: []byte("body of " + itemID(id, number))})
+		job.Items = append(job.Items, batcher.Item{ID: itemID(number), Target: "/batch/x", Body: []byte("body of " + itemID(number))})
 	}
 
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
@@ -187,18 +191,18 @@
 	return fleet.gateways[gateway].batcher.Submit(ctx, job)
 }
 
-func itemID(job string, number int) string {
-	return fmt.Sprintf("%s-%d", job, number)
+func itemID(number int) string {
+	return fmt.Sprintf("%s-%d", jobID, number)
 }
 
 // reads returns all results as a gateway shows them.
-func (fleet *fleet) reads(gateway int, id string) ([]batcher.Result, int) {
+func (fleet *fleet) reads(gateway int) ([]batcher.Result, int) {
 	ctx := context.Background()
 	results := []batcher.Result{}
 	until := time.Now().Add(10 * time.Second)
 
 	for {
-		reading, outcome := fleet.gateways[gateway].batcher.Read(ctx, id, len(results), 0)
+		reading, outcome := fleet.gateways[gateway].batcher.Read(ctx, jobID, len(results), 0)
 		if outcome == batcher.NotDone && time.Now().Before(until) {
 			// A gateway that is not sure says so, and the reader comes again.
 			time.Sleep(300 * time.Millisecond)
@@ -219,13 +223,13 @@
 }
 
 // expectWhole waits until a job is done, and checks its results at all gateways.
-func (fleet *fleet) expectWhole(id string, items int, within time.Duration) {
+func (fleet *fleet) expectWhole(items int) {
 	fleet.t.Helper()
 
-	until := time.Now().Add(within)
+	until := time.Now().Add(usual)
 
 	for {
-		results, total := fleet.reads(len(fleet.gateways)-1, id)
+		results, total := fleet.reads(len(fleet.gateways) - 1)
 		require.Equal(fleet.t, items, total)
 
 		if len(results) == items {
@@ -236,7 +240,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 
-	expected, _ := fleet.reads(0, id)
+	expected, _ := fleet.reads(0)
 	listed := map[string]bool{}
 
 	for _, result := range expected {
@@ -249,7 +253,7 @@
 	}
 
 	for gateway := range fleet.gateways {
-		results, _ := fleet.reads(gateway, id)
+		results, _ := fleet.reads(gateway)
 		require.Equal(fleet.t, expected, results, "a position differs")
 	}
 }
--- a/batcher/ledger.go
+++ b/batcher/ledger.go
@@ -56,6 +56,7 @@
 		return version{Head: head, revision: committed.Revision}, OK, nil
 	case keeper.WriteUnknown:
 		return version{}, Unknown, errors.Trace(err)
+	default:
 	}
 
 	if err != nil {
--- a/batcher/order.go
+++ b/batcher/order.go
@@ -2,13 +2,8 @@
 
 import "time"
 
-const (
-	// itemTime is about what an item takes from its start to its end.
-	itemTime = 5 * time.Second
-	// urgentTime before its due time a job may press on: an item that waits
-	// longer will be late.
-	urgentTime = 2 * itemTime
-)
+// itemTime is about what an item takes from its start to its end.
+const itemTime = 5 * time.Second
 
 // next returns the job whose item gets the next place: the one that is due
 // first among those that can still be in time. Late ones come last, so that
--- a/batcher/record.go
+++ b/batcher/record.go
@@ -22,8 +22,6 @@
 	grown chan struct{}
 	// used is when the record was last asked for.
 	used time.Time
-	// work is set while this process owns the job.
-	work *work
 	// reading serialises reads of the service, so that readers share one.
 	reading sync.Mutex
 	// readAt is when the last complete read began.
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -71,15 +71,17 @@
 
 // run makes one attempt at an item and decides what follows.
 func (batcher *Batcher) run(ctx context.Context, owned *work, item *task, to *destination, grant *placer.Grant) {
-	attempt, cancel := context.WithCancel(owned.context)
+	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
 
+	// The attempt ends with the process, with the ownership or when it yields.
+	stop := context.AfterFunc(owned.context, cancel) //nolint:contextcheck // Either context ends it.
+	defer stop()
+
 	go func() {
 		select {
 		case <-grant.Yield:
 			cancel()
-		case <-ctx.Done():
-			cancel()
 		case <-attempt.Done():
 		}
 	}()
@@ -210,14 +212,14 @@
 
 	defer reply.Answer.Close()
 
-	switch {
-	case reply.Answer.Status == http.StatusOK:
+	switch reply.Answer.Status {
+	case http.StatusOK:
 		grant.Observe(placer.Answered, time.Since(begun))
 
 		return batcher.read(ctx, item, grant, reply.Answer)
-	case reply.Answer.Status == http.StatusUnprocessableEntity:
+	case http.StatusUnprocessableEntity:
 		return impossible, "The backend server says that it cannot be done."
-	case reply.Answer.Status == http.StatusInternalServerError:
+	case http.StatusInternalServerError:
 		return failed, "The backend server failed."
 	default:
 		return interrupted, "The backend server answered " + http.StatusText(reply.Answer.Status) + "."
@@ -225,7 +227,7 @@
 }
 
 func (batcher *Batcher) unanswered(ctx context.Context, grant *placer.Grant, err error) (ending, string) {
-	failure := exchanger.Failure{}
+	failure := exchanger.FailureError{}
 
 	switch {
 	case ctx.Err() != nil:
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -182,7 +182,7 @@
 
 	if server.Events == 0 {
 		pauseFor(request, server.slowed(faults, server.First))
-		fmt.Fprintf(writer, "answer to %s", id)
+		fmt.Fprintf(writer, "answer to %s", id) //nolint:gosec // A stand-in shows no page.
 
 		return
 	}
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -95,7 +95,7 @@
 
 	_, err := answer.conn.reader.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return Failure{Fate: Unanswered, Cause: err}
+		return FailureError{Fate: Unanswered, Cause: err}
 	}
 
 	// Any other end shows in the next read.
@@ -121,7 +121,7 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a whole body;
-// other errors are of the type Failure.
+// other errors are of the type FailureError.
 func (answer *Answer) Read(buffer []byte) (int, error) {
 	count, err := answer.response.Body.Read(buffer)
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -85,10 +85,10 @@
 	conn, err := exchanger.connection(ctx, address, terms)
 	if err != nil {
 		if ctx.Err() != nil {
-			return nil, Failure{Fate: Left, Cause: ctx.Err()}
+			return nil, FailureError{Fate: Left, Cause: ctx.Err()}
 		}
 
-		return nil, Failure{Fate: Unsent, Cause: err}
+		return nil, FailureError{Fate: Unsent, Cause: err}
 	}
 
 	answer := &Answer{exchanger: exchanger, address: address, conn: conn, context: ctx}
@@ -104,17 +104,17 @@
 }
 
 func (exchanger *Exchanger) failure(ctx context.Context, err error) error {
-	known := Failure{}
+	known := FailureError{}
 
 	switch {
 	case ctx.Err() != nil:
-		return Failure{Fate: Left, Cause: errors.Trace(ctx.Err())}
+		return FailureError{Fate: Left, Cause: errors.Trace(ctx.Err())}
 	case errors.As(err, &known):
 		return known
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return Failure{Fate: Unanswered, Cause: err}
+		return FailureError{Fate: Unanswered, Cause: err}
 	default:
-		return Failure{Fate: Cut, Cause: err}
+		return FailureError{Fate: Cut, Cause: err}
 	}
 }
 
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -31,7 +31,7 @@
 func newScripted(t *testing.T, closing bool, texts ...string) *scripted {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
 	server := &scripted{listener: listener, heads: make(chan string, 100)}
@@ -130,7 +130,7 @@
 			require.Equal(t, scenario.failed, err != nil)
 			require.Equal(t, "POST /a//../b?c=%2f host.example body", <-server.heads)
 
-			failure := exchanger.Failure{}
+			failure := exchanger.FailureError{}
 			if scenario.failed {
 				require.ErrorAs(t, err, &failure)
 				require.Equal(t, scenario.fate, failure.Fate)
@@ -182,7 +182,7 @@
 
 	_, err := fetch(exchanger.NewExchanger(kernel.Discard("entry")), server, soon())
 
-	failure := exchanger.Failure{}
+	failure := exchanger.FailureError{}
 	require.ErrorAs(t, err, &failure)
 	require.Equal(t, exchanger.Unsent, failure.Fate)
 }
@@ -195,7 +195,7 @@
 
 	_, err := exchanger.NewExchanger(kernel.Discard("entry")).Exchange(ctx, server.listener.Addr().String(), request(), exchanger.Terms{LastBy: time.Now().Add(time.Minute)})
 
-	failure := exchanger.Failure{}
+	failure := exchanger.FailureError{}
 	require.ErrorAs(t, err, &failure)
 	require.Equal(t, exchanger.Left, failure.Fate)
 }
@@ -208,7 +208,7 @@
 		terms := exchanger.Terms{FirstBy: begun.Add(20 * time.Millisecond), LastBy: begun.Add(200 * time.Millisecond), GiveUp: func() bool { return giveUp }}
 		_, err := fetch(exchanger.NewExchanger(kernel.Discard("entry")), server, terms)
 
-		failure := exchanger.Failure{}
+		failure := exchanger.FailureError{}
 		require.ErrorAs(t, err, &failure)
 		require.Equal(t, exchanger.Unanswered, failure.Fate)
 		require.Equal(t, giveUp, time.Since(begun) < 200*time.Millisecond)
@@ -218,7 +218,7 @@
 // A server may answer before it has read a long body. The connection is not
 // used again until the body was sent whole.
 func TestEarlyAnswerToALongBody(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 
--- a/exchanger/fate.go
+++ b/exchanger/fate.go
@@ -20,18 +20,18 @@
 	return [...]string{"Unsent", "Unanswered", "Cut", "Left"}[fate]
 }
 
-// Failure is an exchange without an answer.
-type Failure struct {
+// FailureError is an exchange without an answer.
+type FailureError struct {
 	Fate  Fate
 	Cause error
 }
 
 // Error implements error.
-func (failure Failure) Error() string {
+func (failure FailureError) Error() string {
 	return failure.Fate.String() + ": " + failure.Cause.Error()
 }
 
 // Unwrap returns the cause.
-func (failure Failure) Unwrap() error {
+func (failure FailureError) Unwrap() error {
 	return failure.Cause
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -80,7 +80,7 @@
 		ledger:      ledger,
 		context:     ctx,
 	}
-	executor.starting, executor.endStarting = context.WithCancel(ctx)
+	executor.starting, executor.endStarting = context.WithCancel(ctx) //nolint:gosec // Drain calls it.
 
 	for _, option := range options {
 		option(executor)
--- a/executor/work.go
+++ b/executor/work.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	stop := context.AfterFunc(executor.starting, cancel)
+	stop := context.AfterFunc(executor.starting, cancel) //nolint:contextcheck // Either context ends it.
 	defer stop()
 
 	place, refusal := executor.Admitter.Enter(ctx, ticket)
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -44,7 +44,7 @@
 }
 
 // Backend is how backend servers are spoken to. An error is an
-// exchanger.Failure.
+// exchanger.FailureError.
 type Backend interface {
 	Send(ctx context.Context, server placer.Server, call *Call, attempt Attempt) (Reply, error)
 }
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -185,7 +185,7 @@
 
 // cut decides after a stream that ended early or fell silent.
 func (journey *journey) cut(grant *placer.Grant, err error, last bool) (Result, bool) {
-	failure := exchanger.Failure{}
+	failure := exchanger.FailureError{}
 	if errors.As(err, &failure) && failure.Fate == exchanger.Left {
 		return Result{Kind: Left, Reason: failure.Error()}, true
 	}
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -159,9 +159,9 @@
 
 // failed decides after an exchange without an answer.
 func (journey *journey) failed(grant *placer.Grant, err error, last bool) (Result, bool) {
-	failure := exchanger.Failure{}
+	failure := exchanger.FailureError{}
 	if !errors.As(err, &failure) {
-		failure = exchanger.Failure{Fate: exchanger.Cut, Cause: err}
+		failure = exchanger.FailureError{Fate: exchanger.Cut, Cause: err}
 	}
 
 	journey.tried = append(journey.tried, grant.Server.ID)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -74,7 +74,7 @@
 	made, places := newEntry(t, "b", address)
 	made.SetPeers(map[string]string{"a": freePort(t)})
 
-	socket, err := net.Dial("udp4", address)
+	socket, err := (&net.Dialer{}).DialContext(t.Context(), "udp4", address)
 	require.NoError(t, err)
 
 	defer socket.Close()
@@ -82,13 +82,17 @@
 	send := func(report gossiper.Report) {
 		encoded, err := json.Marshal(report)
 		require.NoError(t, err)
-		_, err = socket.Write(encoded)
-		require.NoError(t, err)
+		// A datagram to a port that is not open yet comes back as an error.
+		_, _ = socket.Write(encoded)
 	}
 	loads := func(online int) map[string]placer.Load { return map[string]placer.Load{"x": {Online: online}} }
 
-	send(gossiper.Report{Instance: "a", Incarnation: 2, Number: 5, Loads: loads(3)})
-	require.Eventually(t, func() bool { return othersOnline(places) == 3 }, 5*time.Second, time.Millisecond)
+	// The entry may not listen yet, so the first report is sent until it is heard.
+	require.Eventually(t, func() bool {
+		send(gossiper.Report{Instance: "a", Incarnation: 2, Number: 5, Loads: loads(3)})
+
+		return othersOnline(places) == 3
+	}, 5*time.Second, time.Millisecond)
 
 	send(gossiper.Report{Instance: "a", Incarnation: 2, Number: 4, Loads: loads(7)})
 	send(gossiper.Report{Instance: "a", Incarnation: 1, Number: 9, Loads: loads(7)})
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -39,8 +39,8 @@
 	story.placer.Update(story.list)
 }
 
-// places places work without patience and returns the server.
-func (story *story) places(exclude ...string) (*placer.Grant, string) {
+// takes asks for a place without patience and returns its server.
+func (story *story) takes(exclude ...string) (*placer.Grant, string) {
 	decision := story.placer.Place(story.t.Context(), placer.Work{Service: modelService, Exclude: exclude})
 	if decision.Grant == nil {
 		return nil, decision.Verdict.String()
@@ -66,19 +66,19 @@
 			tell(t, func(story *story) {
 				story.lists("x", "y", "z")
 
-				grant, _ := story.places("y", "z")
+				grant, _ := story.takes("y", "z")
 				for _, observation := range scenario.observations {
 					grant.Observe(observation, time.Millisecond)
 				}
 
-				_, server := story.places("y", "z")
+				_, server := story.takes("y", "z")
 				require.Equal(t, scenario.suspect, server != "x")
 
 				if scenario.suspect {
 					require.Len(t, story.placer.Suspects(), 1)
 					story.placer.Pass(grant.Server)
 
-					_, server = story.places("y", "z")
+					_, server = story.takes("y", "z")
 					require.Equal(t, "x", server)
 				}
 			})
@@ -92,14 +92,14 @@
 	tell(t, func(story *story) {
 		story.lists("x")
 
-		first, _ := story.places()
-		second, _ := story.places()
+		first, _ := story.takes()
+		second, _ := story.takes()
 		first.Observe(placer.Unreachable, 0)
 
 		story.list[0].Incarnation = 2
 		story.placer.Update(story.list)
 
-		_, server := story.places()
+		_, server := story.takes()
 		require.Equal(t, "x", server)
 
 		first.Release()
@@ -116,11 +116,11 @@
 		story.placer.Update(story.list)
 
 		for range 2 {
-			_, server := story.places()
+			_, server := story.takes()
 			require.Equal(t, "y", server)
 		}
 
-		_, server := story.places("y")
+		_, server := story.takes("y")
 		require.Equal(t, placer.Absent.String(), server)
 	})
 }
@@ -136,7 +136,7 @@
 		_, placed = story.placer.PlaceBatch(placer.Work{Service: modelService})
 		require.False(t, placed, "a place is left for the next online request")
 
-		_, server := story.places()
+		_, server := story.takes()
 		require.Equal(t, "x", server)
 
 		select {
@@ -145,7 +145,7 @@
 		default:
 		}
 
-		_, server = story.places()
+		_, server = story.takes()
 		require.Equal(t, "x", server)
 		<-batch.Yield
 
@@ -161,16 +161,16 @@
 		story.lists("x", "y")
 		story.placer.Hear("entry-2", "a", map[string]placer.Load{"x": {Online: 2}, "y": {Online: 1}})
 
-		_, server := story.places()
+		_, server := story.takes()
 		require.Equal(t, "y", server)
 
-		_, verdict := story.places()
+		_, verdict := story.takes()
 		require.Equal(t, placer.Refused.String(), verdict)
 
 		time.Sleep(2 * time.Second)
 		story.placer.Hear("entry-3", "a", nil)
 
-		_, server = story.places()
+		_, server = story.takes()
 		require.Equal(t, "x", server, "old reports say nothing")
 	})
 }
@@ -180,14 +180,16 @@
 	tell(t, func(story *story) {
 		story.lists("x")
 
-		first, _ := story.places()
-		second, _ := story.places()
+		first, _ := story.takes()
+		second, _ := story.takes()
 		served := make(chan int, 3)
 
 		for index, priority := range []int{2, 2, 0} {
 			go func() {
 				decision := story.placer.Place(story.t.Context(), placer.Work{Service: modelService, Priority: priority, Patience: 10 * time.Second})
-				require.Equal(t, placer.Placed, decision.Verdict)
+				if decision.Verdict != placer.Placed {
+					index = -1
+				}
 
 				served <- index
 
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -63,7 +63,7 @@
 }
 
 // err returns the error that the other gateway got.
-func (reply reply) err() error {
+func (reply *reply) err() error {
 	switch reply.Cause {
 	case causeNone:
 		return nil
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -166,14 +166,14 @@
 		return reply{}, errors.Trace(err)
 	}
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+Path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+Path, bytes.NewReader(body)) //nolint:gosec // Peers come from settings and from the list of members.
 	if err != nil {
 		return reply{}, errors.Trace(err)
 	}
 	// Without GetBody the transport cannot send the call a second time.
 	request.GetBody = nil
 
-	response, err := relay.Client.Do(request)
+	response, err := relay.Client.Do(request) //nolint:gosec // See above.
 	if err != nil {
 		return reply{}, errors.Trace(err)
 	}
