--- a/app/gateway.go
+++ b/app/gateway.go
@@ -69,6 +69,8 @@
 	leaving atomic.Bool
 	// copies are the followers by their prefixes; written once before serving.
 	copies map[string]*follower.Follower
+	// known is how many members were listed last.
+	known int
 	// complained holds the revisions of entries that were logged as unreadable.
 	complained map[string]keeper.Revision
 }
@@ -266,7 +268,11 @@
 		}
 	}
 
-	gateway.Log.WithField("Members", len(members)).Info("Members are known.")
+	if len(members) != gateway.known {
+		gateway.known = len(members)
+		gateway.Log.WithField("Members", len(members)).Info("Members are known.")
+	}
+
 	gateway.Relay.SetPeers(relays)
 	gateway.Depositor.SetCustodians(custodians)
 	gateway.Gossiper.SetPeers(addresses)
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -103,7 +103,7 @@
 
 	created, outcome, err := batcher.accept(ctx, job, head)
 	batcher.Log.WithFields(logrus.Fields{
-		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome, "Owner": created.Owner, "Error": err,
+		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome.String(), "Owner": created.Owner, "Error": err,
 	}).Info("Job was submitted.")
 
 	if outcome != OK || created.revision == 0 {
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -79,7 +79,7 @@
 		return true
 	}
 
-	work := placer.Work{RequestID: item.item.ID, Service: route.service}
+	work := placer.Work{RequestID: item.item.ID, Service: route.service, Due: owned.job.Due}
 	if item.avoid != "" {
 		work.Exclude = []string{item.avoid}
 	}
--- a/batcher/job.go
+++ b/batcher/job.go
@@ -98,6 +98,11 @@
 	Unknown
 )
 
+// String names the outcome in logs.
+func (outcome Outcome) String() string {
+	return [...]string{"OK", "NotFound", "NotDone", "Unknown"}[outcome]
+}
+
 func headKey(id string) string {
 	return PrefixHeads + url.QueryEscape(id)
 }
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -69,6 +69,11 @@
 	impossible
 )
 
+// String names the ending in logs.
+func (ending ending) String() string {
+	return [...]string{"Whole", "Interrupted", "Failed", "Impossible"}[ending]
+}
+
 // run makes one attempt at an item and decides what follows.
 func (batcher *Batcher) run(ctx context.Context, owned *work, item *task, to *destination, grant *placer.Grant) {
 	attempt, cancel := context.WithCancel(ctx)
@@ -107,7 +112,7 @@
 	}
 
 	batcher.Log.WithFields(logrus.Fields{
-		"JobID": owned.job.ID, "RequestID": item.item.ID, "BackendServer": grant.Server.ID, "Ending": ended,
+		"JobID": owned.job.ID, "RequestID": item.item.ID, "BackendServer": grant.Server.ID, "Ending": ended.String(),
 		"Reason": reason, "Events": item.events, "Gained": gained, "Failures": item.failures,
 	}).Log(levelOf(ended), "Attempt at an item ended.")
 
--- a/placer/grant.go
+++ b/placer/grant.go
@@ -10,6 +10,8 @@
 	Server Server
 	// Batch grants can be asked to yield.
 	Batch bool
+	// Due is when batch work is wanted.
+	Due time.Time
 	// Yield is closed when batch work has to give its place back.
 	Yield chan struct{}
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -244,7 +244,9 @@
 	if decision.Verdict == Refused {
 		// The forecast failed. Sent to an engine's own queue now, the request
 		// would be late and make others late.
-		decision.RetryAfter = service.returns.next(time.Now(), 0, service.ownOnline(), service.stay)
+		running := service.ownOnline()
+		wait := forecast(running, len(service.queue.waiting), service.stay)
+		decision.RetryAfter = service.returns.next(time.Now(), wait, running, service.stay)
 	}
 
 	return decision
@@ -269,7 +271,10 @@
 		return nil, false
 	}
 
-	return placer.grant(server, true), true
+	grant := placer.grant(server, true)
+	grant.Due = work.Due
+
+	return grant, true
 }
 
 // find returns a grant at the best server, or nil. The mutex is held.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -209,3 +209,33 @@
 		second.Release()
 	})
 }
+
+// The run that is due last yields first, whatever is done of it.
+func TestUrgentBatchWorkKeepsItsPlace(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x")
+		story.list[0].Places = 4
+		story.placer.Update(story.list)
+
+		grants := []*placer.Grant{}
+
+		for _, due := range []time.Duration{8 * time.Second, 20 * time.Second, 20 * time.Second} {
+			grant, placed := story.placer.PlaceBatch(placer.Work{Service: modelService, Due: time.Now().Add(due)})
+			require.True(t, placed)
+
+			grants = append(grants, grant)
+		}
+
+		grants[0].SetProgress(1)
+		grants[1].SetProgress(50)
+		grants[2].SetProgress(20)
+
+		// One place is free.
+		story.takes()
+
+		for _, expected := range []int{2, 1, 0} {
+			story.takes()
+			<-grants[expected].Yield
+		}
+	})
+}
--- a/placer/work.go
+++ b/placer/work.go
@@ -12,6 +12,8 @@
 	Patience time.Duration
 	// Prefix is the hash of the shared part of the prompt; 0 for none.
 	Prefix uint64
+	// Due is when batch work is wanted; zero for online work.
+	Due time.Time
 	// Exclude holds the IDs of servers that were tried.
 	Exclude []string
 }
--- a/placer/yield.go
+++ b/placer/yield.go
@@ -1,5 +1,7 @@
 package placer
 
+import "time"
+
 const (
 	// homeReserve is left free by batch work at a server that this entry may
 	// fill, for the next online request.
@@ -18,13 +20,18 @@
 	return server.free() - strangerReserve
 }
 
-// yielding returns the batch run of this entry at a server that has most left
-// to do: it loses the least for the time of its place.
+// dueStep is how far due times have to differ to count: the runs of a job that
+// is due within it of another's are as urgent.
+const dueStep = 2 * time.Second
+
+// yielding returns the batch run of this entry at a server that gives its place
+// back first: the one that is due last, and among equals the one that has most
+// left to do, which loses the least for the time of its place.
 func yielding(server *state) *Grant {
 	var found *Grant
 
 	for grant := range server.grants {
-		if found == nil || grant.Progress() < found.Progress() {
+		if found == nil || yieldsBefore(grant, found) {
 			found = grant
 		}
 	}
@@ -32,6 +39,14 @@
 	return found
 }
 
+func yieldsBefore(a, b *Grant) bool {
+	if dueA, dueB := a.Due.Truncate(dueStep), b.Due.Truncate(dueStep); !dueA.Equal(dueB) {
+		return dueA.After(dueB)
+	}
+
+	return a.Progress() < b.Progress()
+}
+
 // homes marks the servers that this entry fills with batch work: each server
 // has one among the entries of its data centre, or of all where it has none.
 func homes(servers []*state, entry, dataCentre string, peers map[string]string) {
