Save the partial output of items, so that the next owner goes on there

Ruled out: handing items to others before a kill; it comes without a word. TestNextOwnerGoesOnWhereTheFormerSaved: items began at -1 only before.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -120,7 +120,7 @@
 		}
 		record.mutex.Unlock()
 
-		batcher.own(record, job, created)
+		batcher.own(record, job, created, nil)
 	}
 
 	return OK
@@ -306,13 +306,17 @@
 }
 
 // own starts the work on a job whose head names this process.
-func (batcher *Batcher) own(record *record, job Job, head version) {
+func (batcher *Batcher) own(record *record, job Job, head version, partials map[string]partial) {
 	record.mutex.Lock()
-	tasks := unlisted(record.items, record.results)
+	tasks := unlisted(record.items, record.results, partials)
 	record.mutex.Unlock()
 
 	ctx, cancel := context.WithCancel(context.Background())
-	owned := &work{record: record, job: job, context: ctx, cancel: cancel, waiting: tasks}
+	owned := &work{record: record, job: job, context: ctx, cancel: cancel, waiting: tasks, unfinished: map[string]*task{}}
+
+	for _, task := range tasks {
+		owned.unfinished[task.item.ID] = task
+	}
 
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,6 +136,41 @@
 	})
 }
 
+// What a dead owner had made and saved is not made again.
+func TestNextOwnerGoesOnWhereTheFormerSaved(t *testing.T) {
+	for name, end := range map[string]func(fleet *fleet){
+		"killed":  func(fleet *fleet) { fleet.kill(0) },
+		"stopped": func(fleet *fleet) { fleet.gateways[0].stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			newFleet(t, 2, 2, func(fleet *fleet) {
+				for _, server := range fleet.servers {
+					// An item takes four seconds.
+					server.Gap = 200 * time.Millisecond
+				}
+
+				require.Equal(t, batcher.OK, fleet.submits(0, 4))
+				time.Sleep(3 * time.Second)
+				end(fleet)
+
+				fleet.gateways = fleet.gateways[1:]
+				fleet.expectWhole(4)
+
+				for number := range 4 {
+					begun := []int{}
+					for _, server := range fleet.servers {
+						begun = append(begun, server.Resumed(itemID(number))...)
+					}
+
+					slices.Sort(begun)
+					require.Equal(t, -1, begun[0])
+					require.Greater(t, begun[1], 5, "at least half of three seconds was saved")
+				}
+			})
+		})
+	}
+}
+
 // Items that fail each time are given up after the route's attempts, others are
 // done all the same.
 func TestItemsThatCannotBeDoneAreGivenUp(t *testing.T) {
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -126,8 +126,9 @@
 	return proposals, nil
 }
 
-// maxProposals keeps a transaction within 32 entries, two keys a job.
-const maxProposals = 12
+// maxProposals keeps a transaction within 32 entries: three keys are written for
+// a job that is done.
+const maxProposals = 8
 
 // gather makes a segment of finished results, unless one is proposed already.
 func (work *work) gather(room int) {
@@ -176,6 +177,7 @@
 		}
 
 		transaction.Puts = append(transaction.Puts, keeper.Put{Key: headKey(id), Value: value})
+		transaction.Removes = append(transaction.Removes, partialKey(id))
 	}
 
 	return transaction, nil
--- a/batcher/duty.go
+++ b/batcher/duty.go
@@ -28,6 +28,7 @@
 	duties.Go(func() { batcher.commit(ctx) })
 	duties.Go(func() { batcher.oversee(ctx) })
 	duties.Go(func() { batcher.tidy(ctx) })
+	duties.Go(func() { batcher.save(ctx) })
 	duties.Wait()
 
 	batcher.running.Wait()
@@ -39,6 +40,7 @@
 		continue
 	}
 
+	batcher.saveOnce(last)
 	batcher.release(last)
 }
 
@@ -103,7 +105,7 @@
 	}
 
 	condition := []keeper.Condition{{Key: headKey(id), Revision: head.revision}}
-	keys := []string{}
+	keys := []string{partialKey(id)}
 
 	for _, prefix := range []string{itemsPrefix(id), resultsPrefix(id)} {
 		items, _, err := batcher.ledger.client.RangeAll(ctx, prefix)
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -316,6 +316,8 @@
 		}
 	}
 
+	delete(owned.unfinished, item.item.ID)
+
 	owned.finished = append(owned.finished, result)
 
 	poke(batcher.listing)
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -189,12 +189,18 @@
 		return err
 	}
 
+	partials, err := batcher.ledger.partials(ctx, record.id)
+	if err != nil {
+		// What was made is made again.
+		batcher.Log.WithField("JobID", record.id).WithError(err).Warn("Partial output cannot be read.")
+	}
+
 	batcher.own(record, Job{
 		ID: record.id, Host: head.Host, Items: items,
 		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp,
-	}, head)
+	}, head, partials)
 
-	batcher.Log.WithFields(logrus.Fields{"JobID": record.id, "Revision": head.revision, "Items": len(items)}).Info("Job was taken over.")
+	batcher.Log.WithFields(logrus.Fields{"JobID": record.id, "Revision": head.revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
 
 	return nil
 }
--- a/batcher/work.go
+++ b/batcher/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -16,6 +17,10 @@
 	cancel  context.CancelFunc
 	// waiting holds items that want a place.
 	waiting []*task
+	// unfinished holds all items without a result, waiting or running, by ID.
+	unfinished map[string]*task
+	// saved is how many events the last saved partial output had.
+	saved int
 	// running is how many items have a place.
 	running int
 	// finished holds results that are not listed yet.
@@ -25,13 +30,17 @@
 	proposed *segment
 }
 
-// task is an item on its way. One goroutine at a time has it.
+// task is an item on its way. One goroutine at a time works on it; others read
+// its output.
 type task struct {
 	item Item
+
+	mutex sync.Mutex
 	// output is the data of the events so far; after is the last one's number.
 	output strings.Builder
 	events int
 	after  int
+
 	// failures counts answers that are failed attempts.
 	failures int
 	// bounces counts attempts that did not run or were cut.
@@ -44,6 +53,9 @@
 
 // add takes in data of the event with the number.
 func (task *task) add(number int, data []byte) {
+	task.mutex.Lock()
+	defer task.mutex.Unlock()
+
 	if task.events > 0 {
 		task.output.WriteByte('\n')
 	}
@@ -53,8 +65,29 @@
 	task.after = number
 }
 
+// partial returns the output so far.
+func (task *task) partial() partial {
+	task.mutex.Lock()
+	defer task.mutex.Unlock()
+
+	return partial{After: task.after, Events: task.events, Output: task.output.String()}
+}
+
+// newTask returns a task that goes on after what an earlier owner saved.
+func newTask(item Item, saved partial) *task {
+	made := &task{item: item, after: -1}
+	if saved.Events == 0 {
+		return made
+	}
+
+	made.output.WriteString(saved.Output)
+	made.events, made.after = saved.Events, saved.After
+
+	return made
+}
+
 // unlisted returns the items that have no result yet.
-func unlisted(items []Item, results []Result) []*task {
+func unlisted(items []Item, results []Result, partials map[string]partial) []*task {
 	listed := map[string]bool{}
 	for _, result := range results {
 		listed[result.ID] = true
@@ -64,7 +97,7 @@
 
 	for _, item := range items {
 		if !listed[item.ID] {
-			tasks = append(tasks, &task{item: item, after: -1})
+			tasks = append(tasks, newTask(item, partials[item.ID]))
 		}
 	}
 
