Keep copies of configuration and lists at holders, as seeds of gateways

A gateway asked others only after its own call to the silent store had timed out (2.2 s). Ruled out: seeds at gateways, which start at the same time and know nothing either. Change: relayer.Sharer hands copies to holders, relayer.Copies keeps the newest of each prefix on disk; holders serve as seeds and relays; a first listing and the question for a copy go out together.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +59,7 @@
 	Gossiper      *gossiper.Gossiper
 	Registrar     *registrar.Registrar
 	Relay         *relayer.Relay
+	Sharer        *relayer.Sharer
 	Depositor     *custodian.Depositor
 	Exchanger     *exchanger.Exchanger
 	Backend       *platform.Backend
@@ -179,19 +182,20 @@
 
 		return settings.Log, err
 	})
+	go gateway.Sharer.Run(serving)
 	go gateway.check(serving)
 	go gateway.trim(serving)
 }
 
 // followers returns the followers of the store by prefix.
 func (gateway *Gateway) followers() map[string]*follower.Follower {
-	borrow := follower.WithFallback(gateway.Relay.Copy)
+	borrow, share := follower.WithFallback(gateway.Relay.Copy), follower.WithShare(gateway.Sharer.Share)
 	gateway.copies = map[string]*follower.Follower{}
 
 	for _, made := range []*follower.Follower{
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, follower.WithPromptness()),
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, follower.WithHold(), follower.WithPromptness()),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, follower.WithHold()),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithPromptness()),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithPromptness()),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold()),
 		follower.NewFollower(gateway.Common, gateway.Client, batcher.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
 	} {
 		gateway.copies[made.Prefix] = made
@@ -256,6 +260,7 @@
 	for name, member := range members {
 		if member.Custodian {
 			custodians[name] = member.Operations
+			relays = append(relays, member.Operations)
 
 			continue
 		}
@@ -275,6 +280,7 @@
 
 	gateway.Relay.SetPeers(relays)
 	gateway.Depositor.SetCustodians(custodians)
+	gateway.Sharer.SetHolders(slices.Sorted(maps.Values(custodians)))
 	gateway.Gossiper.SetPeers(addresses)
 	gateway.Batcher.SetMembers(live)
 	gateway.Registrar.Notice(members)
--- a/app/holder.go
+++ b/app/holder.go
@@ -34,6 +34,7 @@
 	Relay     *relayer.Relay
 	Registrar *registrar.Registrar
 	Custodian *custodian.Custodian
+	Copies    *relayer.Copies
 	// Reread returns the settings as the file has them now.
 	Reread func() (loader.Holder, error)
 
@@ -66,6 +67,8 @@
 	mux := http.NewServeMux()
 	holder.Custodian.Register(mux)
 	holder.Meter.Register(mux)
+	mux.Handle("POST "+relayer.PathCopies, holder.Copies)
+	mux.Handle("POST "+relayer.Path, relayer.NewServer(holder.Common, holder.Client.Direct(), holder.Copies.Shown))
 
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	served := make(chan error, 1)
--- a/app/holder_providers.go
+++ b/app/holder_providers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -53,7 +54,17 @@
 }
 
 func newHolderFolder(settings loader.Holder) (*archiver.Folder, error) {
-	return archiver.NewFolder(settings.Data.Folder, int64(diskShare*float64(settings.Data.Megabytes<<20)))
+	return archiver.NewFolder(filepath.Join(settings.Data.Folder, "jobs"), int64(diskShare*float64(settings.Data.Megabytes<<20)))
+}
+
+// newCopies keeps copies in a folder of their own.
+func newCopies(common kernel.Common, settings loader.Holder) (*relayer.Copies, error) {
+	folder, err := archiver.NewFolder(filepath.Join(settings.Data.Folder, "copies"), 0)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	return relayer.NewCopies(common, folder)
 }
 
 func newCustodian(common kernel.Common, folder *archiver.Folder, client *keeper.CatalogClient, settings loader.Holder) (*custodian.Custodian, error) {
--- a/app/wire.go
+++ b/app/wire.go
@@ -23,6 +23,7 @@
 	"limpetrail/publisher"
 	"limpetrail/puller"
 	"limpetrail/registrar"
+	"limpetrail/relayer"
 	"limpetrail/scheduler"
 	"limpetrail/submitter"
 )
@@ -100,6 +101,7 @@
 		newGatewayMeter,
 		newGatewayCommon,
 		newRelay,
+		relayer.NewSharer,
 		newDepositor,
 		wire.Bind(new(batcher.Depositor), new(*custodian.Depositor)),
 		newCatalogClient,
@@ -115,7 +117,7 @@
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Depositor", "Exchanger", "Backend", "Batcher", "Handler"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Batcher", "Handler"),
 	))
 }
 
@@ -131,6 +133,7 @@
 		registrar.NewRegistrar,
 		newHolderFolder,
 		newCustodian,
-		wire.Struct(new(Holder), "Common", "Settings", "Listen", "Meter", "Client", "Relay", "Registrar", "Custodian"),
+		newCopies,
+		wire.Struct(new(Holder), "Common", "Settings", "Listen", "Meter", "Client", "Relay", "Registrar", "Custodian", "Copies"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -21,6 +21,7 @@
 	"limpetrail/publisher"
 	"limpetrail/puller"
 	"limpetrail/registrar"
+	"limpetrail/relayer"
 	"limpetrail/scheduler"
 	"limpetrail/submitter"
 )
@@ -155,6 +156,7 @@
 	gossiper := newGossiper(common, placerPlacer, settings)
 	member := newMember(settings)
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
+	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
 	exchanger := newExchanger(common)
 	platformBackend := platform.NewBackend(exchanger)
@@ -173,6 +175,7 @@
 		Gossiper:      gossiper,
 		Registrar:     registrarRegistrar,
 		Relay:         relay,
+		Sharer:        sharer,
 		Depositor:     depositor,
 		Exchanger:     exchanger,
 		Backend:       platformBackend,
@@ -205,6 +208,10 @@
 	if err != nil {
 		return nil, err
 	}
+	copies, err := newCopies(common, settings)
+	if err != nil {
+		return nil, err
+	}
 	holder := &Holder{
 		Common:    common,
 		Settings:  settings,
@@ -214,6 +221,7 @@
 		Relay:     relay,
 		Registrar: registrarRegistrar,
 		Custodian: custodian,
+		Copies:    copies,
 	}
 	return holder, nil
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -53,6 +53,9 @@
 	// away; nil for none.
 	Fallback func(ctx context.Context, prefix string) (keeper.Page, error)
 
+	// Share is told what was handed over; nil for nobody.
+	Share func(prefix string, items []keeper.Item, revision keeper.Revision)
+
 	// shown is what was handed last, for other processes.
 	shown atomic.Pointer[keeper.Page]
 
@@ -87,6 +90,11 @@
 	return func(follower *Follower) { follower.Fallback = fallback }
 }
 
+// WithShare sets who is told of each copy.
+func WithShare(share func(prefix string, items []keeper.Item, revision keeper.Revision)) Option {
+	return func(follower *Follower) { follower.Share = share }
+}
+
 // NewFollower returns a follower that hands its copies to apply.
 func NewFollower(common kernel.Common, client *keeper.CatalogClient, prefix string, apply func(Copy), options ...Option) *Follower {
 	follower := &Follower{
@@ -109,7 +117,6 @@
 func (follower *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := follower.list(ctx); err != nil {
-			follower.borrow(ctx)
 			follower.lose(ctx, err)
 
 			continue
@@ -136,17 +143,47 @@
 	}
 }
 
-// list reads everything below the prefix. What is missing now was removed in
-// a gap of the watches.
+// listing is all that lies below the prefix.
+type listing struct {
+	items    []keeper.Item
+	revision keeper.Revision
+	err      error
+}
+
+// list reads everything below the prefix. A process that has no copy yet takes
+// another's meanwhile: the service may be away, and silent about it.
 func (follower *Follower) list(ctx context.Context) error {
-	items, revision, err := follower.Client.RangeAll(ctx, follower.Prefix)
-	if err != nil {
-		return errors.Trace(err)
+	listed := make(chan listing, 1)
+
+	go func() {
+		items, revision, err := follower.Client.RangeAll(ctx, follower.Prefix)
+		listed <- listing{items: items, revision: revision, err: err}
+	}()
+
+	borrowed := follower.borrow(ctx)
+
+	for {
+		select {
+		case page := <-borrowed:
+			follower.take(page)
+		case listing := <-listed:
+			if listing.err != nil {
+				return errors.Trace(listing.err)
+			}
+
+			follower.apply(listing)
+
+			return nil
+		}
 	}
+}
 
+// apply takes in a listing. What is missing now was removed in a gap of the
+// watches.
+func (follower *Follower) apply(listing listing) {
 	present := map[string]bool{}
 
-	for _, item := range items {
+	for _, item := range listing.items {
 		present[item.Key[len(follower.Prefix):]] = true
 		follower.put(item)
 	}
@@ -157,10 +194,8 @@
 		}
 	}
 
-	follower.revision = revision
+	follower.revision = listing.revision
 	follower.hand()
-
-	return nil
 }
 
 func (follower *Follower) watch(ctx context.Context) error {
@@ -248,6 +283,12 @@
 func (follower *Follower) hand() {
 	follower.shown.Store(&keeper.Page{Items: slices.Collect(maps.Values(follower.copied)), Revision: follower.revision})
 	follower.Apply(maps.Clone(follower.copied))
+
+	// A borrowed copy has no revision, and is known to those it came from.
+	if follower.Share != nil && follower.revision > 0 {
+		items, revision, _ := follower.Shown()
+		follower.Share(follower.Prefix, items, revision)
+	}
 }
 
 // Shown returns what was handed last, and whether anything was.
@@ -260,19 +301,30 @@
 	return page.Items, page.Revision, true
 }
 
-// borrow takes in another process's copy, until there is one of one's own.
-func (follower *Follower) borrow(ctx context.Context) {
+// borrow asks for another process's copy, until there is one of one's own.
+func (follower *Follower) borrow(ctx context.Context) <-chan keeper.Page {
+	borrowed := make(chan keeper.Page, 1)
+
 	if follower.Fallback == nil || follower.shown.Load() != nil {
-		return
+		return borrowed
 	}
 
-	page, err := follower.Fallback(ctx, follower.Prefix)
-	if err != nil {
-		follower.Log.WithField("Prefix", follower.Prefix).WithError(err).Info("No other process has a copy.")
+	go func() {
+		page, err := follower.Fallback(ctx, follower.Prefix)
+		if err != nil {
+			follower.Log.WithField("Prefix", follower.Prefix).WithError(err).Info("No other process has a copy.")
 
-		return
-	}
+			return
+		}
+
+		borrowed <- page
+	}()
+
+	return borrowed
+}
 
+// take uses another process's copy.
+func (follower *Follower) take(page keeper.Page) {
 	for _, item := range page.Items {
 		follower.put(item)
 	}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -117,15 +117,12 @@
 
 // Copy returns what some other gateway last saw below a prefix.
 func (relay *Relay) Copy(ctx context.Context, prefix string) (keeper.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-
 	err := errors.NotFoundf("another gateway")
 
 	for range relay.count() {
 		var answer reply
 
-		answer, err = relay.call(ctx, call{Operation: operationCopy, Prefix: prefix})
+		answer, err = relay.copyOnce(ctx, prefix)
 		if err == nil {
 			return answer.Page, nil
 		}
@@ -134,6 +131,13 @@
 	return keeper.Page{}, errors.Trace(err)
 }
 
+func (relay *Relay) copyOnce(ctx context.Context, prefix string) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+
+	return relay.call(ctx, call{Operation: operationCopy, Prefix: prefix})
+}
+
 func (relay *Relay) count() int {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/archiver"
 	"limpetrail/emulator"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
@@ -130,3 +131,77 @@
 	require.NoError(t, err)
 	require.Equal(t, keeper.Page{Items: pair.copied, Revision: 7}, page)
 }
+
+// A holder keeps the newest copy of each prefix over its restarts.
+func TestCopiesOnADisk(t *testing.T) {
+	path := t.TempDir()
+	open := func() *relayer.Copies {
+		folder, err := archiver.NewFolder(path, 0)
+		require.NoError(t, err)
+
+		copies, err := relayer.NewCopies(kernel.Discard("holder"), folder)
+		require.NoError(t, err)
+
+		return copies
+	}
+	page := func(revision keeper.Revision, value string) keeper.Page {
+		return keeper.Page{Items: []keeper.Item{{Key: "op/config", Value: []byte(value), Revision: revision}}, Revision: revision}
+	}
+
+	copies := open()
+	_, _, found := copies.Shown("op/")
+	require.False(t, found)
+
+	for _, step := range []struct {
+		revision keeper.Revision
+		value    string
+		shown    string
+	}{{5, "five", "five"}, {4, "four", "five"}, {5, "other", "five"}, {8, "eight", "eight"}} {
+		require.NoError(t, copies.Put(relayer.Copy{Prefix: "op/", Page: page(step.revision, step.value)}))
+		require.NoError(t, copies.Put(relayer.Copy{Prefix: "servers/", Page: keeper.Page{Revision: 1}}))
+
+		for _, read := range []*relayer.Copies{copies, open()} {
+			items, _, found := read.Shown("op/")
+			require.True(t, found)
+			require.Equal(t, step.shown, string(items[0].Value))
+		}
+	}
+}
+
+// Holders get the newest copies, also those that come later.
+func TestHoldersGetCopies(t *testing.T) {
+	holders := []*relayer.Copies{}
+	addresses := []string{}
+
+	for range 2 {
+		folder, err := archiver.NewFolder(t.TempDir(), 0)
+		require.NoError(t, err)
+
+		copies, err := relayer.NewCopies(kernel.Discard("holder"), folder)
+		require.NoError(t, err)
+
+		server := httptest.NewServer(copies)
+		t.Cleanup(server.Close)
+
+		holders = append(holders, copies)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+
+	sharer := relayer.NewSharer(kernel.Discard("gateway"))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+
+	go func() {
+		sharer.Run(ctx)
+		close(done)
+	}()
+
+	sharer.SetHolders(addresses[:1])
+	sharer.Share("op/", []keeper.Item{{Key: "op/config", Revision: 3}}, 3)
+	require.Eventually(t, func() bool { _, revision, _ := holders[0].Shown("op/"); return revision == 3 }, 10*time.Second, time.Millisecond)
+
+	sharer.SetHolders(addresses)
+	require.Eventually(t, func() bool { _, revision, _ := holders[1].Shown("op/"); return revision == 3 }, 10*time.Second, time.Millisecond)
+	cancel()
+	<-done
+}
