--- a/app/entry.go
+++ b/app/entry.go
@@ -116,7 +116,7 @@
 	}
 
 	chain := negroni.New(negroni.NewRecovery())
-	chain.UseHandler(mux)
+	chain.UseHandler(handler.RefuseUncleanPaths(mux))
 
 	return chain
 }
--- a/handler/arrival.go
+++ b/handler/arrival.go
@@ -70,12 +70,14 @@
 
 // body reads the whole body.
 func (arrival *arrival) body() []byte {
-	body, err := io.ReadAll(http.MaxBytesReader(arrival.writer, arrival.request.Body, maxBodyBytes))
+	whole := arrival.request.Body
+	body, err := io.ReadAll(http.MaxBytesReader(arrival.writer, whole, maxBodyBytes))
 
 	var tooLong *http.MaxBytesError
 
 	switch {
 	case errors.As(err, &tooLong):
+		Drain(arrival.writer, whole)
 		arrival.fault(http.StatusRequestEntityTooLarge, "body", "more than "+strconv.Itoa(maxBodyBytes)+" bytes", "send at most that many bytes")
 	case err != nil:
 		arrival.fault(http.StatusBadRequest, "body", err.Error(), "send the whole body")
--- a/handler/completion.go
+++ b/handler/completion.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -20,6 +21,8 @@
 	// texts begin alike go to the same replica.
 	Prompt   json.RawMessage `json:"prompt"`
 	Messages json.RawMessage `json:"messages"`
+	// MaxTokens is nil where the caller sets no limit.
+	MaxTokens *int `json:"max_tokens"`
 }
 
 func (inference *Inference) complete(writer http.ResponseWriter, request *http.Request, shape shape) {
@@ -77,5 +80,26 @@
 		arrival.fault(http.StatusBadRequest, "model", "", "name the service to call")
 	}
 
+	if err != nil {
+		return wanted
+	}
+
+	if wanted.MaxTokens != nil && *wanted.MaxTokens < 1 {
+		arrival.fault(http.StatusBadRequest, "max_tokens", strconv.Itoa(*wanted.MaxTokens), "give a whole number above 0, or leave it out")
+	}
+
+	if given := wanted.Messages; !absent(given) && given[0] != '[' {
+		arrival.fault(http.StatusBadRequest, "messages", string(given), "give a list of messages")
+	}
+
+	if given := wanted.Prompt; !absent(given) && given[0] != '"' && given[0] != '[' {
+		arrival.fault(http.StatusBadRequest, "prompt", string(given), "give a text or a list")
+	}
+
 	return wanted
 }
+
+// absent tells whether a field was left out.
+func absent(given json.RawMessage) bool {
+	return len(given) == 0 || string(given) == "null"
+}
