--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -97,18 +95,6 @@
 	placer.settle()
 }
 
-// settleHomes shares the servers anew, with the mutex held.
-func (placer *Placer) settleHomes() {
-	peers := map[string]string{}
-	for peer, report := range placer.reports {
-		peers[peer] = report.dataCentre
-	}
-
-	for _, service := range placer.services {
-		homes(service.servers, placer.Instance, placer.DataCentre, peers)
-	}
-}
-
 // Hear takes in what another entry runs. Entries that are heard share the
 // servers, whatever the platform's store says of them.
 func (placer *Placer) Hear(peer, dataCentre string, loads map[string]Load) {
@@ -354,146 +340,11 @@
 	}
 }
 
-// settle brings all decisions up to date after a change: sums of reports,
-// batch work that has to yield, and waiting work. The mutex is held.
-func (placer *Placer) settle() {
-	placer.sum()
-
-	for _, service := range placer.services {
-		for _, server := range service.servers {
-			for server.free() < 0 && placer.yield(server) {
-				continue
-			}
-		}
-
-		placer.serve(service)
-	}
-
-	placer.announce()
-	close(placer.room)
-	placer.room = make(chan struct{})
-}
-
-// serve grants places to waiting work in order.
-func (placer *Placer) serve(service *service) {
-	for len(service.queue.waiting) > 0 {
-		first := service.queue.waiting[0]
-
-		grant := placer.find(first.work)
-		if grant == nil {
-			return
-		}
-
-		service.queue.remove(first)
-		first.granted <- grant
-	}
-}
-
-// sum adds up the fresh reports of other entries.
-func (placer *Placer) sum() {
-	silent := false
-
-	for _, server := range placer.servers {
-		server.others = Load{}
-	}
-
-	for peer, report := range placer.reports {
-		if time.Since(report.at) > reportLife {
-			delete(placer.reports, peer)
-			placer.Log.WithField("Peer", peer).Info("Another entry is no longer heard.")
-
-			silent = true
-
-			continue
-		}
-
-		for id, load := range report.loads {
-			if server := placer.servers[id]; server != nil {
-				server.others.Online += load.Online
-				server.others.Batch += load.Batch
-			}
-		}
-	}
-
-	if silent {
-		placer.settleHomes()
-	}
-}
-
 func (placer *Placer) announce() {
 	close(placer.changed)
 	placer.changed = make(chan struct{})
 }
 
-func (placer *Placer) observe(observed Server, observation Observation, first time.Duration) {
-	placer.mutex.Lock()
-	defer placer.mutex.Unlock()
-
-	server := placer.servers[observed.ID]
-	if server == nil || server.Incarnation != observed.Incarnation {
-		return
-	}
-
-	if (observation == Silent || observation == Broken) && placer.crowded(server.Service) {
-		return
-	}
-
-	if server.health.observe(observation, first, time.Now()) {
-		placer.Log.WithFields(logrus.Fields{
-			"BackendServer": observed.ID, "Suspect": server.health.suspect(), "Observation": observation.String(),
-		}).Warn("Belief about a backend server changed.")
-	}
-}
-
-// maxSuspectShare of a service's servers may be suspect for silence or broken
-// answers. If more are, the cause is probably elsewhere: the load, or a link.
-const maxSuspectShare = 0.5
-
-// crowded tells whether so many servers are suspect that one more says nothing.
-func (placer *Placer) crowded(name string) bool {
-	servers := placer.service(name).servers
-	suspects := 0
-
-	for _, server := range servers {
-		if server.health.suspect() {
-			suspects++
-		}
-	}
-
-	return float64(suspects) >= maxSuspectShare*float64(len(servers))
-}
-
-// Suspects lists the servers that need a health check.
-func (placer *Placer) Suspects() []Server {
-	placer.mutex.Lock()
-	defer placer.mutex.Unlock()
-
-	found := []Server{}
-
-	for _, server := range placer.servers {
-		if server.health.suspect() && !server.Leaving {
-			found = append(found, server.Server)
-		}
-	}
-
-	return found
-}
-
-// Pass takes in a good health check.
-func (placer *Placer) Pass(checked Server) {
-	placer.mutex.Lock()
-	defer placer.mutex.Unlock()
-
-	server := placer.servers[checked.ID]
-	if server == nil || server.Incarnation != checked.Incarnation || !server.health.suspect() {
-		return
-	}
-
-	server.health.pass()
-	placer.Log.WithField("BackendServer", checked.ID).Info("Backend server passed its health check.")
-	placer.settle()
-}
-
 func (placer *Placer) service(name string) *service {
 	found := placer.services[name]
 	if found == nil {
@@ -533,31 +384,3 @@
 
 	return running
 }
-
-// Status describes the servers in the order of their names.
-func (placer *Placer) Status() []ServerStatus {
-	placer.mutex.Lock()
-	defer placer.mutex.Unlock()
-
-	found := []ServerStatus{}
-
-	for _, id := range slices.Sorted(maps.Keys(placer.servers)) {
-		server := placer.servers[id]
-		found = append(found, ServerStatus{
-			Server: server.Server, Own: server.own, Others: server.others,
-			Suspect: server.health.suspect(), FirstBytes: server.health.first,
-		})
-	}
-
-	return found
-}
-
-// ServerStatus is what this entry believes about a server.
-type ServerStatus struct {
-	Server
-	Own     Load
-	Others  Load
-	Suspect bool
-	// FirstBytes is the mean time to the first bytes of an answer.
-	FirstBytes time.Duration
-}
--- /dev/null
+++ b/placer/settle.go
@@ -0,0 +1,81 @@
+package placer
+
+import "time"
+
+// settle brings all decisions up to date after a change: sums of reports,
+// batch work that has to yield, and waiting work. The mutex is held.
+func (placer *Placer) settle() {
+	placer.sum()
+
+	for _, service := range placer.services {
+		for _, server := range service.servers {
+			for server.free() < 0 && placer.yield(server) {
+				continue
+			}
+		}
+
+		placer.serve(service)
+	}
+
+	placer.announce()
+	close(placer.room)
+	placer.room = make(chan struct{})
+}
+
+// serve grants places to waiting work in order.
+func (placer *Placer) serve(service *service) {
+	for len(service.queue.waiting) > 0 {
+		first := service.queue.waiting[0]
+
+		grant := placer.find(first.work)
+		if grant == nil {
+			return
+		}
+
+		service.queue.remove(first)
+		first.granted <- grant
+	}
+}
+
+// sum adds up the fresh reports of other entries.
+func (placer *Placer) sum() {
+	silent := false
+
+	for _, server := range placer.servers {
+		server.others = Load{}
+	}
+
+	for peer, report := range placer.reports {
+		if time.Since(report.at) > reportLife {
+			delete(placer.reports, peer)
+			placer.Log.WithField("Peer", peer).Info("Another entry is no longer heard.")
+
+			silent = true
+
+			continue
+		}
+
+		for id, load := range report.loads {
+			if server := placer.servers[id]; server != nil {
+				server.others.Online += load.Online
+				server.others.Batch += load.Batch
+			}
+		}
+	}
+
+	if silent {
+		placer.settleHomes()
+	}
+}
+
+// settleHomes shares the servers anew, with the mutex held.
+func (placer *Placer) settleHomes() {
+	peers := map[string]string{}
+	for peer, report := range placer.reports {
+		peers[peer] = report.dataCentre
+	}
+
+	for _, service := range placer.services {
+		homes(service.servers, placer.Instance, placer.DataCentre, peers)
+	}
+}
