--- a/app/gateway.go
+++ b/app/gateway.go
@@ -74,7 +74,8 @@
 	copies map[string]*follower.Follower
 	// known is how many members were listed last.
 	known int
-	// complained holds the revisions of entries that were logged as unreadable.
+	// complained holds the revisions of items that were logged as unreadable.
+	complaints sync.Mutex
 	complained map[string]keeper.Revision
 }
 
@@ -130,16 +131,15 @@
 	case <-ctx.Done():
 	}
 
-	err = gateway.stop(serving, server)
-
+	gateway.stop(serving, server)
 	duties.Wait()
 
-	return err
+	return nil
 }
 
 // stop takes the process out of the balancer, lets running requests finish and
 // ends within the grace.
-func (gateway *Gateway) stop(ctx context.Context, server *http.Server) error {
+func (gateway *Gateway) stop(ctx context.Context, server *http.Server) {
 	gateway.Log.WithField("Grace", gateway.Settings.Stop.Grace).Info("Stopping.")
 	gateway.leaving.Store(true)
 
@@ -148,10 +148,13 @@
 
 	rest(ctx, gateway.Settings.Stop.BalancerLag)
 
-	err := server.Shutdown(ctx)
-	gateway.Log.WithField("Error", err).Info("Stopped.")
+	if err := server.Shutdown(ctx); err != nil {
+		gateway.Log.WithError(err).Warn("Requests are cut off at the end of the grace.")
 
-	return nil
+		return
+	}
+
+	gateway.Log.Info("Stopped; every request was answered.")
 }
 
 // startDuties starts what goes on beside requests. Batch work and registration
@@ -287,6 +290,9 @@
 
 // complain logs an unreadable item once for each of its revisions.
 func (gateway *Gateway) complain(item keeper.Item, err error) {
+	gateway.complaints.Lock()
+	defer gateway.complaints.Unlock()
+
 	if gateway.complained[item.Key] != item.Revision {
 		gateway.complained[item.Key] = item.Revision
 		gateway.Log.WithFields(logrus.Fields{"Key": item.Key, "Revision": item.Revision}).WithError(err).Warn("Item cannot be read and is passed over.")
--- a/app/reload.go
+++ b/app/reload.go
@@ -16,10 +16,9 @@
 // listens and who it is. Bad settings change nothing.
 func reloadOnHangup(ctx context.Context, logger *logrus.Logger, read func() (loader.Log, error)) {
 	hangup := make(chan os.Signal, 1)
+	// The channel stays until the process ends: without it SIGHUP would end it.
 	signal.Notify(hangup, syscall.SIGHUP)
 
-	defer signal.Stop(hangup)
-
 	for {
 		select {
 		case <-hangup:
