--- a/app/gateway.go
+++ b/app/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/custodian"
 	"limpetrail/exchanger"
 	"limpetrail/follower"
@@ -199,7 +200,7 @@
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithPromptness()),
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithPromptness()),
 		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold()),
-		follower.NewFollower(gateway.Common, gateway.Client, batcher.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
 	} {
 		gateway.copies[made.Prefix] = made
 	}
--- a/app/holder_providers.go
+++ b/app/holder_providers.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/archiver"
-	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/custodian"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
@@ -68,8 +68,8 @@
 }
 
 func newCustodian(common kernel.Common, folder *archiver.Folder, client *keeper.CatalogClient, settings loader.Holder) (*custodian.Custodian, error) {
-	kept, err := custodian.NewCustodian(common, folder, settings.Jobs.Retention, func(ctx context.Context, job batcher.Job) batcher.Outcome {
-		return batcher.Restore(ctx, client, job)
+	kept, err := custodian.NewCustodian(common, folder, settings.Jobs.Retention, func(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome {
+		return bookkeeper.Restore(ctx, client, job)
 	})
 
 	return kept, errors.Trace(err)
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/forwarder"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
@@ -29,12 +30,12 @@
 	// Depositor is nil where jobs are refused while the service is away.
 	Depositor Depositor
 
-	ledger ledger
+	ledger bookkeeper.Ledger
 	mutex  sync.Mutex
 	// records of all jobs that were asked for or are owned.
 	records map[string]*record
 	// heads is the last copy of all heads, and members the live incarnations.
-	heads   map[string]version
+	heads   map[string]bookkeeper.Version
 	members map[string]bool
 	// owned holds the work of this process by job.
 	owned map[string]*work
@@ -78,9 +79,9 @@
 		Configuration: configuration,
 		Depositor:     depositor,
 		Certain:       certain,
-		ledger:        ledger{client: client},
+		ledger:        bookkeeper.Ledger{Client: client},
 		records:       map[string]*record{},
-		heads:         map[string]version{},
+		heads:         map[string]bookkeeper.Version{},
 		members:       map[string]bool{},
 		owned:         map[string]*work{},
 		orphaned:      map[string]time.Time{},
@@ -91,12 +92,12 @@
 }
 
 // Submit accepts a job, once however often it comes.
-func (batcher *Batcher) Submit(ctx context.Context, job Job) Outcome {
+func (batcher *Batcher) Submit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome {
 	if batcher.known(job.ID) {
-		return OK
+		return bookkeeper.OK
 	}
 
-	head := Head{
+	head := bookkeeper.Head{
 		Owner: batcher.Owner, Host: job.Host, Total: len(job.Items),
 		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp,
 	}
@@ -106,7 +107,7 @@
 		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome.String(), "Owner": created.Owner, "Error": err,
 	}).Info("Job was submitted.")
 
-	if outcome != OK || created.revision == 0 {
+	if outcome != bookkeeper.OK || created.Revision == 0 {
 		return outcome
 	}
 
@@ -123,7 +124,7 @@
 		batcher.own(record, job, created, nil)
 	}
 
-	return OK
+	return bookkeeper.OK
 }
 
 // known tells whether the job is certain to exist.
@@ -133,21 +134,21 @@
 
 	record := batcher.records[id]
 
-	return batcher.heads[id].revision > 0 || record != nil && record.known().revision > 0
+	return batcher.heads[id].Revision > 0 || record != nil && record.known().Revision > 0
 }
 
 // Reading is a part of a job's results.
 type Reading struct {
 	Total   int
 	Next    int
-	Results []Result
+	Results []bookkeeper.Result
 }
 
 // Read returns the results from a position on. It waits for one if there is
 // none yet.
-func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, Outcome) {
+func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, bookkeeper.Outcome) {
 	record, outcome := batcher.find(ctx, id)
-	if outcome != OK {
+	if outcome != bookkeeper.OK {
 		return Reading{}, outcome
 	}
 
@@ -159,7 +160,7 @@
 			if err := record.refresh(ctx, batcher.ledger, readAge); err != nil {
 				batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
 
-				return Reading{}, NotDone
+				return Reading{}, bookkeeper.NotDone
 			}
 
 			results, total, grown = record.page(after)
@@ -167,7 +168,7 @@
 
 		left := time.Until(until)
 		if len(results) > 0 || left <= 0 || ctx.Err() != nil {
-			return Reading{Total: total, Next: after + len(results), Results: results}, OK
+			return Reading{Total: total, Next: after + len(results), Results: results}, bookkeeper.OK
 		}
 
 		if !batcher.authoritative(record) {
@@ -200,30 +201,30 @@
 }
 
 // Body returns the body of an item.
-func (batcher *Batcher) Body(ctx context.Context, id, item string) ([]byte, Outcome) {
+func (batcher *Batcher) Body(ctx context.Context, id, item string) ([]byte, bookkeeper.Outcome) {
 	record, outcome := batcher.find(ctx, id)
-	if outcome != OK {
+	if outcome != bookkeeper.OK {
 		return nil, outcome
 	}
 
 	items, err := record.load(ctx, batcher.ledger)
 	if err != nil {
-		return nil, NotDone
+		return nil, bookkeeper.NotDone
 	}
 
 	for _, candidate := range items {
 		if candidate.ID == item {
-			return candidate.Body, OK
+			return candidate.Body, bookkeeper.OK
 		}
 	}
 
-	return nil, NotFound
+	return nil, bookkeeper.NotFound
 }
 
 // End stops a job. Its results stay.
-func (batcher *Batcher) End(ctx context.Context, id string) Outcome {
+func (batcher *Batcher) End(ctx context.Context, id string) bookkeeper.Outcome {
 	record, outcome := batcher.find(ctx, id)
-	if outcome != OK {
+	if outcome != bookkeeper.OK {
 		return outcome
 	}
 
@@ -233,15 +234,15 @@
 		head := before.Head
 		head.Ended = true
 
-		after, applied, err := batcher.ledger.replace(ctx, id, before, head)
+		after, applied, err := batcher.ledger.Replace(ctx, id, before, head)
 		if err != nil {
 			batcher.Log.WithField("JobID", id).WithError(err).Info("Job cannot be ended.")
 
-			return NotDone
+			return bookkeeper.NotDone
 		}
 
-		if after.revision == 0 {
-			return NotFound
+		if after.Revision == 0 {
+			return bookkeeper.NotFound
 		}
 
 		record.setHead(after)
@@ -255,41 +256,41 @@
 
 	batcher.disown(id, "The job was ended.")
 
-	return OK
+	return bookkeeper.OK
 }
 
 // find returns the record of a job that exists.
-func (batcher *Batcher) find(ctx context.Context, id string) (*record, Outcome) {
+func (batcher *Batcher) find(ctx context.Context, id string) (*record, bookkeeper.Outcome) {
 	batcher.mutex.Lock()
 	head, listed := batcher.heads[id]
 	found := batcher.records[id]
 	batcher.mutex.Unlock()
 
-	if found != nil && found.known().revision > 0 {
-		return found, OK
+	if found != nil && found.known().Revision > 0 {
+		return found, bookkeeper.OK
 	}
 
 	if !listed {
 		var err error
 
-		head, err = batcher.ledger.head(ctx, id)
+		head, err = batcher.ledger.Head(ctx, id)
 		if err != nil {
-			return nil, NotDone
+			return nil, bookkeeper.NotDone
 		}
 
-		if head.revision == 0 && !batcher.absent(ctx, id) {
-			return nil, NotDone
+		if head.Revision == 0 && !batcher.absent(ctx, id) {
+			return nil, bookkeeper.NotDone
 		}
 
-		if head.revision == 0 {
-			return nil, NotFound
+		if head.Revision == 0 {
+			return nil, bookkeeper.NotFound
 		}
 	}
 
 	found = batcher.record(id)
 	found.setHead(head)
 
-	return found, OK
+	return found, bookkeeper.OK
 }
 
 func (batcher *Batcher) record(id string) *record {
@@ -306,7 +307,7 @@
 }
 
 // own starts the work on a job whose head names this process.
-func (batcher *Batcher) own(record *record, job Job, head version, partials map[string]partial) {
+func (batcher *Batcher) own(record *record, job bookkeeper.Job, head bookkeeper.Version, partials map[string]bookkeeper.Partial) {
 	record.mutex.Lock()
 	tasks := unlisted(record.items, record.results, partials)
 	record.mutex.Unlock()
@@ -321,7 +322,7 @@
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	if batcher.owned[job.ID] != nil || batcher.leaving || record.known().revision != head.revision {
+	if batcher.owned[job.ID] != nil || batcher.leaving || record.known().Revision != head.Revision {
 		cancel()
 
 		return
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/emulator"
 )
 
@@ -82,7 +82,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			newFleet(t, 3, 4, func(fleet *fleet) {
-				require.Equal(t, batcher.OK, fleet.submits(0, items))
+				require.Equal(t, bookkeeper.OK, fleet.submits(0, items))
 				happen(fleet)
 				fleet.expectWhole(items)
 
@@ -102,13 +102,13 @@
 func TestResentJobIsAcceptedOnce(t *testing.T) {
 	newFleet(t, 3, 2, func(fleet *fleet) {
 		for gateway := range 3 {
-			require.Equal(t, batcher.OK, fleet.submits(gateway, 5))
+			require.Equal(t, bookkeeper.OK, fleet.submits(gateway, 5))
 		}
 
 		fleet.expectWhole(5)
 
 		for gateway := range 3 {
-			require.Equal(t, batcher.OK, fleet.submits(gateway, 5))
+			require.Equal(t, bookkeeper.OK, fleet.submits(gateway, 5))
 		}
 
 		time.Sleep(10 * time.Second)
@@ -124,7 +124,7 @@
 func TestInterruptedItemIsResumed(t *testing.T) {
 	newFleet(t, 1, 2, func(fleet *fleet) {
 		fleet.all(emulator.EventFaults{BreakAfter: 7})
-		require.Equal(t, batcher.OK, fleet.submits(0, 1))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 1))
 		fleet.expectWhole(1)
 
 		begun := []int{}
@@ -149,7 +149,7 @@
 					server.Gap = 200 * time.Millisecond
 				}
 
-				require.Equal(t, batcher.OK, fleet.submits(0, 4))
+				require.Equal(t, bookkeeper.OK, fleet.submits(0, 4))
 				time.Sleep(3 * time.Second)
 				end(fleet)
 
@@ -184,14 +184,14 @@
 		t.Run(name, func(t *testing.T) {
 			newFleet(t, 2, 2, func(fleet *fleet) {
 				fleet.all(emulator.EventFaults{Fail: scenario.status})
-				require.Equal(t, batcher.OK, fleet.submits(0, 3))
+				require.Equal(t, bookkeeper.OK, fleet.submits(0, 3))
 				time.Sleep(20 * time.Second)
 
 				results, _ := fleet.reads(1)
 				require.Len(t, results, 3)
 
 				for _, result := range results {
-					require.Equal(t, batcher.GivenUp, result.State)
+					require.Equal(t, bookkeeper.GivenUp, result.State)
 					require.Equal(t, scenario.runs, fleet.runs(result.ID))
 				}
 			})
@@ -202,11 +202,11 @@
 // An ended job starts no further item, whichever gateway was told.
 func TestEndedJobStops(t *testing.T) {
 	newFleet(t, 3, 1, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, 60))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 60))
 		time.Sleep(700 * time.Millisecond)
 
-		require.Equal(t, batcher.OK, fleet.gateways[2].batcher.End(context.Background(), jobID))
-		require.Equal(t, batcher.OK, fleet.gateways[1].batcher.End(context.Background(), jobID))
+		require.Equal(t, bookkeeper.OK, fleet.gateways[2].batcher.End(context.Background(), jobID))
+		require.Equal(t, bookkeeper.OK, fleet.gateways[1].batcher.End(context.Background(), jobID))
 
 		// The platform allows three seconds.
 		time.Sleep(3 * time.Second)
@@ -225,16 +225,16 @@
 	newFleet(t, 1, 1, func(fleet *fleet) {
 		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{Outage: true})
 
-		require.Equal(t, batcher.NotDone, fleet.submits(0, 2))
+		require.Equal(t, bookkeeper.NotDone, fleet.submits(0, 2))
 
 		_, outcome := fleet.gateways[0].batcher.Read(context.Background(), jobID, 0, 0)
-		require.Equal(t, batcher.NotDone, outcome)
+		require.Equal(t, bookkeeper.NotDone, outcome)
 
 		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{})
 		time.Sleep(10 * time.Second)
 
 		_, outcome = fleet.gateways[0].batcher.Read(context.Background(), jobID, 0, 0)
-		require.Equal(t, batcher.NotFound, outcome)
+		require.Equal(t, bookkeeper.NotFound, outcome)
 		require.Zero(t, fleet.servers[0].Total(), "a refused job does not run")
 	})
 }
@@ -243,7 +243,7 @@
 func TestLostAnswerOfASubmissionIsSettled(t *testing.T) {
 	newFleet(t, 1, 2, func(fleet *fleet) {
 		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{DropAnswers: 2})
-		require.Equal(t, batcher.OK, fleet.submits(0, 2))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 2))
 		fleet.expectWhole(2)
 	})
 }
@@ -252,12 +252,12 @@
 func TestItemsWithoutARouteDoNotRun(t *testing.T) {
 	newFleet(t, 1, 1, func(fleet *fleet) {
 		fleet.configures(2, false)
-		require.Equal(t, batcher.OK, fleet.submits(0, 2))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 2))
 		time.Sleep(5 * time.Second)
 
 		results, _ := fleet.reads(0)
 		require.Len(t, results, 2)
-		require.Equal(t, batcher.GivenUp, results[0].State)
+		require.Equal(t, bookkeeper.GivenUp, results[0].State)
 		require.Zero(t, fleet.servers[0].Total())
 	})
 }
@@ -265,15 +265,15 @@
 // The body of an item is the one that was sent, at every gateway.
 func TestBodiesAreKept(t *testing.T) {
 	newFleet(t, 2, 1, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, 3))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 3))
 
 		for _, gateway := range fleet.gateways {
 			body, outcome := gateway.batcher.Body(context.Background(), jobID, itemID(2))
-			require.Equal(t, batcher.OK, outcome)
+			require.Equal(t, bookkeeper.OK, outcome)
 			require.Equal(t, "body of job-2", string(body))
 
 			_, outcome = gateway.batcher.Body(context.Background(), jobID, "other")
-			require.Equal(t, batcher.NotFound, outcome)
+			require.Equal(t, bookkeeper.NotFound, outcome)
 		}
 	})
 }
@@ -281,7 +281,7 @@
 // What one gateway has shown, every other shows within a second.
 func TestReadersOfAllGatewaysSeeTheSame(t *testing.T) {
 	newFleet(t, 3, 1, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, 20))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 20))
 
 		for range 100 {
 			seen, _ := fleet.reads(0)
@@ -306,7 +306,7 @@
 // Jobs are removed when their retention is over, and not before.
 func TestOldJobsAreRemoved(t *testing.T) {
 	newFleet(t, 2, 2, func(fleet *fleet) {
-		require.Equal(t, batcher.OK, fleet.submits(0, 2))
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 2))
 		fleet.expectWhole(2)
 
 		time.Sleep(15 * time.Minute)
@@ -315,6 +315,6 @@
 		time.Sleep(10 * time.Minute)
 
 		_, outcome := fleet.gateways[1].batcher.Read(context.Background(), jobID, 0, 0)
-		require.Equal(t, batcher.NotFound, outcome)
+		require.Equal(t, bookkeeper.NotFound, outcome)
 	})
 }
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -9,11 +9,16 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/keeper"
 )
 
-// maxCommit bounds the output in one transaction.
-const maxCommit = 500 << 10
+const (
+	// maxCommit bounds the output in one transaction.
+	maxCommit = 500 << 10
+	// listPause comes after a call that failed.
+	listPause = 100 * time.Millisecond
+)
 
 // commit lists finished items in groups until the context ends.
 func (batcher *Batcher) commit(ctx context.Context) {
@@ -39,9 +44,9 @@
 // proposal is the results of one job in a transaction.
 type proposal struct {
 	owned   *work
-	head    version
+	head    bookkeeper.Version
 	number  int
-	segment segment
+	segment bookkeeper.Segment
 	value   []byte
 	// last tells that the job is done with this segment.
 	last bool
@@ -67,7 +72,7 @@
 		return false
 	}
 
-	committed, err := batcher.ledger.client.Transact(ctx, transaction)
+	committed, err := batcher.ledger.Client.Transact(ctx, transaction)
 
 	switch {
 	case committed.Applied == keeper.WriteApplied:
@@ -80,7 +85,7 @@
 		return true
 	default:
 		batcher.Log.WithField("Jobs", len(proposals)).WithError(err).Info("Results wait for the key-value service.")
-		pauseFor(ctx, settlePause)
+		pauseFor(ctx, listPause)
 		poke(batcher.listing)
 
 		return false
@@ -140,7 +145,7 @@
 	first := len(work.record.results)
 	work.record.mutex.Unlock()
 
-	proposed := &segment{First: first}
+	proposed := &bookkeeper.Segment{First: first}
 
 	for len(work.finished) > 0 && (len(proposed.Results) == 0 || room > 0) {
 		room -= len(work.finished[0].Output)
@@ -158,10 +163,10 @@
 
 	for _, proposal := range proposals {
 		id := proposal.owned.job.ID
-		key := numbered(resultsPrefix(id), proposal.number)
+		key := bookkeeper.Numbered(bookkeeper.ResultsPrefix(id), proposal.number)
 
 		transaction.Conditions = append(transaction.Conditions,
-			keeper.Condition{Key: headKey(id), Revision: proposal.head.revision}, keeper.Condition{Key: key})
+			keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: proposal.head.Revision}, keeper.Condition{Key: key})
 		transaction.Puts = append(transaction.Puts, keeper.Put{Key: key, Value: proposal.value})
 
 		if !proposal.last {
@@ -176,8 +181,8 @@
 			return transaction, errors.Trace(err)
 		}
 
-		transaction.Puts = append(transaction.Puts, keeper.Put{Key: headKey(id), Value: value})
-		transaction.Removes = append(transaction.Removes, partialKey(id))
+		transaction.Puts = append(transaction.Puts, keeper.Put{Key: bookkeeper.HeadKey(id), Value: value})
+		transaction.Removes = append(transaction.Removes, bookkeeper.PartialKey(id))
 	}
 
 	return transaction, nil
@@ -192,11 +197,11 @@
 
 func (batcher *Batcher) acceptListed(proposal proposal, revision keeper.Revision) {
 	owned := proposal.owned
-	owned.record.add(proposal.number, []segment{proposal.segment})
+	owned.record.add(proposal.number, []bookkeeper.Segment{proposal.segment})
 
 	if proposal.last {
 		head := proposal.head
-		head.Done, head.revision = true, revision
+		head.Done, head.Revision = true, revision
 		owned.record.setHead(head)
 	}
 
@@ -226,15 +231,15 @@
 	for _, proposal := range proposals {
 		id := proposal.owned.job.ID
 
-		listed := items[numbered(resultsPrefix(id), proposal.number)]
+		listed := items[bookkeeper.Numbered(bookkeeper.ResultsPrefix(id), proposal.number)]
 		if listed.Revision > 0 && bytes.Equal(listed.Value, proposal.value) {
 			batcher.acceptListed(proposal, listed.Revision)
 
 			continue
 		}
 
-		head := items[headKey(id)]
-		if head.Revision == proposal.head.revision && listed.Revision == 0 {
+		head := items[bookkeeper.HeadKey(id)]
+		if head.Revision == proposal.head.Revision && listed.Revision == 0 {
 			continue
 		}
 
@@ -246,7 +251,7 @@
 func (batcher *Batcher) reconsider(ctx context.Context, owned *work, item keeper.Item) {
 	id := owned.job.ID
 
-	head, err := decodeHead(item)
+	head, err := bookkeeper.DecodeHead(item)
 	if err != nil || item.Revision == 0 {
 		batcher.disown(id, "Its head is gone or cannot be read.")
 
@@ -286,7 +291,7 @@
 
 	finished := owned.finished
 	if owned.proposed != nil {
-		finished = append(append([]Result{}, owned.proposed.Results...), finished...)
+		finished = append(append([]bookkeeper.Result{}, owned.proposed.Results...), finished...)
 	}
 
 	owned.proposed, owned.finished = nil, nil
--- a/batcher/depositor.go
+++ b/batcher/depositor.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"limpetrail/keeper"
+	"limpetrail/bookkeeper"
 )
 
 const (
@@ -22,33 +22,33 @@
 // Depositor keeps jobs elsewhere while the service is away.
 type Depositor interface {
 	// Deposit makes a job last. It will be brought into the service later.
-	Deposit(ctx context.Context, job Job) Outcome
+	Deposit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome
 	// Holds tells whether a job waits to be brought into the service, and
 	// whether the answer is complete.
 	Holds(ctx context.Context, id string) (held, sure bool)
 }
 
 // accept makes a job last in the service, or else at custodians.
-func (batcher *Batcher) accept(ctx context.Context, job Job, head Head) (version, Outcome, error) {
+func (batcher *Batcher) accept(ctx context.Context, job bookkeeper.Job, head bookkeeper.Head) (bookkeeper.Version, bookkeeper.Outcome, error) {
 	if batcher.Depositor == nil {
-		return batcher.ledger.create(ctx, job, head)
+		return batcher.ledger.Create(ctx, job, head)
 	}
 
 	bounded, cancel := context.WithTimeout(ctx, serviceTime(ctx))
 	defer cancel()
 
-	created, outcome, err := batcher.ledger.create(bounded, job, head)
-	if outcome == OK {
-		return created, OK, nil
+	created, outcome, err := batcher.ledger.Create(bounded, job, head)
+	if outcome == bookkeeper.OK {
+		return created, bookkeeper.OK, nil
 	}
 
 	deposited := batcher.Depositor.Deposit(ctx, job)
-	if deposited == NotDone {
+	if deposited == bookkeeper.NotDone {
 		// What the service may do late decides.
-		return version{}, outcome, err
+		return bookkeeper.Version{}, outcome, err
 	}
 
-	return version{}, deposited, err
+	return bookkeeper.Version{}, deposited, err
 }
 
 func serviceTime(ctx context.Context) time.Duration {
@@ -68,13 +68,5 @@
 
 	held, sure := batcher.Depositor.Holds(ctx, id)
 
-	return !held && (sure || !batcher.ledger.client.FailedWithin(doubtTime))
-}
-
-// Restore creates a job for a custodian, without an owner, unless it exists.
-func Restore(ctx context.Context, client *keeper.CatalogClient, job Job) Outcome {
-	head := Head{Host: job.Host, Total: len(job.Items), Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp}
-	_, outcome, _ := ledger{client: client}.create(ctx, job, head)
-
-	return outcome
+	return !held && (sure || !batcher.ledger.Client.FailedWithin(doubtTime))
 }
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/placer"
 )
 
@@ -74,7 +75,7 @@
 
 	route := batcher.routeOf(owned, item)
 	if route == nil {
-		batcher.finish(owned, item, GivenUp, "No route takes the item.")
+		batcher.finish(owned, item, bookkeeper.GivenUp, "No route takes the item.")
 
 		return true
 	}
--- a/batcher/duty.go
+++ b/batcher/duty.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"net/url"
-	"strings"
 	"sync"
 	"time"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/keeper"
 )
 
@@ -99,16 +98,16 @@
 
 // remove deletes a job, its head last, so that what is left is found again.
 func (batcher *Batcher) remove(ctx context.Context, id string) error {
-	head, err := batcher.ledger.head(ctx, id)
-	if err != nil || head.revision == 0 {
+	head, err := batcher.ledger.Head(ctx, id)
+	if err != nil || head.Revision == 0 {
 		return err
 	}
 
-	condition := []keeper.Condition{{Key: headKey(id), Revision: head.revision}}
-	keys := []string{partialKey(id)}
+	condition := []keeper.Condition{{Key: bookkeeper.HeadKey(id), Revision: head.Revision}}
+	keys := []string{bookkeeper.PartialKey(id)}
 
-	for _, prefix := range []string{itemsPrefix(id), resultsPrefix(id)} {
-		items, _, err := batcher.ledger.client.RangeAll(ctx, prefix)
+	for _, prefix := range []string{bookkeeper.ItemsPrefix(id), bookkeeper.ResultsPrefix(id)} {
+		items, _, err := batcher.ledger.Client.RangeAll(ctx, prefix)
 		if err != nil {
 			return err
 		}
@@ -122,23 +121,12 @@
 		part := keys[:min(maxRemoves, len(keys))]
 		keys = keys[len(part):]
 
-		if _, err := batcher.ledger.settle(ctx, keeper.Transaction{Conditions: condition, Removes: part}); err != nil {
+		if _, err := batcher.ledger.Settle(ctx, keeper.Transaction{Conditions: condition, Removes: part}); err != nil {
 			return err
 		}
 	}
 
-	_, err = batcher.ledger.settle(ctx, keeper.Transaction{Conditions: condition, Removes: []string{headKey(id)}})
+	_, err = batcher.ledger.Settle(ctx, keeper.Transaction{Conditions: condition, Removes: []string{bookkeeper.HeadKey(id)}})
 
 	return err
 }
-
-// idOf returns the job of a head's key.
-func idOf(key string) string {
-	id, err := url.QueryUnescape(strings.TrimPrefix(key, PrefixHeads))
-	if err != nil {
-		// Only this package writes such keys; another spelling is its own ID.
-		return strings.TrimPrefix(key, PrefixHeads)
-	}
-
-	return id
-}
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/emulator"
 	"limpetrail/exchanger"
 	"limpetrail/follower"
@@ -139,7 +140,7 @@
 	serving, end := context.WithCancel(context.Background())
 
 	for _, followed := range []*follower.Follower{
-		follower.NewFollower(common, client, batcher.PrefixHeads, jobs.SetHeads),
+		follower.NewFollower(common, client, bookkeeper.PrefixHeads, jobs.SetHeads),
 		follower.NewFollower(common, client, registrar.Prefix, func(copied follower.Copy) {
 			members, err := registrar.Decode(copied)
 			require.NoError(fleet.t, err)
@@ -179,10 +180,10 @@
 }
 
 // submits hands a job to a gateway.
-func (fleet *fleet) submits(gateway, items int) batcher.Outcome {
-	job := batcher.Job{ID: jobID, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
+func (fleet *fleet) submits(gateway, items int) bookkeeper.Outcome {
+	job := bookkeeper.Job{ID: jobID, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
 	for number := range items {
-		job.Items = append(job.Items, batcher.Item{ID: itemID(number), Target: "/batch/x", Body: []byte("body of " + itemID(number))})
+		job.Items = append(job.Items, bookkeeper.Item{ID: itemID(number), Target: "/batch/x", Body: []byte("body of " + itemID(number))})
 	}
 
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
@@ -196,21 +197,21 @@
 }
 
 // reads returns all results as a gateway shows them.
-func (fleet *fleet) reads(gateway int) ([]batcher.Result, int) {
+func (fleet *fleet) reads(gateway int) ([]bookkeeper.Result, int) {
 	ctx := context.Background()
-	results := []batcher.Result{}
+	results := []bookkeeper.Result{}
 	until := time.Now().Add(10 * time.Second)
 
 	for {
 		reading, outcome := fleet.gateways[gateway].batcher.Read(ctx, jobID, len(results), 0)
-		if outcome == batcher.NotDone && time.Now().Before(until) {
+		if outcome == bookkeeper.NotDone && time.Now().Before(until) {
 			// A gateway that is not sure says so, and the reader comes again.
 			time.Sleep(300 * time.Millisecond)
 
 			continue
 		}
 
-		require.Equal(fleet.t, batcher.OK, outcome)
+		require.Equal(fleet.t, bookkeeper.OK, outcome)
 
 		if len(reading.Results) == 0 {
 			return results, reading.Total
@@ -248,7 +249,7 @@
 
 		listed[result.ID] = true
 
-		require.Equal(fleet.t, batcher.Completed, result.State)
+		require.Equal(fleet.t, bookkeeper.Completed, result.State)
 		require.Equal(fleet.t, wholeOutput(), result.Output)
 	}
 
--- a/batcher/partial.go
+++ b/batcher/partial.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"net/url"
 	"time"
 
 	"github.com/juju/errors"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/keeper"
 )
 
 const (
-	prefixPartials = "limpetrail/jobs/partials/"
 	// saveInterval is how often the output of unfinished items is saved. What
 	// was made since is made again after a crash; each save is a call.
 	saveInterval = 1500 * time.Millisecond
@@ -22,18 +21,6 @@
 	maxSavedJobs = 30
 )
 
-// partial is the output of an item so far.
-type partial struct {
-	// After is the number of the last event, and Events how many there are.
-	After  int
-	Events int
-	Output string
-}
-
-func partialKey(id string) string {
-	return prefixPartials + url.QueryEscape(id)
-}
-
 // save keeps what unfinished items have, so that the next owner goes on there.
 func (batcher *Batcher) save(ctx context.Context) {
 	for {
@@ -61,7 +48,7 @@
 		return
 	}
 
-	committed, err := batcher.ledger.client.Transact(ctx, transaction)
+	committed, err := batcher.ledger.Client.Transact(ctx, transaction)
 	if err != nil || committed.Applied != keeper.WriteApplied {
 		batcher.Log.WithField("Jobs", len(saved)).WithError(err).Info("Partial output is not saved.")
 
@@ -97,8 +84,8 @@
 		size += len(value)
 		saved[owned] = events
 
-		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: headKey(id), Revision: owned.record.known().revision})
-		transaction.Puts = append(transaction.Puts, keeper.Put{Key: partialKey(id), Value: value})
+		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: owned.record.known().Revision})
+		transaction.Puts = append(transaction.Puts, keeper.Put{Key: bookkeeper.PartialKey(id), Value: value})
 	}
 
 	return transaction, saved, nil
@@ -106,8 +93,8 @@
 
 // partials returns what the unfinished items of a job have, and the sum of
 // their events.
-func (work *work) partials() (map[string]partial, int) {
-	partials, events := map[string]partial{}, 0
+func (work *work) partials() (map[string]bookkeeper.Partial, int) {
+	partials, events := map[string]bookkeeper.Partial{}, 0
 
 	for _, task := range work.unfinished {
 		if made := task.partial(); made.Events > 0 {
@@ -118,15 +105,3 @@
 
 	return partials, events
 }
-
-// partials reads what a former owner saved. Without it items begin anew.
-func (ledger ledger) partials(ctx context.Context, id string) (map[string]partial, error) {
-	item, err := ledger.client.Get(ctx, partialKey(id))
-	if err != nil || item.Revision == 0 {
-		return nil, errors.Trace(err)
-	}
-
-	partials := map[string]partial{}
-
-	return partials, errors.Annotatef(json.Unmarshal(item.Value, &partials), "reading %s", item.Key)
-}
--- a/batcher/record.go
+++ b/batcher/record.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"limpetrail/bookkeeper"
 )
 
 // record is what this process knows of a job.
@@ -11,11 +13,11 @@
 	id string
 
 	mutex sync.Mutex
-	head  version
+	head  bookkeeper.Version
 	// items is nil until they are read.
-	items []Item
+	items []bookkeeper.Item
 	// results are the listed ones, in their positions without a gap.
-	results []Result
+	results []bookkeeper.Result
 	// segments is how many segments the results came in.
 	segments int
 	// grown is closed and replaced when results come or the head changes.
@@ -34,7 +36,7 @@
 
 // page returns the results from a position on, at least one if there is one,
 // and at most about maxPage bytes.
-func (record *record) page(after int) ([]Result, int, <-chan struct{}) {
+func (record *record) page(after int) ([]bookkeeper.Result, int, <-chan struct{}) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -57,11 +59,11 @@
 const maxPage = 600 << 10
 
 // setHead takes in a head unless it is older than the known one.
-func (record *record) setHead(head version) {
+func (record *record) setHead(head bookkeeper.Version) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
-	if head.revision <= record.head.revision {
+	if head.Revision <= record.head.Revision {
 		return
 	}
 
@@ -70,7 +72,7 @@
 }
 
 // add takes in segments that follow the known ones.
-func (record *record) add(from int, segments []segment) {
+func (record *record) add(from int, segments []bookkeeper.Segment) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -92,7 +94,7 @@
 	record.grown = make(chan struct{})
 }
 
-func (record *record) known() version {
+func (record *record) known() bookkeeper.Version {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -101,7 +103,7 @@
 
 // refresh reads the segments that are new since the last read, unless that
 // began within the age.
-func (record *record) refresh(ctx context.Context, ledger ledger, age time.Duration) error {
+func (record *record) refresh(ctx context.Context, ledger bookkeeper.Ledger, age time.Duration) error {
 	asked := time.Now()
 
 	record.reading.Lock()
@@ -117,7 +119,7 @@
 
 	begun := time.Now()
 
-	segments, err := ledger.results(ctx, record.id, from)
+	segments, err := ledger.Results(ctx, record.id, from)
 	if err != nil {
 		return err
 	}
@@ -129,7 +131,7 @@
 }
 
 // load reads the items once.
-func (record *record) load(ctx context.Context, ledger ledger) ([]Item, error) {
+func (record *record) load(ctx context.Context, ledger bookkeeper.Ledger) ([]bookkeeper.Item, error) {
 	record.reading.Lock()
 	defer record.reading.Unlock()
 
@@ -141,7 +143,7 @@
 		return items, nil
 	}
 
-	items, err := ledger.items(ctx, record.id)
+	items, err := ledger.Items(ctx, record.id)
 	if err != nil {
 		return nil, err
 	}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
 	"limpetrail/matcher"
@@ -118,11 +119,11 @@
 
 	switch ended {
 	case whole:
-		batcher.finish(owned, item, Completed, reason)
+		batcher.finish(owned, item, bookkeeper.Completed, reason)
 
 		return
 	case impossible:
-		batcher.finish(owned, item, GivenUp, reason)
+		batcher.finish(owned, item, bookkeeper.GivenUp, reason)
 
 		return
 	case failed:
@@ -131,7 +132,7 @@
 		item.notBefore = time.Now().Add(backoff(item.failures))
 
 		if item.failures >= to.route.Attempts {
-			batcher.finish(owned, item, GivenUp, "It failed too often.")
+			batcher.finish(owned, item, bookkeeper.GivenUp, "It failed too often.")
 
 			return
 		}
@@ -147,7 +148,7 @@
 	}
 
 	if time.Now().After(owned.job.GiveUp) {
-		batcher.finish(owned, item, GivenUp, "It may be given up by now.")
+		batcher.finish(owned, item, bookkeeper.GivenUp, "It may be given up by now.")
 
 		return
 	}
@@ -299,10 +300,10 @@
 }
 
 // finish notes the result of an item, with the mutex held. It is listed later.
-func (batcher *Batcher) finish(owned *work, item *task, state State, reason string) {
-	result := Result{ID: item.item.ID, State: state}
+func (batcher *Batcher) finish(owned *work, item *task, state bookkeeper.State, reason string) {
+	result := bookkeeper.Result{ID: item.item.ID, State: state}
 
-	if state == Completed {
+	if state == bookkeeper.Completed {
 		result.Output = item.output.String()
 	} else {
 		batcher.Log.WithFields(logrus.Fields{"JobID": owned.job.ID, "RequestID": item.item.ID, "Reason": reason}).Warn("Item is given up.")
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/bookkeeper"
 	"limpetrail/follower"
 )
 
@@ -22,17 +23,17 @@
 
 // SetHeads takes in the heads of all jobs.
 func (batcher *Batcher) SetHeads(copied follower.Copy) {
-	heads := map[string]version{}
+	heads := map[string]bookkeeper.Version{}
 
 	for _, item := range copied {
-		head, err := decodeHead(item)
+		head, err := bookkeeper.DecodeHead(item)
 		if err != nil {
 			batcher.Log.WithField("Key", item.Key).WithError(err).Warn("Head of a job cannot be read.")
 
 			continue
 		}
 
-		heads[idOf(item.Key)] = head
+		heads[bookkeeper.IDOf(item.Key)] = head
 	}
 
 	batcher.mutex.Lock()
@@ -45,7 +46,7 @@
 			record.setHead(head)
 		}
 
-		if owned := batcher.owned[id]; owned != nil && head.revision >= owned.record.known().revision && (head.Owner != batcher.Owner || !head.Open()) {
+		if owned := batcher.owned[id]; owned != nil && head.Revision >= owned.record.known().Revision && (head.Owner != batcher.Owner || !head.Open()) {
 			batcher.drop(id, "Its head changed.")
 		}
 	}
@@ -111,7 +112,7 @@
 }
 
 // orphan tells whether nobody works on a job that is open.
-func (batcher *Batcher) orphan(id string, head version) bool {
+func (batcher *Batcher) orphan(id string, head bookkeeper.Version) bool {
 	if !head.Open() || batcher.owned[id] != nil {
 		return false
 	}
@@ -151,7 +152,7 @@
 	}()
 
 	record, outcome := batcher.find(ctx, id)
-	if outcome != OK {
+	if outcome != bookkeeper.OK {
 		return
 	}
 
@@ -163,7 +164,7 @@
 	head := before.Head
 	head.Owner = batcher.Owner
 
-	taken, applied, err := batcher.ledger.replace(ctx, id, before, head)
+	taken, applied, err := batcher.ledger.Replace(ctx, id, before, head)
 	record.setHead(taken)
 
 	if err != nil || !applied {
@@ -178,7 +179,7 @@
 }
 
 // resume starts the work on a job that was taken over.
-func (batcher *Batcher) resume(ctx context.Context, record *record, head version) error {
+func (batcher *Batcher) resume(ctx context.Context, record *record, head bookkeeper.Version) error {
 	items, err := record.load(ctx, batcher.ledger)
 	if err != nil {
 		return err
@@ -189,18 +190,18 @@
 		return err
 	}
 
-	partials, err := batcher.ledger.partials(ctx, record.id)
+	partials, err := batcher.ledger.Partials(ctx, record.id)
 	if err != nil {
 		// What was made is made again.
 		batcher.Log.WithField("JobID", record.id).WithError(err).Warn("Partial output cannot be read.")
 	}
 
-	batcher.own(record, Job{
+	batcher.own(record, bookkeeper.Job{
 		ID: record.id, Host: head.Host, Items: items,
 		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp,
 	}, head, partials)
 
-	batcher.Log.WithFields(logrus.Fields{"JobID": record.id, "Revision": head.revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
+	batcher.Log.WithFields(logrus.Fields{"JobID": record.id, "Revision": head.Revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
 
 	return nil
 }
@@ -223,7 +224,7 @@
 		head := before.Head
 		head.Owner = ""
 
-		if _, _, err := batcher.ledger.replace(ctx, record.id, before, head); err != nil {
+		if _, _, err := batcher.ledger.Replace(ctx, record.id, before, head); err != nil {
 			batcher.Log.WithField("JobID", record.id).WithError(err).Warn("Job waits for the end of this member's lease.")
 		}
 	}
--- a/batcher/work.go
+++ b/batcher/work.go
@@ -5,13 +5,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"limpetrail/bookkeeper"
 )
 
 // work is the part of a record that its owner has: the items that are not
 // listed yet.
 type work struct {
 	record *record
-	job    Job
+	job    bookkeeper.Job
 	// context ends when the job is ended or has another owner.
 	context context.Context //nolint:containedctx // It is the life of the ownership.
 	cancel  context.CancelFunc
@@ -19,21 +21,21 @@
 	waiting []*task
 	// unfinished holds all items without a result, waiting or running, by ID.
 	unfinished map[string]*task
-	// saved is how many events the last saved partial output had.
+	// saved is how many events the last saved Partial output had.
 	saved int
 	// running is how many items have a place.
 	running int
 	// finished holds results that are not listed yet.
-	finished []Result
+	finished []bookkeeper.Result
 	// proposed is the segment whose listing is under way or of unknown fate. It
 	// is proposed unchanged until that is known.
-	proposed *segment
+	proposed *bookkeeper.Segment
 }
 
 // task is an item on its way. One goroutine at a time works on it; others read
 // its output.
 type task struct {
-	item Item
+	item bookkeeper.Item
 
 	mutex sync.Mutex
 	// output is the data of the events so far; after is the last one's number.
@@ -66,15 +68,15 @@
 }
 
 // partial returns the output so far.
-func (task *task) partial() partial {
+func (task *task) partial() bookkeeper.Partial {
 	task.mutex.Lock()
 	defer task.mutex.Unlock()
 
-	return partial{After: task.after, Events: task.events, Output: task.output.String()}
+	return bookkeeper.Partial{After: task.after, Events: task.events, Output: task.output.String()}
 }
 
 // newTask returns a task that goes on after what an earlier owner saved.
-func newTask(item Item, saved partial) *task {
+func newTask(item bookkeeper.Item, saved bookkeeper.Partial) *task {
 	made := &task{item: item, after: -1}
 	if saved.Events == 0 {
 		return made
@@ -87,7 +89,7 @@
 }
 
 // unlisted returns the items that have no result yet.
-func unlisted(items []Item, results []Result, partials map[string]partial) []*task {
+func unlisted(items []bookkeeper.Item, results []bookkeeper.Result, partials map[string]bookkeeper.Partial) []*task {
 	listed := map[string]bool{}
 	for _, result := range results {
 		listed[result.ID] = true
--- a/batcher/ledger.go
+++ b/bookkeeper/ledger.go
@@ -1,4 +1,4 @@
-package batcher
+package bookkeeper
 
 import (
 	"bytes"
@@ -23,59 +23,59 @@
 	decimals = 6
 )
 
-// ledger reads and writes jobs in the key-value service.
-type ledger struct {
-	client *keeper.CatalogClient
+// Ledger reads and writes jobs in the key-value service.
+type Ledger struct {
+	Client *keeper.CatalogClient
 }
 
-// create writes a job, all of it or nothing. A job of that ID that exists is
+// Create writes a job, all of it or nothing. A job of that ID that exists is
 // left as it is.
-func (ledger ledger) create(ctx context.Context, job Job, head Head) (version, Outcome, error) {
-	transaction := keeper.Transaction{Conditions: []keeper.Condition{{Key: headKey(job.ID)}}}
+func (ledger Ledger) Create(ctx context.Context, job Job, head Head) (Version, Outcome, error) {
+	transaction := keeper.Transaction{Conditions: []keeper.Condition{{Key: HeadKey(job.ID)}}}
 
 	encoded, err := json.Marshal(head)
 	if err != nil {
-		return version{}, NotDone, errors.Trace(err)
+		return Version{}, NotDone, errors.Trace(err)
 	}
 
-	transaction.Puts = append(transaction.Puts, keeper.Put{Key: headKey(job.ID), Value: encoded})
+	transaction.Puts = append(transaction.Puts, keeper.Put{Key: HeadKey(job.ID), Value: encoded})
 
 	for number, items := range chunks(job.Items) {
 		value, err := json.Marshal(items)
 		if err != nil {
-			return version{}, NotDone, errors.Trace(err)
+			return Version{}, NotDone, errors.Trace(err)
 		}
 
-		transaction.Puts = append(transaction.Puts, keeper.Put{Key: numbered(itemsPrefix(job.ID), number), Value: value})
+		transaction.Puts = append(transaction.Puts, keeper.Put{Key: Numbered(ItemsPrefix(job.ID), number), Value: value})
 	}
 
-	committed, err := ledger.settle(ctx, transaction)
+	committed, err := ledger.Settle(ctx, transaction)
 
 	switch committed.Applied {
 	case keeper.WriteApplied:
-		return version{Head: head, revision: committed.Revision}, OK, nil
+		return Version{Head: head, Revision: committed.Revision}, OK, nil
 	case keeper.WriteUnknown:
-		return version{}, Unknown, errors.Trace(err)
+		return Version{}, Unknown, errors.Trace(err)
 	default:
 	}
 
 	if err != nil {
-		return version{}, NotDone, errors.Trace(err)
+		return Version{}, NotDone, errors.Trace(err)
 	}
 
-	present, err := decodeHead(committed.Present[0])
+	present, err := DecodeHead(committed.Present[0])
 
 	return present, OK, errors.Trace(err)
 }
 
-// settle proposes a transaction until its fate is known or the context ends.
+// Settle proposes a transaction until its fate is known or the context ends.
 // A transaction that was refused after an unknown copy may be that copy's work;
 // the caller sees its own values in what is present.
-func (ledger ledger) settle(ctx context.Context, transaction keeper.Transaction) (keeper.Committed, error) {
+func (ledger Ledger) Settle(ctx context.Context, transaction keeper.Transaction) (keeper.Committed, error) {
 	unknown := false
 
 	for {
-		committed, err := ledger.client.Transact(ctx, transaction)
+		committed, err := ledger.Client.Transact(ctx, transaction)
 
 		switch {
 		case committed.Applied == keeper.WriteUnknown:
@@ -94,48 +94,48 @@
 	}
 }
 
-// replace writes a head over the one that was read. It returns what is there
+// Replace writes a head over the one that was read. It returns what is there
 // if that has changed.
-func (ledger ledger) replace(ctx context.Context, id string, before version, head Head) (version, bool, error) {
+func (ledger Ledger) Replace(ctx context.Context, id string, before Version, head Head) (Version, bool, error) {
 	encoded, err := json.Marshal(head)
 	if err != nil {
 		return before, false, errors.Trace(err)
 	}
 
-	committed, err := ledger.settle(ctx, keeper.Transaction{
-		Conditions: []keeper.Condition{{Key: headKey(id), Revision: before.revision}},
-		Puts:       []keeper.Put{{Key: headKey(id), Value: encoded}},
+	committed, err := ledger.Settle(ctx, keeper.Transaction{
+		Conditions: []keeper.Condition{{Key: HeadKey(id), Revision: before.Revision}},
+		Puts:       []keeper.Put{{Key: HeadKey(id), Value: encoded}},
 	})
 
 	switch {
 	case err != nil:
 		return before, false, errors.Trace(err)
 	case committed.Applied == keeper.WriteApplied:
-		return version{Head: head, revision: committed.Revision}, true, nil
+		return Version{Head: head, Revision: committed.Revision}, true, nil
 	case len(committed.Present) == 0 || committed.Present[0].Revision == 0:
-		return version{}, false, nil
+		return Version{}, false, nil
 	}
 
-	present, err := decodeHead(committed.Present[0])
+	present, err := DecodeHead(committed.Present[0])
 	// A lost answer shows as one's own value.
 	own := err == nil && bytes.Equal(committed.Present[0].Value, encoded)
 
 	return present, own, errors.Trace(err)
 }
 
-// head reads a job's head; its revision is 0 if there is none.
-func (ledger ledger) head(ctx context.Context, id string) (version, error) {
-	item, err := ledger.client.Get(ctx, headKey(id))
+// Head reads a job's head; its revision is 0 if there is none.
+func (ledger Ledger) Head(ctx context.Context, id string) (Version, error) {
+	item, err := ledger.Client.Get(ctx, HeadKey(id))
 	if err != nil || item.Revision == 0 {
-		return version{}, errors.Trace(err)
+		return Version{}, errors.Trace(err)
 	}
 
-	return decodeHead(item)
+	return DecodeHead(item)
 }
 
-// items reads all items of a job.
-func (ledger ledger) items(ctx context.Context, id string) ([]Item, error) {
-	pages, _, err := ledger.client.RangeAll(ctx, itemsPrefix(id))
+// Items reads all items of a job.
+func (ledger Ledger) Items(ctx context.Context, id string) ([]Item, error) {
+	pages, _, err := ledger.Client.RangeAll(ctx, ItemsPrefix(id))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -154,21 +154,21 @@
 	return items, nil
 }
 
-// results reads the segments from a number on.
-func (ledger ledger) results(ctx context.Context, id string, from int) ([]segment, error) {
-	prefix, after, segments := resultsPrefix(id), "", []segment{}
+// Results reads the segments from a number on.
+func (ledger Ledger) Results(ctx context.Context, id string, from int) ([]Segment, error) {
+	prefix, after, segments := ResultsPrefix(id), "", []Segment{}
 	if from > 0 {
-		after = numbered(prefix, from-1)
+		after = Numbered(prefix, from-1)
 	}
 
 	for {
-		page, err := ledger.client.Range(ctx, prefix, after, false)
+		page, err := ledger.Client.Range(ctx, prefix, after, false)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 
 		for _, item := range page.Items {
-			read := segment{}
+			read := Segment{}
 			if err := json.Unmarshal(item.Value, &read); err != nil {
 				return nil, errors.Annotatef(err, "reading %s", item.Key)
 			}
@@ -183,12 +183,6 @@
 	}
 }
 
-func decodeHead(item keeper.Item) (version, error) {
-	decoded := version{revision: item.Revision}
-
-	return decoded, errors.Annotatef(json.Unmarshal(item.Value, &decoded.Head), "reading %s", item.Key)
-}
-
 // chunks cuts items into groups that fit into a key each.
 func chunks(items []Item) [][]Item {
 	groups := [][]Item{{}}
@@ -215,6 +209,15 @@
 	return groups
 }
 
-func numbered(prefix string, number int) string {
+// Numbered is a key that sorts by its number.
+func Numbered(prefix string, number int) string {
 	return fmt.Sprintf("%s%0*d", prefix, decimals, number)
 }
+
+// Restore creates a job for a custodian, without an owner, unless it exists.
+func Restore(ctx context.Context, client *keeper.CatalogClient, job Job) Outcome {
+	head := Head{Host: job.Host, Total: len(job.Items), Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp}
+	_, outcome, _ := Ledger{Client: client}.Create(ctx, job, head)
+
+	return outcome
+}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/archiver"
-	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/kernel"
 )
 
@@ -28,7 +28,7 @@
 	kernel.Common
 	Folder *archiver.Folder
 	// Create brings a job into the service, unless it is there.
-	Create func(ctx context.Context, job batcher.Job) batcher.Outcome
+	Create func(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome
 	// Lifetime is how long after its submission a job may still be created. One
 	// that is older was created by another custodian and removed since.
 	Lifetime time.Duration
@@ -43,7 +43,7 @@
 }
 
 // NewCustodian opens the folder and reads what an earlier process left.
-func NewCustodian(common kernel.Common, folder *archiver.Folder, lifetime time.Duration, create func(context.Context, batcher.Job) batcher.Outcome) (*Custodian, error) {
+func NewCustodian(common kernel.Common, folder *archiver.Folder, lifetime time.Duration, create func(context.Context, bookkeeper.Job) bookkeeper.Outcome) (*Custodian, error) {
 	custodian := &Custodian{
 		Common:   common.ForPart("custodian"),
 		Folder:   folder,
@@ -77,7 +77,7 @@
 }
 
 // Accept makes a job durable here. It returns an error if that is not certain.
-func (custodian *Custodian) Accept(job batcher.Job) error {
+func (custodian *Custodian) Accept(job bookkeeper.Job) error {
 	encoded, err := json.Marshal(job)
 	if err != nil {
 		return errors.Trace(err)
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 
-	if custodian.Create(ctx, job) != batcher.OK {
+	if custodian.Create(ctx, job) != bookkeeper.OK {
 		return false
 	}
 
@@ -208,8 +208,8 @@
 	return true
 }
 
-func (custodian *Custodian) read(name string) (batcher.Job, error) {
-	job := batcher.Job{}
+func (custodian *Custodian) read(name string) (bookkeeper.Job, error) {
+	job := bookkeeper.Job{}
 
 	stored, err := custodian.Folder.Fetch(name)
 	if err != nil {
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"limpetrail/archiver"
-	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/custodian"
 	"limpetrail/kernel"
 )
@@ -24,17 +24,17 @@
 	created map[string]int
 }
 
-func (service *service) create(_ context.Context, job batcher.Job) batcher.Outcome {
+func (service *service) create(_ context.Context, job bookkeeper.Job) bookkeeper.Outcome {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 
 	if service.away {
-		return batcher.NotDone
+		return bookkeeper.NotDone
 	}
 
 	service.created[job.ID]++
 
-	return batcher.OK
+	return bookkeeper.OK
 }
 
 func (service *service) set(away bool) {
@@ -84,8 +84,8 @@
 	<-disk.done
 }
 
-func job(id string) batcher.Job {
-	return batcher.Job{ID: id, Host: "host", Items: []batcher.Item{{ID: "1", Body: []byte{0, 1, 255}}}, Submitted: time.Now()}
+func job(id string) bookkeeper.Job {
+	return bookkeeper.Job{ID: id, Host: "host", Items: []bookkeeper.Item{{ID: "1", Body: []byte{0, 1, 255}}}, Submitted: time.Now()}
 }
 
 // An accepted job survives its process and reaches the service once that is back.
@@ -153,16 +153,16 @@
 
 	for name, scenario := range map[string]struct {
 		states  []int
-		outcome batcher.Outcome
+		outcome bookkeeper.Outcome
 	}{
-		"all work":                {[]int{works, works, works}, batcher.OK},
-		"one refuses":             {[]int{works, refuses, works}, batcher.OK},
-		"one is gone":             {[]int{gone, works, works}, batcher.OK},
-		"one holds it":            {[]int{gone, works, gone}, batcher.Unknown},
-		"one may hold it":         {[]int{gone, refuses, gone}, batcher.Unknown},
-		"nobody can be reached":   {[]int{gone, gone, gone}, batcher.NotDone},
-		"too few are known":       {[]int{works}, batcher.NotDone},
-		"one holds it, one fails": {[]int{works, refuses, gone}, batcher.Unknown},
+		"all work":                {[]int{works, works, works}, bookkeeper.OK},
+		"one refuses":             {[]int{works, refuses, works}, bookkeeper.OK},
+		"one is gone":             {[]int{gone, works, works}, bookkeeper.OK},
+		"one holds it":            {[]int{gone, works, gone}, bookkeeper.Unknown},
+		"one may hold it":         {[]int{gone, refuses, gone}, bookkeeper.Unknown},
+		"nobody can be reached":   {[]int{gone, gone, gone}, bookkeeper.NotDone},
+		"too few are known":       {[]int{works}, bookkeeper.NotDone},
+		"one holds it, one fails": {[]int{works, refuses, gone}, bookkeeper.Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			service := &service{away: true, created: map[string]int{}}
@@ -193,7 +193,7 @@
 			depositor.SetCustodians(addresses)
 			require.Equal(t, scenario.outcome, depositor.Deposit(t.Context(), job("x")))
 
-			if scenario.outcome == batcher.OK {
+			if scenario.outcome == bookkeeper.OK {
 				held, _ := depositor.Holds(t.Context(), "x")
 				require.True(t, held)
 			}
--- a/custodian/depositor.go
+++ b/custodian/depositor.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 	"limpetrail/kernel"
 )
 
@@ -73,21 +74,21 @@
 
 // Deposit implements batcher.Depositor: it hands the job to all custodians, and
 // returns when enough hold it.
-func (depositor *Depositor) Deposit(ctx context.Context, job batcher.Job) batcher.Outcome {
+func (depositor *Depositor) Deposit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome {
 	encoded, err := json.Marshal(job)
 	if err != nil {
 		depositor.Log.WithField("JobID", job.ID).WithError(err).Error("Job cannot be written as text.")
 
-		return batcher.NotDone
+		return bookkeeper.NotDone
 	}
 
 	addresses := depositor.addresses()
 	if len(addresses) < depositor.Copies {
-		return batcher.NotDone
+		return bookkeeper.NotDone
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, depositTimeout)
-	outcomes := make(chan batcher.Outcome, len(addresses))
+	outcomes := make(chan bookkeeper.Outcome, len(addresses))
 	sending := sync.WaitGroup{}
 
 	for _, address := range addresses {
@@ -103,9 +104,9 @@
 
 	for range addresses {
 		switch <-outcomes {
-		case batcher.OK:
+		case bookkeeper.OK:
 			held++
-		case batcher.NotDone:
+		case bookkeeper.NotDone:
 		default:
 			uncertain = true
 		}
@@ -119,11 +120,11 @@
 
 	switch {
 	case held >= depositor.Copies:
-		return batcher.OK
+		return bookkeeper.OK
 	case held > 0 || uncertain:
-		return batcher.Unknown
+		return bookkeeper.Unknown
 	default:
-		return batcher.NotDone
+		return bookkeeper.NotDone
 	}
 }
 
@@ -164,20 +165,20 @@
 
 // send hands a job to one custodian. Only a connection that was not made is
 // certain to have brought nothing.
-func (depositor *Depositor) send(ctx context.Context, address string, encoded []byte) batcher.Outcome {
+func (depositor *Depositor) send(ctx context.Context, address string, encoded []byte) bookkeeper.Outcome {
 	status, err := depositor.call(ctx, http.MethodPost, address, "", encoded)
 
 	dialling := &net.OpError{}
 
 	switch {
 	case err == nil && status == http.StatusOK:
-		return batcher.OK
+		return bookkeeper.OK
 	case errors.As(err, &dialling) && dialling.Op == "dial":
-		return batcher.NotDone
+		return bookkeeper.NotDone
 	default:
 		depositor.Log.WithField("Custodian", address).WithField("Status", status).WithError(err).Info("Custodian does not hold a job.")
 
-		return batcher.Unknown
+		return bookkeeper.Unknown
 	}
 }
 
--- a/custodian/server.go
+++ b/custodian/server.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 
-	"limpetrail/batcher"
+	"limpetrail/bookkeeper"
 )
 
 const (
@@ -22,7 +22,7 @@
 }
 
 func (custodian *Custodian) take(writer http.ResponseWriter, request *http.Request) {
-	job := batcher.Job{}
+	job := bookkeeper.Job{}
 	if err := json.NewDecoder(io.LimitReader(request.Body, maxJobBytes)).Decode(&job); err != nil || job.ID == "" {
 		http.Error(writer, "The body is no job.", http.StatusBadRequest)
 
