Propose no segment again that was read back meanwhile

The store loses answers there and takes effect late. An owner that is not certain reads the service for its readers; so its own late segment was in its record when it proposed the same results once more, now under the next number and with the old position. Readers take no segment whose position does not fit, nor any after it. Change: a proposal whose position is no longer the record's end is taken back before each listing, and what is listed is dropped.

--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -318,3 +318,25 @@
 		require.Equal(t, bookkeeper.NotFound, outcome)
 	})
 }
+
+// A segment whose answer was lost may be read back before it is proposed again.
+// It is then listed, and not proposed under the next number.
+func TestSegmentThatWasReadBackIsNotProposedAgain(t *testing.T) {
+	newFleet(t, 1, 1, func(fleet *fleet) {
+		gateway := fleet.gateways[0]
+		// A reader of an owner that is not certain reads the service.
+		gateway.batcher.Certain = func() bool { return false }
+		gateway.catalog.Late = 300 * time.Millisecond
+
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 30))
+
+		for range 40 {
+			gateway.catalog.Faults.Set(emulator.Switches{DropAnswers: 1})
+			time.Sleep(350 * time.Millisecond)
+			fleet.reads(0)
+		}
+
+		gateway.catalog.Faults.Set(emulator.Switches{})
+		fleet.expectWhole(30)
+	})
+}
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -105,6 +105,7 @@
 			break
 		}
 
+		owned.rebase()
 		owned.gather(maxCommit - size)
 
 		if owned.proposed == nil {
@@ -273,32 +274,30 @@
 		return
 	}
 
-	batcher.rebase(owned)
 }
 
-// rebase drops what others have listed from the owner's own results.
-func (batcher *Batcher) rebase(owned *work) {
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
+// rebase takes a proposal back if the record has grown since: the proposal's
+// own copy that took effect late, or a former owner's results, were read from
+// the service. What is listed by now is dropped. The batcher's mutex is held.
+func (work *work) rebase() {
+	work.record.mutex.Lock()
+	defer work.record.mutex.Unlock()
 
-	owned.record.mutex.Lock()
-	defer owned.record.mutex.Unlock()
+	if work.proposed == nil || work.proposed.First == len(work.record.results) {
+		return
+	}
 
 	listed := map[string]bool{}
-	for _, result := range owned.record.results {
+	for _, result := range work.record.results {
 		listed[result.ID] = true
 	}
 
-	finished := owned.finished
-	if owned.proposed != nil {
-		finished = append(append([]bookkeeper.Result{}, owned.proposed.Results...), finished...)
-	}
-
-	owned.proposed, owned.finished = nil, nil
+	finished := append(append([]bookkeeper.Result{}, work.proposed.Results...), work.finished...)
+	work.proposed, work.finished = nil, nil
 
 	for _, result := range finished {
 		if !listed[result.ID] {
-			owned.finished = append(owned.finished, result)
+			work.finished = append(work.finished, result)
 		}
 	}
 }
