--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -270,10 +270,7 @@
 	// Results that are listed here already were written by a former owner.
 	if err := owned.record.refresh(ctx, batcher.ledger, 0); err != nil {
 		batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
-
-		return
 	}
-
 }
 
 // rebase takes a proposal back if the record has grown since: the proposal's
