Forget reports of the dead, use a copy that comes after a failed listing

TestDeploymentServesThroughStopAndKill: the last gateway took a job over and placed none of its 30 items: reports of load were dropped only when another came, so the killed gateway's places stayed taken without traffic. TestCopyIsBorrowed: a copy that came just after the listing had failed was dropped, and asked for again later. Ruled out: load (no attempt was made in 20 s). Change: old reports are dropped before each placing; a failed listing waits for the copy.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -164,10 +164,21 @@
 
 	for {
 		select {
-		case page := <-borrowed:
-			follower.take(page)
+		case page, found := <-borrowed:
+			if found {
+				follower.take(page)
+			}
+
+			borrowed = nil
 		case listing := <-listed:
 			if listing.err != nil {
+				// The copy may be on its way, and is all that there is now.
+				if borrowed != nil {
+					if page, found := <-borrowed; found {
+						follower.take(page)
+					}
+				}
+
 				return errors.Trace(listing.err)
 			}
 
@@ -301,15 +312,18 @@
 	return page.Items, page.Revision, true
 }
 
-// borrow asks for another process's copy, until there is one of one's own.
+// borrow asks for another process's copy, unless there is one already; then it
+// returns nil. The channel is closed when nothing more comes.
 func (follower *Follower) borrow(ctx context.Context) <-chan keeper.Page {
-	borrowed := make(chan keeper.Page, 1)
-
 	if follower.Fallback == nil || follower.shown.Load() != nil {
-		return borrowed
+		return nil
 	}
 
+	borrowed := make(chan keeper.Page, 1)
+
 	go func() {
+		defer close(borrowed)
+
 		page, err := follower.Fallback(ctx, follower.Prefix)
 		if err != nil {
 			follower.Log.WithField("Prefix", follower.Prefix).WithError(err).Info("No other process has a copy.")
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -155,6 +155,7 @@
 // Place finds a place for online work, or says at once why there is none.
 func (placer *Placer) Place(ctx context.Context, work Work) Decision {
 	placer.mutex.Lock()
+	placer.prune()
 
 	decision := Decision{Free: placer.freePlaces(work.Service)}
 	if grant := placer.find(work); grant != nil {
@@ -243,6 +244,8 @@
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
+	placer.prune()
+
 	service := placer.service(work.Service)
 	if len(service.queue.waiting) > 0 {
 		return nil, false
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -239,3 +239,19 @@
 		}
 	})
 }
+
+// The places of an entry that died are free again though nobody reports.
+func TestReportsOfTheDeadEndByThemselves(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x")
+		story.placer.Hear("entry-2", "a", map[string]placer.Load{"x": {Batch: 2}})
+
+		_, placed := story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.False(t, placed)
+
+		time.Sleep(2 * time.Second)
+
+		_, placed = story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.True(t, placed)
+	})
+}
--- a/placer/settle.go
+++ b/placer/settle.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// prune forgets reports that are too old. An entry that died last is followed by
+// no report that would do so. The mutex is held.
+func (placer *Placer) prune() {
+	for _, report := range placer.reports {
+		if time.Since(report.at) > reportLife {
+			placer.settle()
+
+			return
+		}
+	}
+}
+
 // sum adds up the fresh reports of other entries.
 func (placer *Placer) sum() {
 	silent := false
