Hold callers to the limits in force, show a gateway's status

Cause: heads, header time and idle time had fixed bounds (64 KiB, 10 s, 2 min), whatever the operators' document said; a document with longer ones would have had its callers cut off. `limpetrail status` could not read a gateway. Ruled out: setting the fields of http.Server anew, which races with its connections and leaves open ones under the old limits. Change: package limiter watches each connection by phase (idle, head, busy) under the limits of the configuration in force.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -22,6 +22,7 @@
 	"limpetrail/gossiper"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
+	"limpetrail/limiter"
 	"limpetrail/loader"
 	"limpetrail/matcher"
 	"limpetrail/meter"
@@ -38,10 +39,6 @@
 	headsPause = 600 * time.Millisecond
 	// trimInterval is how often idle connections are looked through.
 	trimInterval = 5 * time.Second
-	// maxHeaderBytes is above what any document allows.
-	maxHeaderBytes = 64 << 10
-	// callerIdle is above the idle time of any document; see the document's limits.
-	callerIdle = 2 * time.Minute
 	// stopMargin is left of the grace at a planned stop, for the last log lines.
 	stopMargin = 500 * time.Millisecond
 	// memoryShare of the limit is where the collector starts to work harder.
@@ -66,6 +63,7 @@
 	Backend       *platform.Backend
 	Batcher       *batcher.Batcher
 	Handler       *platform.Handler
+	Limiter       *limiter.Limiter
 
 	// Reread returns the settings as the file has them now.
 	Reread func() (loader.Gateway, error)
@@ -110,17 +108,12 @@
 	duties := sync.WaitGroup{}
 	gateway.startDuties(ctx, serving, &duties)
 
-	server := &http.Server{
-		Handler:           gateway.farewell(gateway.Handler),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := gateway.Limiter.Server(gateway.farewell(gateway.Handler))
 	served := make(chan error, 3)
 
 	go gateway.Listen.showMetrics(serving, gateway.Common, gateway.Settings.Listen.Metrics, gateway.Meter)
 
-	go func() { served <- server.Serve(callers) }()
+	go func() { served <- server.Serve(gateway.Limiter.Listen(callers)) }()
 	go func() { served <- gateway.serve(serving, ready, http.HandlerFunc(gateway.ready)) }()
 	go func() { served <- gateway.serve(serving, operations, gateway.operations()) }()
 
--- a/app/wire.go
+++ b/app/wire.go
@@ -13,6 +13,7 @@
 	"limpetrail/custodian"
 	"limpetrail/forwarder"
 	"limpetrail/handler"
+	"limpetrail/limiter"
 	"limpetrail/loader"
 	"limpetrail/locator"
 	"limpetrail/matcher"
@@ -106,6 +107,7 @@
 		wire.Bind(new(batcher.Depositor), new(*custodian.Depositor)),
 		newCatalogClient,
 		matcher.NewCurrent,
+		limiter.NewLimiter,
 		placer.NewPlacer,
 		newGossiper,
 		newMember,
@@ -117,7 +119,7 @@
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Batcher", "Handler"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Batcher", "Handler", "Limiter"),
 	))
 }
 
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -11,6 +11,7 @@
 	"limpetrail/archiver"
 	"limpetrail/forwarder"
 	"limpetrail/handler"
+	"limpetrail/limiter"
 	"limpetrail/loader"
 	"limpetrail/locator"
 	"limpetrail/matcher"
@@ -164,6 +165,7 @@
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, current, forwarderForwarder, jobHandler)
+	limiterLimiter := limiter.NewLimiter(common, current)
 	gateway := &Gateway{
 		Common:        common,
 		Settings:      settings,
@@ -181,6 +183,7 @@
 		Backend:       platformBackend,
 		Batcher:       batcher,
 		Handler:       platformHandler,
+		Limiter:       limiterLimiter,
 	}
 	return gateway, nil
 }
--- a/commander/operations.go
+++ b/commander/operations.go
@@ -119,7 +119,7 @@
 }
 
 func (commander *Commander) status(application *kingpin.Application) command {
-	clause := application.Command("status", "Show what an entry knows and decides by.")
+	clause := application.Command("status", "Show what an entry or gateway knows and decides by.")
 	entry := entryFlag(clause)
 	output := outputFlag(clause)
 
@@ -199,23 +199,3 @@
 
 	return errors.Trace(table.Flush())
 }
-
-func printStatus(out io.Writer, text []byte) error {
-	status := observer.Status{}
-	if err := json.Unmarshal(text, &status); err != nil {
-		return errors.Trace(err)
-	}
-
-	fmt.Fprintf(out, "%s in %s, document revision %d\n", status.Instance, status.DataCentre, status.Revision)
-
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "REPLICA\tSERVICE\tDATA CENTRE\tONLINE\tQUEUED\tBATCH\tLIMIT\tLEAVING")
-
-	for _, replica := range status.Replicas {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%t\n", replica.Name, replica.Service, replica.DataCentre,
-			replica.Load.RunningOnline, replica.Load.QueuedOnline, replica.Load.RunningBatch, replica.Load.Limit,
-			replica.Leaving || replica.Load.Draining)
-	}
-
-	return errors.Trace(table.Flush())
-}
