--- a/commander/operations.go
+++ b/commander/operations.go
@@ -6,18 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"runtime/debug"
 	"strings"
-	"text/tabwriter"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 
 	"limpetrail/handler"
 	"limpetrail/loader"
-	"limpetrail/observer"
 )
 
 const (
@@ -98,26 +94,6 @@
 	}}
 }
 
-func (commander *Commander) timeLine(application *kingpin.Application) command {
-	clause := application.Command("timeline", "Show the events of all processes in one order.")
-	entry := entryFlag(clause)
-	output := outputFlag(clause)
-	request := clause.Flag("request", "Only this request.").String()
-	job := clause.Flag("job", "Only this job.").String()
-	limit := clause.Flag("limit", "Most events, newest first to stay.").Default("200").Int()
-
-	return command{clause: clause, run: func(ctx context.Context) error {
-		query := url.Values{"request": {*request}, "job": {*job}, "limit": {fmt.Sprint(*limit)}}
-
-		text, err := client{entry: *entry}.get(ctx, "/v1/timeline?"+query.Encode())
-		if err != nil {
-			return errors.Trace(err)
-		}
-
-		return commander.print(*output, text, func(out io.Writer) error { return printTimeLine(out, text) })
-	}}
-}
-
 func (commander *Commander) status(application *kingpin.Application) command {
 	clause := application.Command("status", "Show what an entry or gateway knows and decides by.")
 	entry := entryFlag(clause)
@@ -179,23 +155,3 @@
 
 	return asText(commander.Out)
 }
-
-func printTimeLine(out io.Writer, text []byte) error {
-	answer := observer.TimeLine{}
-	if err := json.Unmarshal(text, &answer); err != nil {
-		return errors.Trace(err)
-	}
-
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	for _, event := range answer.Events {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n",
-			event.Stamp.Time().Format(time.RFC3339Nano), event.Instance, event.Part, event.Kind,
-			event.RequestID+event.JobID, strings.Join(event.Details, " "))
-	}
-
-	if len(answer.Missing) > 0 {
-		fmt.Fprintln(table, "no answer from", strings.Join(answer.Missing, ", "))
-	}
-
-	return errors.Trace(table.Flush())
-}
