Count the entries of transactions before the store does

The comment at the bound said three keys and meant five entries. Saved partial output of more than 16 jobs had the same fault. Change: proposals and saved jobs are grouped by entries; the store's stand-in refuses transactions that are too large.

--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -98,6 +99,55 @@
 	}
 }
 
+// Many jobs that are done at once, or run at once, are written in transactions
+// that the service takes.
+func TestManyJobsFitIntoTransactions(t *testing.T) {
+	const jobs = 40
+
+	newFleet(t, 1, 8, func(fleet *fleet) {
+		catalog := fleet.gateways[0].catalog
+
+		for number := range jobs {
+			require.Equal(t, bookkeeper.OK, fleet.submitsJob(0, fmt.Sprintf("job-%d", number), 1))
+		}
+
+		catalog.Faults.Set(emulator.Switches{Outage: true})
+		time.Sleep(10 * time.Second)
+		catalog.Faults.Set(emulator.Switches{})
+		time.Sleep(10 * time.Second)
+
+		for number := range jobs {
+			reading, outcome := fleet.gateways[0].batcher.Read(context.Background(), fmt.Sprintf("job-%d", number), 0, 0)
+			require.Equal(t, bookkeeper.OK, outcome)
+			require.Len(t, reading.Results, 1, "job %d", number)
+		}
+	})
+}
+
+// The partial output of many jobs that run at once is saved, too.
+func TestManyJobsAreSaved(t *testing.T) {
+	const jobs = 24
+
+	newFleet(t, 1, 8, func(fleet *fleet) {
+		fleet.all(emulator.EventFaults{StallAfter: 7})
+
+		for number := range jobs {
+			require.Equal(t, bookkeeper.OK, fleet.submitsJob(0, fmt.Sprintf("job-%d", number), 1))
+		}
+
+		// Saving comes every 1.5 s; a silent stream is given up after one.
+		time.Sleep(900 * time.Millisecond)
+
+		ledger := bookkeeper.Ledger{Client: fleet.gateways[0].client}
+
+		for number := range jobs {
+			partials, err := ledger.Partials(context.Background(), fmt.Sprintf("job-%d", number))
+			require.NoError(t, err)
+			require.Len(t, partials, 1, "job %d", number)
+		}
+	})
+}
+
 // A job that comes again, also through other gateways, is accepted once.
 func TestResentJobIsAcceptedOnce(t *testing.T) {
 	newFleet(t, 3, 2, func(fleet *fleet) {
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -98,10 +98,10 @@
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	proposals, size := []proposal{}, 0
+	proposals, size, entries := []proposal{}, 0, 0
 
 	for _, owned := range batcher.owned {
-		if size > maxCommit || len(proposals) == maxProposals {
+		if size > maxCommit || entries+mostEntries > keeper.MaxEntries {
 			break
 		}
 
@@ -122,19 +122,34 @@
 		listed := len(owned.record.results)
 		owned.record.mutex.Unlock()
 
-		size += len(value)
-		proposals = append(proposals, proposal{
+		made := proposal{
 			owned: owned, head: head, number: number, segment: *owned.proposed, value: value,
 			last: listed+len(owned.proposed.Results) == head.Total,
-		})
+		}
+		proposals = append(proposals, made)
+		size += len(value)
+		entries += made.entries()
 	}
 
 	return proposals, nil
 }
 
-// maxProposals keeps a transaction within 32 entries: three keys are written for
-// a job that is done.
-const maxProposals = 8
+const (
+	// entriesOfResults are two conditions and the segment.
+	entriesOfResults = 3
+	// mostEntries has the new head and the removed partial output besides, for a
+	// job that is done.
+	mostEntries = 5
+)
+
+// entries is how many of a transaction's entries the proposal takes.
+func (proposal proposal) entries() int {
+	if proposal.last {
+		return mostEntries
+	}
+
+	return entriesOfResults
+}
 
 // gather makes a segment of finished results, unless one is proposed already.
 func (work *work) gather(room int) {
--- a/batcher/duty.go
+++ b/batcher/duty.go
@@ -17,7 +17,7 @@
 	// releaseTimeout bounds the last writes at a planned stop.
 	releaseTimeout = 2 * time.Second
 	// maxRemoves is the most keys of a transaction besides its condition.
-	maxRemoves = 30
+	maxRemoves = keeper.MaxEntries - 1
 )
 
 // Run works on jobs until the context ends, and then gives them to others.
@@ -39,7 +39,7 @@
 		continue
 	}
 
-	batcher.saveOnce(last)
+	batcher.saveAll(last)
 	batcher.release(last)
 }
 
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -181,7 +181,11 @@
 
 // submits hands a job to a gateway.
 func (fleet *fleet) submits(gateway, items int) bookkeeper.Outcome {
-	job := bookkeeper.Job{ID: jobID, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
+	return fleet.submitsJob(gateway, jobID, items)
+}
+
+func (fleet *fleet) submitsJob(gateway int, id string, items int) bookkeeper.Outcome {
+	job := bookkeeper.Job{ID: id, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
 	for number := range items {
 		job.Items = append(job.Items, bookkeeper.Item{ID: itemID(number), Target: "/batch/x", Body: []byte("body of " + itemID(number))})
 	}
--- a/batcher/partial.go
+++ b/batcher/partial.go
@@ -17,8 +17,8 @@
 	saveInterval = 1500 * time.Millisecond
 	// maxSave bounds the output in one transaction.
 	maxSave = 500 << 10
-	// maxSavedJobs keeps a transaction within 32 entries.
-	maxSavedJobs = 30
+	// maxSavedJobs: each has a condition and its output.
+	maxSavedJobs = keeper.MaxEntries / 2
 )
 
 // save keeps what unfinished items have, so that the next owner goes on there.
@@ -30,65 +30,79 @@
 			return
 		}
 
-		batcher.saveOnce(ctx)
+		batcher.saveAll(ctx)
 	}
 }
 
-// saveOnce writes the partial output of all jobs that made some since the last
+// saving is the partial output of some jobs in one transaction.
+type saving struct {
+	transaction keeper.Transaction
+	// events is how many events each job has in it.
+	events map[*work]int
+	size   int
+}
+
+// saveAll writes the partial output of all jobs that made some since the last
 // time. An older copy that takes effect late only costs what was made since.
-func (batcher *Batcher) saveOnce(ctx context.Context) {
-	transaction, saved, err := batcher.unsaved()
+func (batcher *Batcher) saveAll(ctx context.Context) {
+	savings, err := batcher.unsaved()
 	if err != nil {
 		batcher.Log.WithError(err).Error("Partial output cannot be written as text.")
 
 		return
 	}
 
-	if len(saved) == 0 {
-		return
-	}
+	for _, saving := range savings {
+		committed, err := batcher.ledger.Client.Transact(ctx, saving.transaction)
+		if err != nil || committed.Applied != keeper.WriteApplied {
+			batcher.Log.WithField("Jobs", len(saving.events)).WithError(err).Info("Partial output is not saved.")
 
-	committed, err := batcher.ledger.Client.Transact(ctx, transaction)
-	if err != nil || committed.Applied != keeper.WriteApplied {
-		batcher.Log.WithField("Jobs", len(saved)).WithError(err).Info("Partial output is not saved.")
+			continue
+		}
 
-		return
+		batcher.noteSaved(saving)
 	}
+}
 
+func (batcher *Batcher) noteSaved(saving *saving) {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	for owned, events := range saved {
+	for owned, events := range saving.events {
 		owned.saved = events
 	}
 }
 
-// unsaved gathers the jobs with new partial output, and how many events each has.
-func (batcher *Batcher) unsaved() (keeper.Transaction, map[*work]int, error) {
+// unsaved gathers the jobs with new partial output.
+func (batcher *Batcher) unsaved() ([]*saving, error) {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	transaction, saved, size := keeper.Transaction{}, map[*work]int{}, 0
+	savings, last := []*saving{}, (*saving)(nil)
 
 	for id, owned := range batcher.owned {
 		partials, events := owned.partials()
-		if events <= owned.saved || len(saved) == maxSavedJobs || size > maxSave {
+		if events <= owned.saved {
 			continue
 		}
 
 		value, err := json.Marshal(partials)
 		if err != nil {
-			return transaction, nil, errors.Trace(err)
+			return nil, errors.Trace(err)
 		}
 
-		size += len(value)
-		saved[owned] = events
+		if last == nil || len(last.events) == maxSavedJobs || last.size > maxSave {
+			last = &saving{events: map[*work]int{}}
+			savings = append(savings, last)
+		}
 
-		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: owned.record.known().Revision})
-		transaction.Puts = append(transaction.Puts, keeper.Put{Key: bookkeeper.PartialKey(id), Value: value})
+		last.size += len(value)
+		last.events[owned] = events
+		last.transaction.Conditions = append(last.transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: owned.record.known().Revision})
+		last.transaction.Puts = append(last.transaction.Puts, keeper.Put{Key: bookkeeper.PartialKey(id), Value: value})
 	}
 
-	return transaction, saved, nil
+	return savings, nil
 }
 
 // partials returns what the unfinished items of a job have, and the sum of
--- a/emulator/catalog.go
+++ b/emulator/catalog.go
@@ -176,6 +176,10 @@
 		return keeper.Committed{Applied: keeper.WriteRefused}, err
 	}
 
+	if transaction.Entries() > keeper.MaxEntries {
+		return keeper.Committed{Applied: keeper.WriteRefused}, errors.NotValidf("transaction of %d entries", transaction.Entries())
+	}
+
 	if catalog.Faults.TakeDrop() {
 		time.AfterFunc(catalog.Late, func() { _, _ = catalog.state.transact(transaction) })
 
--- a/keeper/catalog.go
+++ b/keeper/catalog.go
@@ -68,6 +68,15 @@
 	Removes    []string
 }
 
+// MaxEntries is the most entries of a transaction that every Catalog takes. The
+// platform's store answers larger ones with 400.
+const MaxEntries = 32
+
+// Entries is how many conditions, puts and removes the transaction has.
+func (transaction Transaction) Entries() int {
+	return len(transaction.Conditions) + len(transaction.Puts) + len(transaction.Removes)
+}
+
 // Committed tells what became of a transaction.
 type Committed struct {
 	Applied Applied
