Ask owners for results, follow the store with fewer calls

Watches of servers came every 0.1 s while a removed key was held. Ruled out: one watch of a common prefix (bodies of items would pass through it). Change: package inquirer asks the owner of a job, which answers from memory if it is certain of its ownership, with a breaker for each owner; the store is read where it is not. A hold costs one watch. Heads are gathered for 0.9 s instead of 0.6 and, as the configuration, watched as long as the platform's bound allows (new setting NoticeSilence, from contactMs). Members are watched for 6 s. TestReadersAskTheOwner failed first with 7 reads for 0 allowed, TestHoldCostsFewCalls with 15 watches for 3.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -20,6 +20,7 @@
 	"limpetrail/exchanger"
 	"limpetrail/follower"
 	"limpetrail/gossiper"
+	"limpetrail/inquirer"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/limiter"
@@ -35,8 +36,20 @@
 const (
 	// checkInterval is how often suspect backend servers are checked.
 	checkInterval = 400 * time.Millisecond
-	// headsPause gathers changes of jobs' heads into one watch.
-	headsPause = 600 * time.Millisecond
+	// headsPause gathers changes of jobs' heads into one watch. An ended job has
+	// to stop within three seconds, and a silent watch is noticed within two.
+	headsPause = 900 * time.Millisecond
+	// serversPause gathers backend servers that start or leave together.
+	serversPause = 100 * time.Millisecond
+	// membersWait is long: who shares the servers is heard, and the jobs of a
+	// member that is gone are taken over by whoever notices first.
+	membersWait = 6 * time.Second
+	// silenceMargin is what a watch may take longer than its wait, and as much
+	// again for the answer to the next one.
+	silenceMargin = time.Second
+	// leastWait of a watch keeps processes from asking without pause, whatever
+	// the settings say.
+	leastWait = 500 * time.Millisecond
 	// trimInterval is how often idle connections are looked through.
 	trimInterval = 5 * time.Second
 	// stopMargin is left of the grace at a planned stop, for the last log lines.
@@ -64,6 +77,7 @@
 	Batcher       *batcher.Batcher
 	Handler       *platform.Handler
 	Limiter       *limiter.Limiter
+	Inquirer      *inquirer.Inquirer
 
 	// Reread returns the settings as the file has them now.
 	Reread func() (loader.Gateway, error)
@@ -187,13 +201,14 @@
 // followers returns the followers of the store by prefix.
 func (gateway *Gateway) followers() map[string]*follower.Follower {
 	borrow, share := follower.WithFallback(gateway.Relay.Copy), follower.WithShare(gateway.Sharer.Share)
+	prompt := max(leastWait, gateway.Settings.Follow.NoticeSilence-silenceMargin)
 	gateway.copies = map[string]*follower.Follower{}
 
 	for _, made := range []*follower.Follower{
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithPromptness()),
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithPromptness()),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold()),
-		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithPause(headsPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithWait(prompt)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithWait(prompt), follower.WithPause(serversPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold(), follower.WithWait(membersWait)),
+		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithWait(prompt), follower.WithPause(headsPause)),
 	} {
 		gateway.copies[made.Prefix] = made
 	}
@@ -251,6 +266,7 @@
 	}
 
 	addresses, relays, live := map[string]string{}, []string{}, map[string]bool{}
+	owners := map[string]string{}
 
 	custodians := map[string]string{}
 
@@ -265,6 +281,7 @@
 		if name != gateway.Instance {
 			addresses[name] = member.Address
 			relays = append(relays, member.Operations)
+			owners[member.Process()] = member.Operations
 		}
 	}
 
@@ -279,6 +296,7 @@
 	gateway.Sharer.SetHolders(slices.Sorted(maps.Values(custodians)))
 	gateway.Gossiper.SetPeers(addresses)
 	gateway.Batcher.SetMembers(live)
+	gateway.Inquirer.SetMembers(owners)
 	gateway.Registrar.Notice(members)
 }
 
@@ -322,6 +340,7 @@
 	mux := http.NewServeMux()
 	gateway.Meter.Register(mux)
 	mux.HandleFunc("GET "+PathStatus, gateway.status)
+	mux.Handle("POST "+inquirer.Path, inquirer.NewServer(gateway.Common, gateway.Batcher))
 	mux.Handle("POST "+relayer.Path, relayer.NewServer(gateway.Common, gateway.Client.Direct(), gateway.copied))
 
 	return mux
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -14,6 +14,7 @@
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
 	"limpetrail/gossiper"
+	"limpetrail/inquirer"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/loader"
@@ -114,8 +115,13 @@
 	}
 }
 
-func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, listing *registrar.Registrar, settings loader.Gateway) *batcher.Batcher {
-	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), listing.Certain, settings.Jobs)
+// newInquirer shares the connections to other gateways.
+func newInquirer(common kernel.Common, relay *relayer.Relay) *inquirer.Inquirer {
+	return inquirer.NewInquirer(common, relay.Client)
+}
+
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, listing *registrar.Registrar, owners *inquirer.Inquirer, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), listing.Certain, settings.Jobs, batcher.WithInquirer(owners))
 }
 
 func newGatewayHandler(common kernel.Common, configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -161,7 +161,8 @@
 	depositor := newDepositor(common, settings)
 	exchanger := newExchanger(common)
 	platformBackend := platform.NewBackend(exchanger)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, settings)
+	inquirer := newInquirer(common, relay)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, inquirer, settings)
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, current, forwarderForwarder, jobHandler)
@@ -184,6 +185,7 @@
 		Batcher:       batcher,
 		Handler:       platformHandler,
 		Limiter:       limiterLimiter,
+		Inquirer:      inquirer,
 	}
 	return gateway, nil
 }
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -29,6 +29,8 @@
 	Certain func() bool
 	// Depositor is nil where jobs are refused while the service is away.
 	Depositor Depositor
+	// Inquirer is nil where other owners cannot be asked.
+	Inquirer Inquirer
 
 	ledger bookkeeper.Ledger
 	mutex  sync.Mutex
@@ -68,9 +70,17 @@
 	return Settings{Retention: 10 * time.Minute, LostDisks: 1, CommitInterval: 500 * time.Millisecond}
 }
 
+// Option changes a Batcher at construction.
+type Option func(*Batcher)
+
+// WithInquirer lets readers ask the owners of jobs.
+func WithInquirer(inquirer Inquirer) Option {
+	return func(batcher *Batcher) { batcher.Inquirer = inquirer }
+}
+
 // NewBatcher returns a batcher that owns no job.
-func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor Depositor, owner string, certain func() bool, settings Settings) *Batcher {
-	return &Batcher{
+func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor Depositor, owner string, certain func() bool, settings Settings, options ...Option) *Batcher {
+	made := &Batcher{
 		Common:        common.ForPart("batcher"),
 		Settings:      settings,
 		Owner:         owner,
@@ -89,6 +99,11 @@
 		wake:          make(chan struct{}, 1),
 		listing:       make(chan struct{}, 1),
 	}
+	for _, option := range options {
+		option(made)
+	}
+
+	return made
 }
 
 // Submit accepts a job, once however often it comes.
@@ -137,69 +152,6 @@
 	return batcher.heads[id].Revision > 0 || record != nil && record.known().Revision > 0
 }
 
-// Reading is a part of a job's results.
-type Reading struct {
-	Total   int
-	Next    int
-	Results []bookkeeper.Result
-}
-
-// Read returns the results from a position on. It waits for one if there is
-// none yet.
-func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, bookkeeper.Outcome) {
-	record, outcome := batcher.find(ctx, id)
-	if outcome != bookkeeper.OK {
-		return Reading{}, outcome
-	}
-
-	until := time.Now().Add(wait)
-
-	for {
-		results, total, grown := record.page(after)
-		if len(results) == 0 && !batcher.authoritative(record) {
-			if err := record.refresh(ctx, batcher.ledger, readAge); err != nil {
-				batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
-
-				return Reading{}, bookkeeper.NotDone
-			}
-
-			results, total, grown = record.page(after)
-		}
-
-		left := time.Until(until)
-		if len(results) > 0 || left <= 0 || ctx.Err() != nil {
-			return Reading{Total: total, Next: after + len(results), Results: results}, bookkeeper.OK
-		}
-
-		if !batcher.authoritative(record) {
-			left = min(left, pollInterval)
-		}
-
-		select {
-		case <-grown:
-		case <-time.After(left):
-		case <-ctx.Done():
-		}
-	}
-}
-
-const (
-	// pollInterval is how often results of a job with another owner are read
-	// for a waiting reader. A read costs a call.
-	pollInterval = 800 * time.Millisecond
-	// readAge is how old such a read may be when nothing new is answered: what
-	// one gateway has shown, all show within a second.
-	readAge = 400 * time.Millisecond
-)
-
-// authoritative tells whether no other process can list results of the job.
-func (batcher *Batcher) authoritative(record *record) bool {
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
-
-	return batcher.registered && batcher.owned[record.id] != nil && batcher.Certain()
-}
-
 // Body returns the body of an item.
 func (batcher *Batcher) Body(ctx context.Context, id, item string) ([]byte, bookkeeper.Outcome) {
 	record, outcome := batcher.find(ctx, id)
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -81,24 +81,78 @@
 			time.Sleep(time.Second)
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			newFleet(t, 3, 4, func(fleet *fleet) {
-				require.Equal(t, bookkeeper.OK, fleet.submits(0, items))
-				happen(fleet)
-				fleet.expectWhole(items)
-
-				// Whoever woke up late lists nothing twice.
-				for _, gateway := range fleet.started {
-					gateway.catalog.Faults.Set(emulator.Switches{})
-				}
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, gateways reach each other %t", name, !silent), func(t *testing.T) {
+				newFleet(t, 3, 4, func(fleet *fleet) {
+					fleet.silent.Store(silent)
+					require.Equal(t, bookkeeper.OK, fleet.submits(0, items))
+					happen(fleet)
+					fleet.expectWhole(items)
+
+					// Whoever woke up late lists nothing twice.
+					for _, gateway := range fleet.started {
+						gateway.catalog.Faults.Set(emulator.Switches{})
+					}
 
-				time.Sleep(10 * time.Second)
-				fleet.expectWhole(items)
+					time.Sleep(10 * time.Second)
+					fleet.expectWhole(items)
+				})
+			})
+		}
+	}
+}
+
+// Readers who wait at other gateways cost the service no calls while the owner
+// answers, and a few where it cannot be asked.
+func TestReadersAskTheOwner(t *testing.T) {
+	const readers = 5 * time.Second
+
+	for name, scenario := range map[string]struct {
+		silent bool
+		most   int
+	}{
+		"the owner answers":      {false, 0},
+		"the owner is not heard": {true, int(readers/(800*time.Millisecond)) + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			newFleet(t, 2, 1, func(fleet *fleet) {
+				fleet.all(emulator.EventFaults{StallAfter: 1})
+				fleet.silent.Store(scenario.silent)
+				require.Equal(t, bookkeeper.OK, fleet.submits(0, 1))
+				time.Sleep(time.Second)
+
+				before := fleet.catalog.Calls("Range")
+				_, outcome := fleet.gateways[1].batcher.Read(context.Background(), jobID, 0, readers)
+				require.Equal(t, bookkeeper.OK, outcome)
+				require.LessOrEqual(t, fleet.catalog.Calls("Range")-before, scenario.most)
+
+				fleet.all(emulator.EventFaults{})
+				fleet.expectWhole(1)
 			})
 		})
 	}
 }
 
+// An owner that is cut off from the service may have lost its jobs to another
+// one, and does not answer that there is nothing new.
+func TestUncertainOwnerIsNotBelieved(t *testing.T) {
+	newFleet(t, 3, 4, func(fleet *fleet) {
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 12))
+		fleet.gateways[0].catalog.Faults.Set(emulator.Switches{Freeze: true})
+
+		for range 60 {
+			time.Sleep(time.Second)
+
+			known, _ := fleet.reads(1)
+			reading, certain := fleet.gateways[0].batcher.ReadOwned(context.Background(), jobID, max(0, len(known)-1), 0)
+			require.False(t, certain && len(known) > 0 && len(reading.Results) == 0, "nothing is listed at %d", len(known)-1)
+		}
+
+		results, _ := fleet.reads(1)
+		require.Len(t, results, 12)
+	})
+}
+
 // Many jobs that are done at once, or run at once, are written in transactions
 // that the service takes.
 func TestManyJobsFitIntoTransactions(t *testing.T) {
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,7 @@
 	placer  *placer.Placer
 	stop    context.CancelFunc
 	stopped chan struct{}
+	dead    atomic.Bool
 }
 
 // fleet is gateways before event servers, in one bubble.
@@ -58,6 +60,8 @@
 	document *matcher.Current
 	starts   int
 	running  sync.WaitGroup
+	// silent tells that gateways do not reach each other.
+	silent atomic.Bool
 }
 
 func newFleet(t *testing.T, gateways, servers int, story func(fleet *fleet)) {
@@ -133,7 +137,7 @@
 	member := registrar.Member{Name: name, Incarnation: fmt.Sprint(fleet.starts)}
 	listing := registrar.NewRegistrar(common, client, member)
 	connections := exchanger.NewExchanger(common, exchanger.WithDial(fleet.network.DialContext))
-	jobs := batcher.NewBatcher(common, client, places, emulator.NewEventBackend(connections), fleet.document, nil, member.Process(), listing.Certain, batcher.DefaultSettings())
+	jobs := batcher.NewBatcher(common, client, places, emulator.NewEventBackend(connections), fleet.document, nil, member.Process(), listing.Certain, batcher.DefaultSettings(), batcher.WithInquirer(fleet))
 
 	ctx, cancel := context.WithCancel(context.Background())
 	made := &gateway{name: name, catalog: view, client: client, batcher: jobs, placer: places, stop: cancel, stopped: make(chan struct{})}
@@ -282,6 +286,19 @@
 func (fleet *fleet) kill(gateway int) {
 	fleet.gateways[gateway].catalog.Faults.Set(emulator.Switches{Freeze: true})
 	fleet.gateways[gateway].placer.Update(nil)
+	fleet.gateways[gateway].dead.Store(true)
+}
+
+// Ask implements batcher.Inquirer: gateways reach each other whether or not
+// they reach the service.
+func (fleet *fleet) Ask(ctx context.Context, process, job string, after int, wait time.Duration) (batcher.Reading, bool) {
+	for _, gateway := range fleet.started {
+		if gateway.batcher.Owner == process && !gateway.dead.Load() && !fleet.silent.Load() {
+			return gateway.batcher.ReadOwned(ctx, job, after, wait)
+		}
+	}
+
+	return batcher.Reading{}, false
 }
 
 // runs is how often an item began, over all servers.
--- /dev/null
+++ b/batcher/read.go
@@ -0,0 +1,133 @@
+package batcher
+
+import (
+	"context"
+	"time"
+
+	"limpetrail/bookkeeper"
+)
+
+// Reading is a part of a job's results.
+type Reading struct {
+	Total   int
+	Next    int
+	Results []bookkeeper.Result
+}
+
+// Inquirer asks other processes for results of the jobs that they own.
+type Inquirer interface {
+	// Ask returns what the process has listed of a job from a position on. It
+	// waits for a result if there is none yet. It returns false without an answer
+	// that is certain.
+	Ask(ctx context.Context, process, job string, after int, wait time.Duration) (Reading, bool)
+}
+
+const (
+	// pollInterval is how often results of a job whose owner cannot be asked are
+	// read for a waiting reader. A read costs a call.
+	pollInterval = 800 * time.Millisecond
+	// readAge is how old such a read may be when nothing new is answered: what
+	// one gateway has shown, all show within a second.
+	readAge = 400 * time.Millisecond
+)
+
+// Read returns the results from a position on. It waits for one if there is
+// none yet.
+func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, bookkeeper.Outcome) {
+	record, outcome := batcher.find(ctx, id)
+	if outcome != bookkeeper.OK {
+		return Reading{}, outcome
+	}
+
+	until := time.Now().Add(wait)
+
+	for {
+		if reading, certain := batcher.readCertain(ctx, record, after, until); certain {
+			return reading, bookkeeper.OK
+		}
+
+		if err := record.refresh(ctx, batcher.ledger, readAge); err != nil {
+			batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
+
+			return Reading{}, bookkeeper.NotDone
+		}
+
+		results, total, grown := record.page(after)
+
+		left := time.Until(until)
+		if len(results) > 0 || left <= 0 || ctx.Err() != nil {
+			return Reading{Total: total, Next: after + len(results), Results: results}, bookkeeper.OK
+		}
+
+		select {
+		case <-grown:
+		case <-time.After(min(left, pollInterval)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// readCertain reads a job from memory, here or at its owner.
+func (batcher *Batcher) readCertain(ctx context.Context, record *record, after int, until time.Time) (Reading, bool) {
+	if reading, certain := batcher.readRecord(ctx, record, after, until); certain {
+		return reading, true
+	}
+
+	owner := record.known().Owner
+	if batcher.Inquirer == nil || owner == "" || owner == batcher.Owner {
+		return Reading{}, false
+	}
+
+	return batcher.Inquirer.Ask(ctx, owner, record.id, after, max(0, time.Until(until)))
+}
+
+// ReadOwned returns the results from a position on, for another process. It
+// returns false if this process is not certain that there are no others.
+func (batcher *Batcher) ReadOwned(ctx context.Context, id string, after int, wait time.Duration) (Reading, bool) {
+	batcher.mutex.Lock()
+	record := batcher.records[id]
+	batcher.mutex.Unlock()
+
+	if record == nil {
+		return Reading{}, false
+	}
+
+	return batcher.readRecord(ctx, record, after, time.Now().Add(wait))
+}
+
+// readRecord returns the results from a position on as they are known here, and
+// waits for one if there is none yet. It returns false if there may be others
+// that are not known here. What is listed stays, whoever owns the job.
+func (batcher *Batcher) readRecord(ctx context.Context, record *record, after int, until time.Time) (Reading, bool) {
+	for {
+		results, total, grown := record.page(after)
+		left := time.Until(until)
+
+		switch {
+		case len(results) > 0:
+			return Reading{Total: total, Next: after + len(results), Results: results}, true
+		case !batcher.authoritative(record):
+			return Reading{}, false
+		case left <= 0 || ctx.Err() != nil || record.complete():
+			return Reading{Total: total, Next: after}, true
+		}
+
+		select {
+		case <-grown:
+		case <-time.After(left):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// authoritative tells whether no other process can list results of the job.
+func (batcher *Batcher) authoritative(record *record) bool {
+	if record.complete() {
+		return true
+	}
+
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	return batcher.registered && batcher.owned[record.id] != nil && batcher.Certain()
+}
--- a/batcher/record.go
+++ b/batcher/record.go
@@ -58,6 +58,14 @@
 // maxPage leaves room for names and escapes in an answer of 1 MB.
 const maxPage = 600 << 10
 
+// complete tells whether all results are known, so that none will come.
+func (record *record) complete() bool {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	return record.head.Total > 0 && len(record.results) == record.head.Total
+}
+
 // setHead takes in a head unless it is older than the known one.
 func (record *record) setHead(head bookkeeper.Version) {
 	record.mutex.Lock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -15,12 +15,10 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. A watch that has gone
-	// silent is noticed after it; each watch is a call that costs.
+	// watchWait is how long a watch waits for changes where nothing else is
+	// said. A watch that has gone silent is noticed after it; each watch is a
+	// call that costs.
 	watchWait = 4 * time.Second
-	// promptWait replaces it where the platform bounds the age of a copy: two
-	// seconds after a change, three after an outage, with the answer's slack.
-	promptWait = 2 * time.Second
 	// retryPause is the mean pause after a call that failed.
 	retryPause = 250 * time.Millisecond
 	// removalHold is how long a removed key stays in the copy. Keys that lapse
@@ -28,8 +26,8 @@
 	removalHold = 1200 * time.Millisecond
 	// returnHold replaces removalHold soon after the service failed.
 	returnHold = 2 * time.Second
-	// tick is how often holds are looked at.
-	tick = 100 * time.Millisecond
+	// leastHold is the shortest wait of a watch that ends with a hold.
+	leastHold = 10 * time.Millisecond
 )
 
 // Copy is what lies below a prefix, by key without the prefix.
@@ -80,9 +78,10 @@
 	return func(follower *Follower) { follower.Pause = pause }
 }
 
-// WithPromptness notices silent watches sooner, at the price of more calls.
-func WithPromptness() Option {
-	return func(follower *Follower) { follower.Wait = promptWait }
+// WithWait sets how long a watch waits for changes. Shorter ones notice sooner
+// that a watch is silent, at the price of more calls.
+func WithWait(wait time.Duration) Option {
+	return func(follower *Follower) { follower.Wait = wait }
 }
 
 // WithFallback sets where to get a copy while the service is away.
@@ -210,16 +209,11 @@
 }
 
 func (follower *Follower) watch(ctx context.Context) error {
-	wait := follower.Wait
-	if len(follower.removed) > 0 {
-		wait = tick
-	}
-
 	if follower.Pause > 0 {
 		pause(ctx, follower.Pause)
 	}
 
-	changes, err := follower.Client.Watch(ctx, follower.Prefix, follower.revision, wait)
+	changes, err := follower.Client.Watch(ctx, follower.Prefix, follower.revision, follower.nextWait())
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -241,6 +235,17 @@
 	return nil
 }
 
+// nextWait is how long the next watch may wait: at most until the first hold
+// ends.
+func (follower *Follower) nextWait() time.Duration {
+	wait := follower.Wait
+	for _, until := range follower.removed {
+		wait = min(wait, max(leastHold, time.Until(until)))
+	}
+
+	return wait
+}
+
 // put takes in an item, unless the copy is newer.
 func (follower *Follower) put(item keeper.Item) {
 	name := item.Key[len(follower.Prefix):]
@@ -280,7 +285,7 @@
 	released := false
 
 	for name, until := range follower.removed {
-		if time.Now().After(until) {
+		if !time.Now().Before(until) {
 			delete(follower.removed, name)
 			delete(follower.copied, name)
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -93,6 +93,10 @@
 	})
 }
 
+// prompt is the wait of watches whose silence has to be noticed within three
+// seconds.
+const prompt = 2 * time.Second
+
 // The platform allows two seconds for a change, and three after an outage in
 // which a watch fell silent.
 func TestSilentWatchIsNoticedInTime(t *testing.T) {
@@ -104,7 +108,7 @@
 		story.catalog.Faults.Set(emulator.Switches{})
 		time.Sleep(3 * time.Second)
 		story.expect("a", "b", "c")
-	}, follower.WithPromptness())
+	}, follower.WithWait(prompt))
 }
 
 // Keys that lapse while the service is away come back soon after it; until
@@ -121,7 +125,7 @@
 		story.catalog.Put(prefix+"a", nil)
 		time.Sleep(3 * time.Second)
 		story.expect("a")
-	}, follower.WithHold(), follower.WithPromptness())
+	}, follower.WithHold(), follower.WithWait(prompt))
 }
 
 // A removal in calm times holds within the platform's two seconds.
@@ -133,7 +137,21 @@
 		story.expect("a", "b")
 		time.Sleep(900 * time.Millisecond)
 		story.expect("b")
-	}, follower.WithHold(), follower.WithPromptness())
+	}, follower.WithHold(), follower.WithWait(prompt))
+}
+
+// Holding removed keys costs a call for each change and one when the hold ends.
+func TestHoldCostsFewCalls(t *testing.T) {
+	tell(t, func(story *story) {
+		time.Sleep(time.Minute)
+
+		before := story.catalog.Calls("Watch")
+
+		story.catalog.Remove(prefix + "a")
+		time.Sleep(1900 * time.Millisecond)
+		story.expect("b")
+		require.LessOrEqual(t, story.catalog.Calls("Watch")-before, 3)
+	}, follower.WithHold(), follower.WithWait(prompt))
 }
 
 // A process that starts while the service is away uses another's copy, and
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -15,6 +15,7 @@
 	Catalog  Platform
 	// Calls bounds the use of the catalog.
 	Calls  keeper.Settings
+	Follow Follow
 	Jobs   batcher.Settings
 	Memory Memory
 	Stop   Stop
@@ -38,6 +39,13 @@
 	Seeds string
 }
 
+// Follow is how a process follows the catalog.
+type Follow struct {
+	// NoticeSilence is the time within which a connection to the catalog that has
+	// fallen silent is noticed. Shorter times cost more calls.
+	NoticeSilence time.Duration
+}
+
 // Memory bounds the process.
 type Memory struct {
 	// Megabytes is the platform's limit of the process; 0 for none.
@@ -88,6 +96,8 @@
 	// gatewayBalancerLag is two readiness checks a second apart, and a little.
 	gatewayBalancerLag = 2500 * time.Millisecond
 	defaultGrace       = 8 * time.Second
+	// defaultNoticeSilence is the shortest time for it that a platform has asked.
+	defaultNoticeSilence = 3 * time.Second
 	// gatewayCallTimeout is many times the catalog's usual 4 ms, and shorter
 	// than a caller waits for a job to be accepted.
 	gatewayCallTimeout = time.Second
@@ -103,6 +113,7 @@
 	return Gateway{
 		Catalog: Platform{Adapter: "platform"},
 		Calls:   gatewayCalls(),
+		Follow:  Follow{NoticeSilence: defaultNoticeSilence},
 		Jobs:    batcher.DefaultSettings(),
 		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
 		Log:     Log{Level: "info"},
