--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -47,6 +47,8 @@
 	dark []bool
 	// outcomes of online requests.
 	inTime, late, refused int
+	// refusedLate are the refusals that came after a wait.
+	refusedLate int
 	// held is the time that batch items had places, up to the end of the load.
 	held time.Duration
 	end  time.Time
@@ -149,10 +151,7 @@
 	} else {
 		decision := world.placers[entry].Place(ctx, placer.Work{Service: modelService, Patience: target * 7 / 10})
 		if decision.Verdict != placer.Placed {
-			world.mutex.Lock()
-			defer world.mutex.Unlock()
-
-			world.refused++
+			world.refuse(decision)
 
 			return
 		}
@@ -179,6 +178,18 @@
 	time.Sleep(stay)
 }
 
+// refuse counts a refusal.
+func (world *world) refuse(decision placer.Decision) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+
+	world.refused++
+
+	if decision.Waited > 0 {
+		world.refusedLate++
+	}
+}
+
 func (world *world) count(inTime bool) {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
@@ -384,6 +395,31 @@
 	require.Greater(t, noticed.shareInTime(), random.shareInTime()+0.1)
 }
 
+// herd is callers who all come within a tenth of a second after calm ones, as
+// after a restart of all entries: half as many again as there are places.
+func herd(at time.Duration) float64 {
+	if at >= 2*time.Second && at < 2100*time.Millisecond {
+		return 1.5 * servers * places * 10
+	}
+
+	return 20
+}
+
+// No place becomes free until the first runs end. Most who cannot be in time are
+// told at once; others are overtaken by what other entries take in.
+func TestHerdIsRefusedAtOnce(t *testing.T) {
+	refused, afterWait := 0, 0
+
+	for seed := range uint64(20) {
+		played := play(t, seed, 3*time.Second, herd, nil, false, nil)
+		refused += played.refused
+		afterWait += played.refusedLate
+	}
+
+	require.Positive(t, refused)
+	require.Less(t, 2*afterWait, refused)
+}
+
 // Callers who were refused in a burst come back one after the other, not as
 // another burst.
 func TestReturnsAreSpread(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,8 @@
 type service struct {
 	servers []*state
 	queue   queue
+	// running holds the online runs of this entry.
+	running map[*Grant]bool
 	// stay is the mean length of an online run.
 	stay    time.Duration
 	returns returns
@@ -176,11 +178,11 @@
 	}
 
 	decision.Queued = service.queue.ahead(work.Priority)
-	decision.Forecast = forecast(service.ownOnline(), decision.Queued, service.stay)
+	decision.Forecast = service.forecast(time.Now(), decision.Queued)
 
 	if decision.Forecast > work.Patience {
 		decision.Verdict = Refused
-		decision.RetryAfter = service.returns.next(time.Now(), decision.Forecast, service.ownOnline(), service.stay)
+		decision.RetryAfter = service.returns.next(time.Now(), decision.Forecast, len(service.running), service.stay)
 		placer.mutex.Unlock()
 
 		return decision
@@ -231,9 +233,8 @@
 	if decision.Verdict == Refused {
 		// The forecast failed. Sent to an engine's own queue now, the request
 		// would be late and make others late.
-		running := service.ownOnline()
-		wait := forecast(running, len(service.queue.waiting), service.stay)
-		decision.RetryAfter = service.returns.next(time.Now(), wait, running, service.stay)
+		wait := service.forecast(time.Now(), len(service.queue.waiting))
+		decision.RetryAfter = service.returns.next(time.Now(), wait, len(service.running), service.stay)
 	}
 
 	return decision
@@ -307,6 +308,7 @@
 		server.grants[grant] = true
 	} else {
 		server.own.Online++
+		placer.service(server.Service).running[grant] = true
 	}
 
 	placer.announce()
@@ -326,6 +328,7 @@
 func (placer *Placer) drop(grant *Grant) {
 	if !grant.Batch {
 		service := placer.service(grant.Server.Service)
+		delete(service.running, grant)
 		service.stay = mean(service.stay, time.Since(grant.since))
 	}
 
@@ -351,7 +354,7 @@
 func (placer *Placer) service(name string) *service {
 	found := placer.services[name]
 	if found == nil {
-		found = &service{stay: initialStay}
+		found = &service{stay: initialStay, running: map[*Grant]bool{}}
 		placer.services[name] = found
 	}
 
@@ -379,11 +382,12 @@
 	return free
 }
 
-func (service *service) ownOnline() int {
-	running := 0
-	for _, server := range service.servers {
-		running += server.own.Online
+// forecast returns how long new work waits behind so much other work.
+func (service *service) forecast(now time.Time, ahead int) time.Duration {
+	runs := make([]time.Duration, 0, len(service.running))
+	for grant := range service.running {
+		runs = append(runs, left(now.Sub(grant.since), service.stay))
 	}
 
-	return running
+	return forecast(runs, ahead, service.stay)
 }
