Notice servers that begin answers and break them off

Cause: a test of explanations sent twelve streams to three servers that break each one off after seven events: all twelve went to the same server, whose first events cleared its count of broken answers each time. Servers that answer with errors were charged nothing at all. Ruled out: health checks, which such servers pass; shorter streaks, since single broken answers are faults of requests. Change: only a whole answer ends a streak. The part of the last requests that failed (errors, silence, broken answers) is charged as load, so that such a server is passed over while others have room.

--- a/batcher/run.go
+++ b/batcher/run.go
@@ -268,6 +268,8 @@
 
 		switch {
 		case errors.Is(err, io.EOF) && events.Empty() && item.events > 0:
+			grant.Observe(placer.Whole, 0)
+
 			return whole, ""
 		case errors.Is(err, io.EOF):
 			grant.Observe(placer.Broken, 0)
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -39,12 +40,24 @@
 	}
 
 	if len(body) < maxWhole {
+		grant.Observe(wholeOf(answer), 0)
+
 		return Result{Kind: Answered}, true
 	}
 
 	return journey.rest(grant, answer)
 }
 
+// wholeOf is what a whole answer says of its server. One that says that the time
+// is over says nothing.
+func wholeOf(answer *exchanger.Answer) placer.Observation {
+	if answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout {
+		return placer.Failed
+	}
+
+	return placer.Whole
+}
+
 // rest passes on what is too long to be read before.
 func (journey *journey) rest(grant *placer.Grant, answer *exchanger.Answer) (Result, bool) {
 	buffer := make([]byte, chunk)
@@ -59,6 +72,8 @@
 
 		switch {
 		case errors.Is(err, io.EOF):
+			grant.Observe(wholeOf(answer), 0)
+
 			return Result{Kind: Answered}, true
 		case err != nil:
 			grant.Observe(placer.Broken, 0)
@@ -96,6 +111,8 @@
 
 		switch {
 		case errors.Is(err, io.EOF) && events.Empty():
+			grant.Observe(placer.Whole, 0)
+
 			return Result{Kind: Answered}, true
 		case errors.Is(err, io.EOF):
 			grant.Observe(placer.Broken, 0)
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -131,6 +131,8 @@
 	journey.tried = append(journey.tried, grant.Server.ID)
 
 	if reply.Answer.Status >= 500 && !last && !journey.started {
+		grant.Observe(wholeOf(reply.Answer), 0)
+
 		return journey.again(grant, "The backend server failed.", last)
 	}
 
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -64,7 +64,7 @@
 }
 
 func (chooser chooser) cost(server *state) float64 {
-	cost := float64(server.total())
+	cost := float64(server.total()) + failLoss*server.health.failing
 
 	if server.DataCentre == chooser.dataCentre {
 		cost -= localGain
--- a/placer/health.go
+++ b/placer/health.go
@@ -17,11 +17,15 @@
 	Broken
 	// Full means that the server turned the request away.
 	Full
+	// Whole means that an answer came to its good end.
+	Whole
+	// Failed means that the server answered that it failed.
+	Failed
 )
 
 // String names the observation in logs.
 func (observation Observation) String() string {
-	return [...]string{"Answered", "Unreachable", "Silent", "Broken", "Full"}[observation]
+	return [...]string{"Answered", "Unreachable", "Silent", "Broken", "Full", "Whole", "Failed"}[observation]
 }
 
 const (
@@ -33,6 +37,10 @@
 	// fullPause is how long a server that was full is passed over; about the
 	// time in which one of its requests ends.
 	fullPause = 60 * time.Millisecond
+	// failLoss is how many places of load a server is charged that fails always:
+	// twice its own, so that one that fails a fifth of its requests is passed
+	// over while others have room for a few.
+	failLoss = 16.0
 	// smoothing is the weight of a new figure in a mean.
 	smoothing = 0.2
 )
@@ -40,9 +48,13 @@
 // health is what requests showed of a server.
 type health struct {
 	unreachable bool
-	broken      int
-	silent      int
-	fullUntil   time.Time
+	// broken counts the answers in a row that ended early.
+	broken    int
+	silent    int
+	fullUntil time.Time
+	// failing is the part of the last requests that failed, 0 to 1. A health
+	// check says nothing of it.
+	failing float64
 	// first is the mean time to the first bytes of an answer; 0 if unknown.
 	first time.Duration
 }
@@ -59,16 +71,23 @@
 
 	switch observation {
 	case Answered:
-		// Answers that were under way do not clear an unreachable server.
+		// Answers that were under way do not clear an unreachable server, nor
+		// does one that has only begun clear one that breaks its answers off.
 		health.silent = 0
-		health.broken = 0
 		health.first = mean(health.first, first)
+	case Whole:
+		health.broken = 0
+		health.fail(0)
+	case Failed:
+		health.fail(1)
 	case Unreachable:
 		health.unreachable = true
 	case Silent:
 		health.silent++
+		health.fail(1)
 	case Broken:
 		health.broken++
+		health.fail(1)
 	case Full:
 		health.fullUntil = now.Add(fullPause)
 	}
@@ -76,6 +95,10 @@
 	return before != health.suspect()
 }
 
+func (health *health) fail(failed float64) {
+	health.failing += smoothing * (failed - health.failing)
+}
+
 // pass clears the server after a good health check.
 func (health *health) pass() {
 	health.unreachable = false
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,13 @@
 	return decision.Grant, decision.Grant.Server.ID
 }
 
+// passes lets all health checks pass.
+func (story *story) passes() {
+	for _, suspect := range story.placer.Suspects() {
+		story.placer.Pass(suspect)
+	}
+}
+
 func TestServersThatFailGetNoWork(t *testing.T) {
 	for name, scenario := range map[string]struct {
 		observations []placer.Observation
@@ -60,6 +68,9 @@
 		"answered in between":     {[]placer.Observation{placer.Silent, placer.Answered, placer.Silent}, false},
 		"broken twice":            {[]placer.Observation{placer.Broken, placer.Broken}, false},
 		"broken three times":      {[]placer.Observation{placer.Broken, placer.Broken, placer.Broken}, true},
+		"broken, though begun":    {[]placer.Observation{placer.Answered, placer.Broken, placer.Answered, placer.Broken, placer.Answered, placer.Broken}, true},
+		"whole in between":        {[]placer.Observation{placer.Broken, placer.Broken, placer.Whole, placer.Broken}, false},
+		"failed three times":      {[]placer.Observation{placer.Failed, placer.Failed, placer.Failed}, false},
 		"answered as unreachable": {[]placer.Observation{placer.Unreachable, placer.Answered}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -86,6 +97,74 @@
 	}
 }
 
+// share sends requests, three at a time, and returns the part that a server
+// got. Each of those ends as drawn.
+func (story *story) share(server string, requests int, end func() placer.Observation) float64 {
+	const atOnce = 3
+
+	taken := 0
+
+	for range requests / atOnce {
+		grants := []*placer.Grant{}
+
+		for range atOnce {
+			grant, _ := story.takes()
+			grants = append(grants, grant)
+		}
+
+		for _, grant := range grants {
+			observed := placer.Whole
+			if grant.Server.ID == server {
+				taken++
+				observed = end()
+			}
+
+			grant.Observe(observed, 0)
+			grant.Release()
+		}
+
+		story.passes()
+	}
+
+	return float64(taken) / float64(requests)
+}
+
+// A server that fails a part of its requests and passes its health checks gets
+// little work while others have room, and its share again once it has mended.
+func TestServersThatFailInPartAreAvoided(t *testing.T) {
+	const requests = 300
+
+	sound := func() placer.Observation { return placer.Whole }
+
+	for name, failure := range map[string]placer.Observation{"errors": placer.Failed, "broken answers": placer.Broken} {
+		t.Run(name, func(t *testing.T) {
+			tell(t, func(story *story) {
+				story.lists("x", "y", "z")
+
+				random := rand.New(rand.NewPCG(1, 1))
+				grey := func() placer.Observation {
+					if random.Float64() < 0.4 {
+						return failure
+					}
+
+					return placer.Whole
+				}
+
+				require.Less(t, story.share("x", requests, grey), 0.1)
+
+				// At a peak it is needed, and shows that it is sound.
+				for range 40 {
+					grant, _ := story.takes("y", "z")
+					grant.Observe(placer.Whole, 0)
+					grant.Release()
+				}
+
+				require.Greater(t, story.share("x", requests, sound), 0.3)
+			})
+		})
+	}
+}
+
 // A server that was started again under its ID is a new one: nothing that was
 // known of the former holds, and its grants take no place.
 func TestAnotherIncarnationIsAnotherServer(t *testing.T) {
--- a/placer/status.go
+++ b/placer/status.go
@@ -17,7 +17,7 @@
 		server := placer.servers[id]
 		found = append(found, ServerStatus{
 			Server: server.Server, Own: server.own, Others: server.others,
-			Suspect: server.health.suspect(), FirstBytes: server.health.first,
+			Suspect: server.health.suspect(), Failing: server.health.failing, FirstBytes: server.health.first,
 		})
 	}
 
@@ -30,6 +30,8 @@
 	Own     Load
 	Others  Load
 	Suspect bool
+	// Failing is the part of the last requests that failed, 0 to 1.
+	Failing float64
 	// FirstBytes is the mean time to the first bytes of an answer.
 	FirstBytes time.Duration
 }
