Find causes from printed logs by one command, share the process harness

The harness of process tests and the store's stand-in were private to the tests of platform/. Change: package stager stands up processes before stand-ins, with links that can be disturbed; the store's stand-in moves into emulator. Five failed requests are played with real processes, and `limpetrail timeline` finds their causes in what was printed.

--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -70,6 +70,14 @@
 	return EventHeaders{RequestID: "Request-Id", Expect: "Expect-Server", NotRun: "Not-Run", Server: "Server-Id", Stamp: "Stamp"}
 }
 
+// PlatformEventHeaders are the names of the platform's protocol.
+func PlatformEventHeaders() EventHeaders {
+	return EventHeaders{
+		RequestID: "X-Limpetrail-Attempt-Id", Expect: "X-Limpetrail-Expect-Instance", NotRun: "X-Limpetrail-Not-Executed",
+		Server: "X-Limpetrail-Instance-Id", Stamp: "X-Limpetrail-Response-Stamp",
+	}
+}
+
 // NewEventServer returns a server with eight places.
 func NewEventServer(id string, headers EventHeaders) *EventServer {
 	const (
--- /dev/null
+++ b/emulator/platform_store.go
@@ -0,0 +1,149 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"limpetrail/keeper"
+)
+
+// PlatformStore speaks the platform's metadata store over a catalog.
+type PlatformStore struct {
+	Catalog *Catalog
+	// Status is answered in place of everything; 0 for none. It is set while
+	// nothing calls.
+	Status int
+}
+
+// NewPlatformStore returns a store over an empty catalog.
+func NewPlatformStore() *PlatformStore {
+	return &PlatformStore{Catalog: NewCatalog()}
+}
+
+type platformRow struct {
+	Key            string `json:"key"`
+	Value          []byte `json:"value"`
+	Revision       uint64 `json:"revision"`
+	CreateRevision uint64 `json:"createRevision"`
+	Lease          uint64 `json:"lease"`
+	Deleted        bool   `json:"deleted,omitempty"`
+}
+
+func platformRowOf(item keeper.Item) platformRow {
+	return platformRow{Key: item.Key, Value: item.Value, Revision: uint64(item.Revision), CreateRevision: uint64(item.Created), Lease: uint64(item.Lease)}
+}
+
+// reply writes the answer, or drops the connection for a call that failed.
+func (store *PlatformStore) reply(writer http.ResponseWriter, err error, body any) {
+	switch {
+	case err == nil:
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(body)
+	case errors.Is(err, keeper.ErrCompacted):
+		writer.WriteHeader(http.StatusGone)
+	case errors.Is(err, keeper.ErrLeaseEnded):
+		writer.WriteHeader(http.StatusNotFound)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (store *PlatformStore) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if store.Status != 0 {
+		writer.WriteHeader(store.Status)
+
+		return
+	}
+
+	query := request.URL.Query()
+	ctx := request.Context()
+	id, _ := strconv.ParseUint(request.URL.Path[strings.LastIndexByte(request.URL.Path, '/')+1:], 10, 64)
+
+	switch path := request.URL.Path; {
+	case path == "/limpetrail/kv-key":
+		item, err := store.Catalog.Get(ctx, query.Get("key"))
+		if err == nil && item.Revision == 0 {
+			writer.WriteHeader(http.StatusNotFound)
+
+			return
+		}
+
+		store.reply(writer, err, platformRowOf(item))
+	case path == "/limpetrail/kv-range":
+		page, err := store.Catalog.Range(ctx, query.Get("prefix"), query.Get("after"), query.Get("allowStale") == "1")
+		rows := []platformRow{}
+
+		for _, item := range page.Items {
+			rows = append(rows, platformRowOf(item))
+		}
+
+		store.reply(writer, err, map[string]any{"items": rows, "truncated": page.Truncated, "storeRevision": page.Revision})
+	case path == "/limpetrail/kv-watch":
+		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(query.Get("waitMs"))
+		changes, err := store.Catalog.Watch(ctx, query.Get("prefix"), keeper.Revision(after), time.Duration(wait)*time.Millisecond)
+		rows := []platformRow{}
+
+		for _, event := range changes.Events {
+			row := platformRowOf(event.Item)
+			row.Deleted = event.Deleted
+			rows = append(rows, row)
+		}
+
+		store.reply(writer, err, map[string]any{"events": rows, "storeRevision": changes.Revision})
+	case path == "/limpetrail/kv-txn":
+		store.transact(writer, request)
+	case path == "/limpetrail/kv-lease":
+		asked := struct {
+			TTLMs int64 `json:"ttlMs"`
+		}{}
+		_ = json.NewDecoder(request.Body).Decode(&asked)
+		lease, duration, err := store.Catalog.Grant(ctx, time.Duration(asked.TTLMs)*time.Millisecond)
+		store.reply(writer, err, map[string]any{"lease": lease, "ttlMs": duration.Milliseconds()})
+	case strings.HasPrefix(path, "/limpetrail/kv-keep/"):
+		store.reply(writer, store.Catalog.Renew(ctx, keeper.LeaseID(id)), map[string]any{"ttlMs": 3000})
+	case strings.HasPrefix(path, "/limpetrail/kv-lease-end/"):
+		store.reply(writer, store.Catalog.Revoke(ctx, keeper.LeaseID(id)), map[string]any{})
+	default:
+		writer.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (store *PlatformStore) transact(writer http.ResponseWriter, request *http.Request) {
+	asked := struct {
+		ExpectedRevision []platformRow `json:"expectedRevision"`
+		SetKeys          []platformRow `json:"setKeys"`
+		Remove           []string      `json:"remove"`
+	}{}
+	_ = json.NewDecoder(request.Body).Decode(&asked)
+
+	transaction := keeper.Transaction{Removes: asked.Remove}
+	for _, row := range asked.ExpectedRevision {
+		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: row.Key, Revision: keeper.Revision(row.Revision)})
+	}
+
+	for _, row := range asked.SetKeys {
+		transaction.Puts = append(transaction.Puts, keeper.Put{Key: row.Key, Value: row.Value, Lease: keeper.LeaseID(row.Lease)})
+	}
+
+	committed, err := store.Catalog.Transact(request.Context(), transaction)
+	if err == nil && committed.Applied == keeper.WriteRefused {
+		rows := []platformRow{}
+		for _, item := range committed.Present {
+			rows = append(rows, platformRowOf(item))
+		}
+
+		writer.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(writer).Encode(map[string]any{"items": rows})
+
+		return
+	}
+
+	store.reply(writer, err, map[string]any{"revision": committed.Revision})
+}
--- /dev/null
+++ b/historian/explain_test.go
@@ -0,0 +1,150 @@
+package historian_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/commander"
+	"limpetrail/emulator"
+	"limpetrail/stager"
+)
+
+// story is a deployment in which a request fails.
+type story struct {
+	*stager.Deployment
+}
+
+// explains does what docs/OPERATIONS.md says: it writes what the processes
+// printed into files and asks for the time line of an ID.
+func (story *story) explains(question ...string) string {
+	arguments := append([]string{"timeline"}, question...)
+
+	for name, gateway := range story.Gateways {
+		path := filepath.Join(story.T.TempDir(), name+".log")
+		require.NoError(story.T, os.WriteFile(path, []byte(strings.Join(gateway.Lines(), "\n")), 0o600))
+
+		arguments = append(arguments, "--log", path)
+	}
+
+	out := &bytes.Buffer{}
+	code := commander.NewCommander(out, out).Run(story.T.Context(), arguments)
+	require.Zero(story.T, code, out.String())
+
+	return out.String()
+}
+
+// set gives all backend servers the faults.
+func (story *story) set(faults emulator.EventFaults) {
+	for _, server := range story.Servers {
+		server.Set(faults)
+	}
+}
+
+// The cause of a failed request is found from its ID and what the processes
+// printed, by one command.
+func TestCausesAreFoundFromLogs(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		// when makes something fail and returns the question to ask.
+		when   func(story *story) []string
+		expect []string
+	}{
+		"a stream breaks off and is not resumed": {
+			func(story *story) []string {
+				gateway := story.Starts("gateway-1")
+				story.set(emulator.EventFaults{BreakAfter: 7})
+
+				// One broken answer is no reason to doubt a server; a few are.
+				for number := range 12 {
+					answer := stager.Stream(story.T.Context(), gateway, "/once/x", fmt.Sprintf("r-%d", number))
+					require.True(story.T, answer.Err != nil || answer.Status != http.StatusOK)
+				}
+
+				return []string{"--request", "r-1", "--around", "5s"}
+			},
+			[]string{`Outcome="Broken"`, `Events="7"`, `Repeatable="false"`, "Belief about a backend server changed.", `Observation="Broken"`, "unexpected EOF"},
+		},
+		"a refusal at the peak": {
+			func(story *story) []string {
+				gateway := story.Starts("gateway-1")
+				story.set(emulator.EventFaults{Slow: 10})
+
+				refused, mutex, running := "", sync.Mutex{}, sync.WaitGroup{}
+				for number := range 3*8 + 20 {
+					running.Go(func() {
+						id := fmt.Sprintf("r-%d", number)
+						if stager.Stream(story.T.Context(), gateway, "/once/x", id).Status == http.StatusServiceUnavailable {
+							mutex.Lock()
+							defer mutex.Unlock()
+
+							refused = id
+						}
+					})
+				}
+
+				running.Wait()
+				require.NotEmpty(story.T, refused)
+
+				return []string{"--request", refused}
+			},
+			[]string{"No place for a request.", `Free="0"`, "Forecast=", "Queued=", `Sent="0"`, `Outcome="Refused"`, "RetryAfter="},
+		},
+		"a job is late": {
+			func(story *story) []string {
+				gateway := story.Starts("gateway-1")
+				story.set(emulator.EventFaults{StallAfter: 5})
+				require.Equal(story.T, http.StatusAccepted, stager.Submit(story.T.Context(), gateway, "/hasty/", "job-1", 1))
+				story.Eventually(func() bool { return gateway.Logged(`Ending="Interrupted"`) }, "an attempt is cut")
+				story.set(emulator.EventFaults{})
+				story.Eventually(func() bool { return story.Done(gateway, "job-1") == 1 }, "the job is done")
+
+				return []string{"--job", "job-1", "--around", "2s"}
+			},
+			[]string{"Job was submitted.", `Owner="gateway-1#`, `Ending="Interrupted"`, "i/o timeout", `Late="true"`},
+		},
+		"a request before the first configuration": {
+			func(story *story) []string {
+				story.Store.Catalog.Faults.Set(emulator.Switches{Outage: true})
+
+				gateway := story.Begins("gateway-1")
+				story.Eventually(func() bool { return gateway.Logged("Serving.") }, "the gateway listens")
+				require.Equal(story.T, http.StatusServiceUnavailable, stager.Stream(story.T.Context(), gateway, "/once/x", "r-1").Status)
+				story.Eventually(func() bool { return gateway.Logged("Watch is lost") }, "the outage is noticed")
+
+				return []string{"--request", "r-1", "--around", "5s"}
+			},
+			[]string{"there is no configuration yet", "Watch is lost", "Serving."},
+		},
+		"a job whose owner was killed": {
+			func(story *story) []string {
+				first, second := story.Starts("gateway-1"), story.Starts("gateway-2")
+				story.set(emulator.EventFaults{Slow: 4})
+				require.Equal(story.T, http.StatusAccepted, stager.Submit(story.T.Context(), first, "/hasty/", "job-1", 2))
+				time.Sleep(100 * time.Millisecond)
+				story.Ends(first, syscall.SIGKILL)
+				story.Eventually(func() bool { return story.Done(second, "job-1") == 2 }, "the job is done")
+
+				return []string{"--job", "job-1", "--around", "5s"}
+			},
+			[]string{`Owner="gateway-1#`, "Another entry is no longer heard.", `Members="1"`, "gateway-2", "Job was taken over.", `Late="true"`},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			story := &story{Deployment: stager.NewDeployment(t)}
+			told := story.explains(scenario.when(story)...)
+
+			for _, part := range scenario.expect {
+				require.Contains(t, told, part)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/stager/caller.go
@@ -0,0 +1,153 @@
+package stager
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/emulator"
+)
+
+// Host is the host of all routes.
+const Host = "host.example"
+
+// Ask sends a request on a connection of its own.
+func Ask(ctx context.Context, to *Process, method, target, id string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.Callers, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+
+	request.URL.Opaque = target
+	request.Host = Host
+	request.Close = true
+	request.Header.Set("X-Limpetrail-Attempt-Id", id)
+	request.Header.Set("X-Limpetrail-Deadline-Ms", "5000")
+
+	response, err := http.DefaultClient.Do(request)
+
+	return response, errors.Trace(err)
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	// Status is 0 if there was no answer.
+	Status int
+	Body   string
+	// Err tells why the answer is not whole.
+	Err error
+}
+
+// Stream sends a request for events and reads all of its answer.
+func Stream(ctx context.Context, to *Process, target, id string) Answer {
+	response, err := Ask(ctx, to, http.MethodPost, target, id, []byte("prompt"))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer response.Body.Close()
+
+	text, err := io.ReadAll(response.Body)
+
+	return Answer{Status: response.StatusCode, Body: string(text), Err: errors.Trace(err)}
+}
+
+// WholeStream is the answer to a request for events.
+func WholeStream() string {
+	text := strings.Builder{}
+	for number := range Events {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", number, emulator.EventText(number))
+	}
+
+	return text.String()
+}
+
+// WholeOutput is the output of an item.
+func WholeOutput() string {
+	lines := []string{}
+	for number := range Events {
+		lines = append(lines, emulator.EventText(number))
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+// ItemID names an item of a job.
+func ItemID(job string, number int) string {
+	return fmt.Sprintf("%s-%d", job, number)
+}
+
+// Submit hands in a job of so many items under the prefix and returns the
+// status, or 0 without an answer.
+func Submit(ctx context.Context, to *Process, prefix, id string, count int) int {
+	items := []map[string]any{}
+	for number := range count {
+		items = append(items, map[string]any{"id": ItemID(id, number), "path": prefix + "x", "headers": map[string]string{"X-One": "1"}, "body": base64.StdEncoding.EncodeToString([]byte("body"))})
+	}
+
+	body, err := json.Marshal(map[string]any{"items": items})
+	if err != nil {
+		return 0
+	}
+
+	response, err := Ask(ctx, to, http.MethodPost, prefix+id, id, body)
+	if err != nil {
+		return 0
+	}
+
+	response.Body.Close()
+
+	return response.StatusCode
+}
+
+// Result is a listed item.
+type Result struct {
+	ID     string `json:"id"`
+	State  string `json:"state"`
+	Output string `json:"output"`
+}
+
+// Read returns the status and the results of a job from a position on.
+func Read(ctx context.Context, to *Process, id string, after int) (int, []Result) {
+	response, err := Ask(ctx, to, http.MethodGet, fmt.Sprintf("/limpetrail/lots/%s?after=%d", id, after), "", nil)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+
+	reading := struct {
+		Results []Result `json:"results"`
+	}{}
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, nil
+	}
+
+	if err := json.NewDecoder(response.Body).Decode(&reading); err != nil {
+		return 0, nil
+	}
+
+	return http.StatusOK, reading.Results
+}
+
+// Done returns how many items of a job a gateway lists, all of them whole, or -1
+// if it does not say.
+func (deployment *Deployment) Done(to *Process, id string) int {
+	status, results := Read(deployment.T.Context(), to, id, 0)
+	if status != http.StatusOK {
+		return -1
+	}
+
+	for _, result := range results {
+		require.Equal(deployment.T, "completed", result.State)
+		require.Equal(deployment.T, WholeOutput(), result.Output)
+	}
+
+	return len(results)
+}
