--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -223,26 +223,39 @@
 	}
 
 	if !listed {
-		var err error
+		var outcome bookkeeper.Outcome
 
-		head, err = batcher.ledger.Head(ctx, id)
+		head, outcome = batcher.lookUp(ctx, id)
+		if outcome != bookkeeper.OK {
+			return nil, outcome
+		}
+	}
+
+	found = batcher.record(id)
+	found.setHead(head)
+
+	return found, bookkeeper.OK
+}
+
+// lookUp reads the head of a job from the service. Custodians bring their jobs
+// into it before they drop them, so after they were asked it is read again.
+func (batcher *Batcher) lookUp(ctx context.Context, id string) (bookkeeper.Version, bookkeeper.Outcome) {
+	for _, last := range []bool{false, true} {
+		head, err := batcher.ledger.Head(ctx, id)
 		if err != nil {
-			return nil, bookkeeper.NotDone
+			return head, bookkeeper.NotDone
 		}
 
-		if head.Revision == 0 && !batcher.absent(ctx, id) {
-			return nil, bookkeeper.NotDone
+		if head.Revision > 0 {
+			return head, bookkeeper.OK
 		}
 
-		if head.Revision == 0 {
-			return nil, bookkeeper.NotFound
+		if !last && !batcher.absent(ctx, id) {
+			return head, bookkeeper.NotDone
 		}
 	}
 
-	found = batcher.record(id)
-	found.setHead(head)
-
-	return found, bookkeeper.OK
+	return bookkeeper.Version{}, bookkeeper.NotFound
 }
 
 func (batcher *Batcher) record(id string) *record {
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -153,6 +153,36 @@
 	})
 }
 
+// mover is a custodian that brings its job into the service between a reader's
+// two questions.
+type mover struct {
+	fleet *fleet
+	job   bookkeeper.Job
+}
+
+func (mover *mover) Deposit(context.Context, bookkeeper.Job) bookkeeper.Outcome {
+	return bookkeeper.NotDone
+}
+
+func (mover *mover) Holds(ctx context.Context, _ string) (bool, bool) {
+	return false, bookkeeper.Restore(ctx, mover.fleet.gateways[0].client, mover.job) == bookkeeper.OK
+}
+
+// A job that a custodian brings into the service while it is asked for is not
+// reported as missing.
+func TestJobOnItsWayIsNotMissing(t *testing.T) {
+	newFleet(t, 1, 1, func(fleet *fleet) {
+		now := time.Now()
+		fleet.gateways[0].batcher.Depositor = &mover{fleet: fleet, job: bookkeeper.Job{
+			ID: jobID, Host: host, Submitted: now, Due: now.Add(time.Minute), GiveUp: now.Add(time.Minute),
+			Items: []bookkeeper.Item{{ID: itemID(0), Target: "/batch/x"}},
+		}}
+
+		_, outcome := fleet.gateways[0].batcher.Read(context.Background(), jobID, 0, 0)
+		require.Equal(t, bookkeeper.OK, outcome)
+	})
+}
+
 // Many jobs that are done at once, or run at once, are written in transactions
 // that the service takes.
 func TestManyJobsFitIntoTransactions(t *testing.T) {
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -137,6 +138,14 @@
 	return total
 }
 
+// Runs returns how often each request began to run, by ID.
+func (server *EventServer) Runs() map[string]int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+
+	return maps.Clone(server.started)
+}
+
 // Most returns the most requests that ran or waited at one time.
 func (server *EventServer) Most() int {
 	server.mutex.Lock()
--- a/historian/explain_test.go
+++ b/historian/explain_test.go
@@ -65,7 +65,7 @@
 
 				// One broken answer is no reason to doubt a server; a few are.
 				for number := range 12 {
-					answer := stager.Stream(story.T.Context(), gateway, "/once/x", fmt.Sprintf("r-%d", number))
+					answer := stager.To(gateway).Stream(story.T.Context(), "/once/x", fmt.Sprintf("r-%d", number))
 					require.True(story.T, answer.Err != nil || answer.Status != http.StatusOK)
 				}
 
@@ -82,7 +82,7 @@
 				for number := range 3*8 + 20 {
 					running.Go(func() {
 						id := fmt.Sprintf("r-%d", number)
-						if stager.Stream(story.T.Context(), gateway, "/once/x", id).Status == http.StatusServiceUnavailable {
+						if stager.To(gateway).Stream(story.T.Context(), "/once/x", id).Status == http.StatusServiceUnavailable {
 							mutex.Lock()
 							defer mutex.Unlock()
 
@@ -102,7 +102,7 @@
 			func(story *story) []string {
 				gateway := story.Starts("gateway-1")
 				story.set(emulator.EventFaults{StallAfter: 5})
-				require.Equal(story.T, http.StatusAccepted, stager.Submit(story.T.Context(), gateway, "/hasty/", "job-1", 1))
+				require.Equal(story.T, http.StatusAccepted, stager.To(gateway).Submit(story.T.Context(), "/hasty/", "job-1", 1))
 				story.Eventually(func() bool { return gateway.Logged(`Ending="Interrupted"`) }, "an attempt is cut")
 				story.set(emulator.EventFaults{})
 				story.Eventually(func() bool { return story.Done(gateway, "job-1") == 1 }, "the job is done")
@@ -117,7 +117,7 @@
 
 				gateway := story.Begins("gateway-1")
 				story.Eventually(func() bool { return gateway.Logged("Serving.") }, "the gateway listens")
-				require.Equal(story.T, http.StatusServiceUnavailable, stager.Stream(story.T.Context(), gateway, "/once/x", "r-1").Status)
+				require.Equal(story.T, http.StatusServiceUnavailable, stager.To(gateway).Stream(story.T.Context(), "/once/x", "r-1").Status)
 				story.Eventually(func() bool { return gateway.Logged("Watch is lost") }, "the outage is noticed")
 
 				return []string{"--request", "r-1", "--around", "5s"}
@@ -128,7 +128,7 @@
 			func(story *story) []string {
 				first, second := story.Starts("gateway-1"), story.Starts("gateway-2")
 				story.set(emulator.EventFaults{Slow: 4})
-				require.Equal(story.T, http.StatusAccepted, stager.Submit(story.T.Context(), first, "/hasty/", "job-1", 2))
+				require.Equal(story.T, http.StatusAccepted, stager.To(first).Submit(story.T.Context(), "/hasty/", "job-1", 2))
 				time.Sleep(100 * time.Millisecond)
 				story.Ends(first, syscall.SIGKILL)
 				story.Eventually(func() bool { return story.Done(second, "job-1") == 2 }, "the job is done")
--- a/stager/caller.go
+++ b/stager/caller.go
@@ -19,20 +19,33 @@
 // Host is the host of all routes.
 const Host = "host.example"
 
-// Ask sends a request on a connection of its own.
-func Ask(ctx context.Context, to *Process, method, target, id string, body []byte) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.Callers, bytes.NewReader(body))
+// Caller speaks to the deployment as its callers do.
+type Caller struct {
+	Client  *http.Client
+	Address string
+	// Keep lets connections be used for more than one request.
+	Keep bool
+}
+
+// To returns a caller of a gateway, with a connection for each request.
+func To(gateway *Process) Caller {
+	return Caller{Client: http.DefaultClient, Address: gateway.Callers}
+}
+
+// Ask sends a request.
+func (caller Caller) Ask(ctx context.Context, method, target, id string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+caller.Address, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 
 	request.URL.Opaque = target
 	request.Host = Host
-	request.Close = true
+	request.Close = !caller.Keep
 	request.Header.Set("X-Limpetrail-Attempt-Id", id)
 	request.Header.Set("X-Limpetrail-Deadline-Ms", "5000")
 
-	response, err := http.DefaultClient.Do(request)
+	response, err := caller.Client.Do(request)
 
 	return response, errors.Trace(err)
 }
@@ -47,8 +60,8 @@
 }
 
 // Stream sends a request for events and reads all of its answer.
-func Stream(ctx context.Context, to *Process, target, id string) Answer {
-	response, err := Ask(ctx, to, http.MethodPost, target, id, []byte("prompt"))
+func (caller Caller) Stream(ctx context.Context, target, id string) Answer {
+	response, err := caller.Ask(ctx, http.MethodPost, target, id, []byte("prompt"))
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -86,7 +99,7 @@
 
 // Submit hands in a job of so many items under the prefix and returns the
 // status, or 0 without an answer.
-func Submit(ctx context.Context, to *Process, prefix, id string, count int) int {
+func (caller Caller) Submit(ctx context.Context, prefix, id string, count int) int {
 	items := []map[string]any{}
 	for number := range count {
 		items = append(items, map[string]any{"id": ItemID(id, number), "path": prefix + "x", "headers": map[string]string{"X-One": "1"}, "body": base64.StdEncoding.EncodeToString([]byte("body"))})
@@ -97,7 +110,7 @@
 		return 0
 	}
 
-	response, err := Ask(ctx, to, http.MethodPost, prefix+id, id, body)
+	response, err := caller.Ask(ctx, http.MethodPost, prefix+id, id, body)
 	if err != nil {
 		return 0
 	}
@@ -115,8 +128,8 @@
 }
 
 // Read returns the status and the results of a job from a position on.
-func Read(ctx context.Context, to *Process, id string, after int) (int, []Result) {
-	response, err := Ask(ctx, to, http.MethodGet, fmt.Sprintf("/limpetrail/lots/%s?after=%d", id, after), "", nil)
+func (caller Caller) Read(ctx context.Context, id string, after int) (int, []Result) {
+	response, err := caller.Ask(ctx, http.MethodGet, fmt.Sprintf("/limpetrail/lots/%s?after=%d", id, after), "", nil)
 	if err != nil {
 		return 0, nil
 	}
@@ -139,7 +152,7 @@
 // Done returns how many items of a job a gateway lists, all of them whole, or -1
 // if it does not say.
 func (deployment *Deployment) Done(to *Process, id string) int {
-	status, results := Read(deployment.T.Context(), to, id, 0)
+	status, results := To(to).Read(deployment.T.Context(), id, 0)
 	if status != http.StatusOK {
 		return -1
 	}
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -68,11 +68,20 @@
 	return deployment
 }
 
-// List writes the entry of a backend server into the store.
+// List writes the entry of a backend server into the store, as ready.
 func (deployment *Deployment) List(index int) {
+	deployment.enter(index, "ready")
+}
+
+// Leave says that a backend server is leaving. It goes on serving.
+func (deployment *Deployment) Leave(index int) {
+	deployment.enter(index, "draining")
+}
+
+func (deployment *Deployment) enter(index int, state string) {
 	server := deployment.Servers[index]
 	deployment.Store.Catalog.Put("servers/"+server.ID, fmt.Appendf(nil,
-		`{"service":"model","address":%q,"zone":"a","slots":8,"state":"ready","born":%d}`, deployment.ServerLinks[index].Address, index+1))
+		`{"service":"model","address":%q,"zone":"a","slots":8,"state":%q,"born":%d}`, deployment.ServerLinks[index].Address, state, index+1))
 }
 
 // Configure writes a version of the operators' configuration.
