Keep failed attempts for the next owner, bound lines about readers, move job checks

Ruled out: a record of its own for counts; partial output is saved already. Change: saved partial output has the failures. kernel.LineBudget writes one line a second that says how many readers it stands for. bookkeeper.Job.Validate has the checks.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -51,6 +51,7 @@
 	// wake asks the dispatcher, listing the committer, to look again.
 	wake    chan struct{}
 	listing chan struct{}
+	unread  *kernel.LineBudget
 	running sync.WaitGroup
 }
 
@@ -98,6 +99,7 @@
 		taking:        map[string]bool{},
 		wake:          make(chan struct{}, 1),
 		listing:       make(chan struct{}, 1),
+		unread:        kernel.NewLineBudget(unreadInterval),
 	}
 	for _, option := range options {
 		option(made)
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -305,6 +306,34 @@
 	}
 }
 
+// Attempts that failed are known to the next owner: an item that always fails is
+// not begun anew.
+func TestFailedAttemptsAreKept(t *testing.T) {
+	const attempts = 3
+
+	newFleet(t, 2, 2, func(fleet *fleet) {
+		fleet.all(emulator.EventFaults{Fail: http.StatusInternalServerError})
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 1))
+
+		for fleet.runs(itemID(0)) < attempts-1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		// No further attempt is made, and what there is gets saved.
+		fleet.gateways[0].placer.Update(nil)
+		time.Sleep(2 * time.Second)
+		fleet.kill(0)
+
+		fleet.gateways = fleet.gateways[1:]
+		time.Sleep(usual)
+
+		results, _ := fleet.reads(0)
+		require.Len(t, results, 1)
+		require.Equal(t, bookkeeper.GivenUp, results[0].State)
+		require.Equal(t, attempts, fleet.runs(itemID(0)))
+	})
+}
+
 // Items that fail each time are given up after the route's attempts, others are
 // done all the same.
 func TestItemsThatCannotBeDoneAreGivenUp(t *testing.T) {
--- a/batcher/partial.go
+++ b/batcher/partial.go
@@ -37,9 +37,9 @@
 // saving is the partial output of some jobs in one transaction.
 type saving struct {
 	transaction keeper.Transaction
-	// events is how many events each job has in it.
-	events map[*work]int
-	size   int
+	// progress is how far each job is in it.
+	progress map[*work]int
+	size     int
 }
 
 // saveAll writes the partial output of all jobs that made some since the last
@@ -55,7 +55,7 @@
 	for _, saving := range savings {
 		committed, err := batcher.ledger.Client.Transact(ctx, saving.transaction)
 		if err != nil || committed.Applied != keeper.WriteApplied {
-			batcher.Log.WithField("Jobs", len(saving.events)).WithError(err).Info("Partial output is not saved.")
+			batcher.Log.WithField("Jobs", len(saving.progress)).WithError(err).Info("Partial output is not saved.")
 
 			continue
 		}
@@ -68,8 +68,8 @@
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	for owned, events := range saving.events {
-		owned.saved = events
+	for owned, progress := range saving.progress {
+		owned.saved = progress
 	}
 }
 
@@ -81,8 +81,8 @@
 	savings, last := []*saving{}, (*saving)(nil)
 
 	for id, owned := range batcher.owned {
-		partials, events := owned.partials()
-		if events <= owned.saved {
+		partials, progress := owned.partials()
+		if progress <= owned.saved {
 			continue
 		}
 
@@ -91,13 +91,13 @@
 			return nil, errors.Trace(err)
 		}
 
-		if last == nil || len(last.events) == maxSavedJobs || last.size > maxSave {
-			last = &saving{events: map[*work]int{}}
+		if last == nil || len(last.progress) == maxSavedJobs || last.size > maxSave {
+			last = &saving{progress: map[*work]int{}}
 			savings = append(savings, last)
 		}
 
 		last.size += len(value)
-		last.events[owned] = events
+		last.progress[owned] = progress
 		last.transaction.Conditions = append(last.transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: owned.record.known().Revision})
 		last.transaction.Puts = append(last.transaction.Puts, keeper.Put{Key: bookkeeper.PartialKey(id), Value: value})
 	}
@@ -105,17 +105,17 @@
 	return savings, nil
 }
 
-// partials returns what the unfinished items of a job have, and the sum of
-// their events.
+// partials returns what the unfinished items of a job have, and how far they
+// are together.
 func (work *work) partials() (map[string]bookkeeper.Partial, int) {
-	partials, events := map[string]bookkeeper.Partial{}, 0
+	partials, progress := map[string]bookkeeper.Partial{}, 0
 
 	for _, task := range work.unfinished {
-		if made := task.partial(); made.Events > 0 {
+		if made := task.partial(); made.Events+made.Failures > 0 {
 			partials[task.item.ID] = made
-			events += made.Events
+			progress += made.Events + made.Failures
 		}
 	}
 
-	return partials, events
+	return partials, progress
 }
--- a/batcher/read.go
+++ b/batcher/read.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"limpetrail/bookkeeper"
 )
 
@@ -29,6 +31,8 @@
 	// readAge is how old such a read may be when nothing new is answered: what
 	// one gateway has shown, all show within a second.
 	readAge = 400 * time.Millisecond
+	// unreadInterval bounds the lines about readers who get nothing.
+	unreadInterval = time.Second
 )
 
 // Read returns the results from a position on. It waits for one if there is
@@ -47,7 +51,9 @@
 		}
 
 		if err := record.refresh(ctx, batcher.ledger, readAge); err != nil {
-			batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
+			if readers := batcher.unread.Take(); readers > 0 {
+				batcher.Log.WithFields(logrus.Fields{"JobID": id, "Readers": readers, "Error": err}).Info("Results cannot be read.")
+			}
 
 			return Reading{}, bookkeeper.NotDone
 		}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -127,7 +127,7 @@
 
 		return
 	case failed:
-		item.failures++
+		item.fail()
 		item.avoid = grant.Server.ID
 		item.notBefore = time.Now().Add(backoff(item.failures))
 
--- a/batcher/work.go
+++ b/batcher/work.go
@@ -21,7 +21,8 @@
 	waiting []*task
 	// unfinished holds all items without a result, waiting or running, by ID.
 	unfinished map[string]*task
-	// saved is how many events the last saved Partial output had.
+	// saved is how far the work was when its partial output was last saved: its
+	// events and failed attempts.
 	saved int
 	// running is how many items have a place.
 	running int
@@ -53,6 +54,14 @@
 	notBefore time.Time
 }
 
+// fail counts a failed attempt.
+func (task *task) fail() {
+	task.mutex.Lock()
+	defer task.mutex.Unlock()
+
+	task.failures++
+}
+
 // add takes in data of the event with the number.
 func (task *task) add(number int, data []byte) {
 	task.mutex.Lock()
@@ -72,12 +81,12 @@
 	task.mutex.Lock()
 	defer task.mutex.Unlock()
 
-	return bookkeeper.Partial{After: task.after, Events: task.events, Output: task.output.String()}
+	return bookkeeper.Partial{After: task.after, Events: task.events, Output: task.output.String(), Failures: task.failures}
 }
 
 // newTask returns a task that goes on after what an earlier owner saved.
 func newTask(item bookkeeper.Item, saved bookkeeper.Partial) *task {
-	made := &task{item: item, after: -1}
+	made := &task{item: item, after: -1, failures: saved.Failures}
 	if saved.Events == 0 {
 		return made
 	}
--- a/bookkeeper/job.go
+++ b/bookkeeper/job.go
@@ -1,7 +1,10 @@
 package bookkeeper
 
 import (
+	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Item is one request of a job.
@@ -24,3 +27,34 @@
 	// GiveUp is from when items may be given up.
 	GiveUp time.Time
 }
+
+// maxID bounds an ID, which becomes part of a key of at most 200 bytes.
+const maxID = 64
+
+// Validate tells what is wrong with a job that came from outside, and how to
+// mend it.
+func (job Job) Validate() error {
+	if job.ID == "" || len(job.ID) > maxID {
+		return errors.NotValidf("ID of the job: give one of 1 to %d characters; %q", maxID, job.ID)
+	}
+
+	if len(job.Items) == 0 {
+		return errors.NotValidf("items: give at least one; no item")
+	}
+
+	known := map[string]bool{}
+
+	for _, item := range job.Items {
+		if item.ID == "" || known[item.ID] {
+			return errors.NotValidf("items: give each an ID of its own; item %q", item.ID)
+		}
+
+		if !strings.HasPrefix(item.Target, "/") {
+			return errors.NotValidf("items: give each a path that begins with a slash; item %q with %q", item.ID, item.Target)
+		}
+
+		known[item.ID] = true
+	}
+
+	return nil
+}
--- /dev/null
+++ b/bookkeeper/job_test.go
@@ -0,0 +1,41 @@
+package bookkeeper_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/bookkeeper"
+)
+
+func TestJobsFromOutside(t *testing.T) {
+	item := bookkeeper.Item{ID: "a", Target: "/x"}
+
+	for name, scenario := range map[string]struct {
+		job bookkeeper.Job
+		// fault is what the error names; empty for a good job.
+		fault string
+	}{
+		"good":               {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{item, {ID: "b", Target: "/x"}}}, ""},
+		"no ID":              {bookkeeper.Job{Items: []bookkeeper.Item{item}}, "ID of the job"},
+		"an endless ID":      {bookkeeper.Job{ID: strings.Repeat("x", 65), Items: []bookkeeper.Item{item}}, "ID of the job"},
+		"no items":           {bookkeeper.Job{ID: "j"}, "items: give at least one"},
+		"item without ID":    {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{Target: "/x"}}}, "an ID of its own"},
+		"one ID twice":       {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{item, item}}, "an ID of its own"},
+		"path without slash": {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{ID: "a", Target: "x"}}}, "begins with a slash"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := scenario.job.Validate()
+			if scenario.fault == "" {
+				require.NoError(t, err)
+
+				return
+			}
+
+			require.ErrorContains(t, err, scenario.fault)
+			require.True(t, errors.Is(err, errors.NotValid))
+		})
+	}
+}
--- a/bookkeeper/partial.go
+++ b/bookkeeper/partial.go
@@ -16,6 +16,8 @@
 	After  int
 	Events int
 	Output string
+	// Failures is how many attempts failed so far.
+	Failures int
 }
 
 // PartialKey is where the partial output of a job lies.
