Let items that can be in time go first

Cause: after an outage or a burst of jobs there is more batch work than the places allow before the due times. Ruled out: a slow takeover (0.6 s after the start), lost partial output. Change: package sequencer decides apart from input and output: pace foretells what an item has left, what cannot be in time goes last and yields first.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -14,6 +14,7 @@
 	"limpetrail/kernel"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/sequencer"
 )
 
 // Batcher serves jobs: it accepts them, runs the ones it owns and reads all.
@@ -33,7 +34,9 @@
 	Inquirer Inquirer
 
 	ledger bookkeeper.Ledger
-	mutex  sync.Mutex
+	// pace foretells how long items still run.
+	pace  *sequencer.Pace
+	mutex sync.Mutex
 	// records of all jobs that were asked for or are owned.
 	records map[string]*record
 	// heads is the last copy of all heads, and members the live incarnations.
@@ -91,6 +94,7 @@
 		Depositor:     depositor,
 		Certain:       certain,
 		ledger:        bookkeeper.Ledger{Client: client},
+		pace:          sequencer.NewPace(),
 		records:       map[string]*record{},
 		heads:         map[string]bookkeeper.Version{},
 		members:       map[string]bool{},
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -66,13 +66,13 @@
 		return false
 	}
 
-	owned := next(batcher.owned, time.Now())
+	now := time.Now()
+
+	owned, item := batcher.next(now)
 	if owned == nil {
 		return false
 	}
 
-	item := owned.ready(time.Now())
-
 	route := batcher.routeOf(owned, item)
 	if route == nil {
 		batcher.finish(owned, item, bookkeeper.GivenUp, "No route takes the item.")
@@ -81,6 +81,11 @@
 	}
 
 	work := placer.Work{RequestID: item.item.ID, Service: route.service, Due: owned.job.Due}
+	if !batcher.sequenced(owned, item).Fits(now) {
+		// It will be late anyway, and yields first.
+		work.Due = owned.job.GiveUp
+	}
+
 	if item.avoid != "" {
 		work.Exclude = []string{item.avoid}
 	}
--- a/batcher/order.go
+++ b/batcher/order.go
@@ -1,55 +1,36 @@
 package batcher
 
-import "time"
-
-// itemTime is about what an item takes from its start to its end.
-const itemTime = 5 * time.Second
-
-// next returns the job whose item gets the next place: the one that is due
-// first among those that can still be in time. Late ones come last, so that
-// a pile of jobs does not make all of them late.
-func next(owned map[string]*work, now time.Time) *work {
-	var found *work
-
-	for _, candidate := range owned {
-		if candidate.ready(now) != nil && (found == nil || before(candidate, found, now)) {
-			found = candidate
+import (
+	"time"
+
+	"limpetrail/sequencer"
+)
+
+// next returns the item that gets the next place, and its job's work, or nil.
+// The mutex is held.
+func (batcher *Batcher) next(now time.Time) (*work, *task) {
+	var (
+		owner *work
+		first *task
+		best  sequencer.Item
+	)
+
+	for _, owned := range batcher.owned {
+		for _, task := range owned.waiting {
+			if now.Before(task.notBefore) {
+				continue
+			}
+
+			if item := batcher.sequenced(owned, task); first == nil || sequencer.Before(item, best, now) {
+				owner, first, best = owned, task, item
+			}
 		}
 	}
 
-	return found
-}
-
-func before(a, b *work, now time.Time) bool {
-	if lateA, lateB := late(a, now), late(b, now); lateA != lateB {
-		return lateB
-	}
-
-	if !a.job.Due.Equal(b.job.Due) {
-		return a.job.Due.Before(b.job.Due)
-	}
-
-	return a.job.ID < b.job.ID
+	return owner, first
 }
 
-func late(work *work, now time.Time) bool {
-	return now.Add(itemTime / 2).After(work.job.Due)
-}
-
-// ready returns the item of the job that goes next: one that is begun before
-// one that is not, since its place is paid for in part.
-func (work *work) ready(now time.Time) *task {
-	var found *task
-
-	for _, task := range work.waiting {
-		if now.Before(task.notBefore) {
-			continue
-		}
-
-		if found == nil || task.events > found.events {
-			found = task
-		}
-	}
-
-	return found
+// sequenced is a waiting task as the sequencer sees it.
+func (batcher *Batcher) sequenced(owned *work, task *task) sequencer.Item {
+	return sequencer.Item{Due: owned.job.Due, Left: batcher.pace.Left(task.events), Events: task.events, Key: owned.job.ID + "/" + task.item.ID}
 }
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -94,10 +94,16 @@
 
 	grant.SetProgress(item.events)
 
-	before := item.events
+	before, begun := item.events, time.Now()
 	ended, reason := batcher.attempt(attempt, owned, item, to, grant)
 
 	grant.Release()
+	batcher.pace.Run(item.events-before, time.Since(begun))
+
+	if ended == whole {
+		batcher.pace.Whole(item.events)
+	}
+
 	batcher.settle(owned, item, to, ended, reason, grant, item.events-before)
 }
 
