Ignore hangups from the first instruction on, supervise the soak's gateways

Hangups were ignored only once a role had been chosen. Ruled out: a taken port, a freeze that was not ended (the process was gone). Change: main ignores hangups before anything else. The soak starts gateways again that ended by themselves, counts each such end as a broken promise, and sends hangups to programs that serve.

--- a/cmd/limpetrail/main.go
+++ b/cmd/limpetrail/main.go
@@ -16,6 +16,10 @@
 }
 
 func run() int {
+	// A hangup that comes before the settings are read says nothing new, and
+	// must not end the process.
+	signal.Ignore(syscall.SIGHUP)
+
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 
--- a/commander/roles.go
+++ b/commander/roles.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
@@ -56,8 +54,6 @@
 	path := clause.Flag("settings", "INI file of the gateway.").Required().String()
 
 	return command{clause: clause, run: func(ctx context.Context) error {
-		ignoreHangup()
-
 		read := func() (loader.Gateway, error) {
 			settings := loader.DefaultGateway()
 			err := loader.Load(*path, &settings)
@@ -86,8 +82,6 @@
 	path := clause.Flag("settings", "INI file of the holder.").Required().String()
 
 	return command{clause: clause, run: func(ctx context.Context) error {
-		ignoreHangup()
-
 		read := func() (loader.Holder, error) {
 			settings := loader.DefaultHolder()
 			err := loader.Load(*path, &settings)
@@ -110,9 +104,3 @@
 		return holder.Run(ctx)
 	}}
 }
-
-// ignoreHangup keeps a process alive that is told of changed settings before it
-// listens for that.
-func ignoreHangup() {
-	signal.Ignore(syscall.SIGHUP)
-}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -106,6 +106,7 @@
 
 	working.Go(func() { soak.balance(serving) })
 	working.Go(func() { soak.watchVersions(serving) })
+	working.Go(func() { soak.supervise(serving) })
 
 	for number := range callers {
 		working.Go(func() { soak.call(serving, number) })
@@ -142,6 +143,25 @@
 	}
 }
 
+// supervise starts gateways again that ended by themselves, as the platform does.
+// None should.
+func (soak *Soak) supervise(ctx context.Context) {
+	for pause(ctx, statusInterval) {
+		for number := range gateways {
+			if !soak.hands[number].TryLock() {
+				continue
+			}
+
+			if process := soak.gateway(number); !process.Running() {
+				soak.history.Break("EXIT: %s ended by itself", process.Name)
+				soak.restart(number) //nolint:contextcheck // Processes last as long as the test.
+			}
+
+			soak.hands[number].Unlock()
+		}
+	}
+}
+
 // pick returns a gateway in rotation, or any if there is none.
 func (soak *Soak) pick() int {
 	first := soak.random.intN(gateways)
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -132,7 +132,13 @@
 	number, giveBack := soak.take()
 	defer giveBack()
 
-	soak.gateway(number).Signal(syscall.SIGHUP)
+	// Before a program is loaded, the system ends it at a hangup.
+	process := soak.gateway(number)
+	for !process.Logged("Serving.") && pause(ctx, statusInterval) {
+		continue
+	}
+
+	process.Signal(syscall.SIGHUP)
 	soak.last(ctx)
 }
 
