--- a/historian/explain_test.go
+++ b/historian/explain_test.go
@@ -111,6 +111,16 @@
 			},
 			[]string{"Job was submitted.", `Owner="gateway-1#`, `Ending="Interrupted"`, "i/o timeout", `Late="true"`},
 		},
+		"a request whose time ended": {
+			func(story *story) []string {
+				gateway := story.Starts("gateway-1")
+				story.set(emulator.EventFaults{Dark: true})
+				require.Equal(story.T, http.StatusGatewayTimeout, stager.To(gateway).Stream(story.T.Context(), "/once/x", "r-1").Status)
+
+				return []string{"--request", "r-1"}
+			},
+			[]string{`Outcome="TimedOut"`, `Attempts="1"`, `Events="0"`, `Allowed="4.99`},
+		},
 		"a request before the first configuration": {
 			func(story *story) []string {
 				story.Store.Catalog.Faults.Set(emulator.Switches{Outage: true})
