Leave the servers of a gateway that is not heard to it

Ruled out: gossip by the store, which costs a call for each change of load. Change: the list of members says who else there is. Servers of a listed gateway that is not heard get no batch work, give back what runs there, and online work comes there after all other places. While one is not heard, batch leaves more room.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -266,7 +266,7 @@
 	}
 
 	addresses, relays, live := map[string]string{}, []string{}, map[string]bool{}
-	owners := map[string]string{}
+	owners, entries := map[string]string{}, map[string]string{}
 
 	custodians := map[string]string{}
 
@@ -282,6 +282,7 @@
 			addresses[name] = member.Address
 			relays = append(relays, member.Operations)
 			owners[member.Process()] = member.Operations
+			entries[name] = member.DataCentre
 		}
 	}
 
@@ -295,6 +296,7 @@
 	gateway.Depositor.SetCustodians(custodians)
 	gateway.Sharer.SetHolders(slices.Sorted(maps.Values(custodians)))
 	gateway.Gossiper.SetPeers(addresses)
+	gateway.Placer.SetListed(entries)
 	gateway.Batcher.SetMembers(live)
 	gateway.Inquirer.SetMembers(owners)
 	gateway.Registrar.Notice(members)
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -31,10 +31,11 @@
 	usual time.Duration
 }
 
-// choose returns the best server with a free place, or nil.
-func (chooser chooser) choose(servers []*state) *state {
+// choose returns the best server with a free place, or nil. Of servers that an
+// entry fills which is not heard, nobody here knows whether there is one.
+func (chooser chooser) choose(servers []*state, unheard bool) *state {
 	return best(servers, func(server *state) (float64, bool) {
-		return chooser.cost(server), chooser.candidate(server) && server.free() > 0
+		return chooser.cost(server), chooser.candidate(server) && server.unheard == unheard && server.free() > 0
 	})
 }
 
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -43,6 +43,8 @@
 	// running and queued are the requests at each engine.
 	running []int
 	queues  [][]chan struct{}
+	// cut tells that the first entry and the others do not hear each other.
+	cut bool
 	// frozen engines answer nothing.
 	dark []bool
 	// outcomes of online requests.
@@ -62,11 +64,24 @@
 		listed = append(listed, placer.Server{ID: fmt.Sprint(index), Service: modelService, Places: places, DataCentre: fmt.Sprint(index % entries)})
 	}
 
+	others := func(own int) map[string]string {
+		found := map[string]string{}
+
+		for entry := range entries {
+			if entry != own {
+				found[fmt.Sprintf("entry-%d", entry)] = fmt.Sprint(entry)
+			}
+		}
+
+		return found
+	}
+
 	for entry := range entries {
 		common := kernel.Discard(fmt.Sprintf("entry-%d", entry))
 		common.DataCentre = fmt.Sprint(entry)
 		made := placer.NewPlacer(common)
 		made.Update(listed)
+		made.SetListed(others(entry))
 		world.placers = append(world.placers, made)
 	}
 
@@ -80,7 +95,7 @@
 
 		for from, sender := range world.placers {
 			for to, receiver := range world.placers {
-				if from != to {
+				if from != to && !world.apart(from, to) {
 					receiver.Hear(fmt.Sprintf("entry-%d", from), fmt.Sprint(from), sender.Own())
 				}
 			}
@@ -88,6 +103,14 @@
 	}
 }
 
+// apart tells whether two entries do not hear each other.
+func (world *world) apart(from, to int) bool {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+
+	return world.cut && (from == 0 || to == 0)
+}
+
 // enter waits for a slot of the engine and for its prompt to be read. It
 // returns false if the engine is dark.
 func (world *world) enter(index int, give <-chan struct{}) bool {
@@ -420,6 +443,24 @@
 	require.Less(t, 2*afterWait, refused)
 }
 
+// An entry that is cut off from the others and still listed does not fill their
+// servers with batch work, and they do not fill its.
+func TestEntryIsCutOffFromTheOthers(t *testing.T) {
+	const length = 20 * time.Second
+
+	cut := func(world *world) {
+		time.Sleep(time.Second)
+		world.mutex.Lock()
+		defer world.mutex.Unlock()
+
+		world.cut = true
+	}
+	played := play(t, 7, length, steps(meanLoad), nil, true, cut)
+
+	t.Log("CUT", played.inTime, played.late, played.refused)
+	require.GreaterOrEqual(t, played.shareInTime(), 0.99)
+}
+
 // Callers who were refused in a burst come back one after the other, not as
 // another burst.
 func TestReturnsAreSpread(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,6 +24,10 @@
 	services map[string]*service
 	// reports holds the fresh reports of other entries by name.
 	reports map[string]report
+	// listed holds the data centres of the other entries that the platform lists,
+	// by name; blind tells that some of them are not heard.
+	listed map[string]string
+	blind  bool
 	// changed is closed and replaced when the load here changes.
 	changed chan struct{}
 	// room is closed and replaced when batch work may find a place.
@@ -97,6 +101,17 @@
 	placer.settle()
 }
 
+// SetListed replaces the other entries that the platform lists, with their data
+// centres.
+func (placer *Placer) SetListed(entries map[string]string) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	placer.listed = entries
+	placer.settleHomes()
+	placer.settle()
+}
+
 // Hear takes in what another entry runs. Entries that are heard share the
 // servers, whatever the platform's store says of them.
 func (placer *Placer) Hear(peer, dataCentre string, loads map[string]Load) {
@@ -255,7 +270,9 @@
 	chooser := placer.chooser(work)
 
 	server := best(service.servers, func(server *state) (float64, bool) {
-		return -float64(batchRoom(server)), chooser.candidate(server) && batchRoom(server) > 0
+		room := batchRoom(server, placer.blind)
+
+		return -float64(room), chooser.candidate(server) && room > 0
 	})
 	if server == nil {
 		return nil, false
@@ -272,7 +289,7 @@
 	servers := placer.service(work.Service).servers
 	chooser := placer.chooser(work)
 
-	if server := chooser.choose(servers); server != nil {
+	if server := chooser.choose(servers, false); server != nil {
 		return placer.grant(server, false)
 	}
 
@@ -282,6 +299,10 @@
 		return placer.grant(server, false)
 	}
 
+	if server := chooser.choose(servers, true); server != nil {
+		return placer.grant(server, false)
+	}
+
 	return nil
 }
 
--- a/placer/server.go
+++ b/placer/server.go
@@ -34,8 +34,10 @@
 	own Load
 	// others is the sum of what fresh reports of other entries say.
 	others Load
-	// home tells that this entry may fill the server with batch work.
-	home bool
+	// home tells that this entry may fill the server with batch work, unheard
+	// that an entry does of which nothing is heard.
+	home    bool
+	unheard bool
 	// grants are the batch runs of this entry, which can yield.
 	grants map[*Grant]bool
 	health health
--- a/placer/settle.go
+++ b/placer/settle.go
@@ -9,7 +9,7 @@
 
 	for _, service := range placer.services {
 		for _, server := range service.servers {
-			for server.free() < 0 && placer.yield(server) {
+			for (server.free() < 0 || server.unheard) && placer.yield(server) {
 				continue
 			}
 		}
@@ -80,14 +80,36 @@
 	}
 }
 
-// settleHomes shares the servers anew, with the mutex held.
+// settleHomes shares the servers anew among the entries that are heard or
+// listed, with the mutex held. One that is cut off from this entry still runs
+// work.
 func (placer *Placer) settleHomes() {
-	peers := map[string]string{}
-	for peer, report := range placer.reports {
-		peers[peer] = report.dataCentre
+	entries := map[string]string{placer.Instance: placer.DataCentre}
+	for entry, dataCentre := range placer.listed {
+		entries[entry] = dataCentre
+	}
+
+	placer.blind = false
+
+	for entry := range entries {
+		placer.blind = placer.blind || !placer.hears(entry)
+	}
+
+	for entry, report := range placer.reports {
+		entries[entry] = report.dataCentre
 	}
 
 	for _, service := range placer.services {
-		homes(service.servers, placer.Instance, placer.DataCentre, peers)
+		for _, server := range service.servers {
+			owner := homeOf(server, entries)
+			server.home, server.unheard = owner == placer.Instance, !placer.hears(owner)
+		}
 	}
 }
+
+// hears tells whether this entry knows what another one runs.
+func (placer *Placer) hears(entry string) bool {
+	_, heard := placer.reports[entry]
+
+	return heard || entry == placer.Instance
+}
--- a/placer/yield.go
+++ b/placer/yield.go
@@ -6,18 +6,23 @@
 	// homeReserve is left free by batch work at a server that this entry may
 	// fill, for the next online request.
 	homeReserve = 1
-	// strangerReserve is left free at servers that others fill.
+	// strangerReserve is left free at servers that others fill, and at all while
+	// an entry is not heard: its callers may come to any server.
 	strangerReserve = 3
 )
 
 // batchRoom tells whether batch work may start at a server: in the troughs
-// between the peaks of callers, up to the reserve.
-func batchRoom(server *state) int {
-	if server.home {
+// between the peaks of callers, up to the reserve. A server that an entry fills
+// which is not heard has no room, since nobody here knows what runs there.
+func batchRoom(server *state, blind bool) int {
+	switch {
+	case server.unheard:
+		return 0
+	case server.home && !blind:
 		return server.free() - homeReserve
+	default:
+		return server.free() - strangerReserve
 	}
-
-	return server.free() - strangerReserve
 }
 
 // dueStep is how far due times have to differ to count: the runs of a job that
@@ -47,35 +52,27 @@
 	return a.Progress() < b.Progress()
 }
 
-// homes marks the servers that this entry fills with batch work: each server
-// has one among the entries of its data centre, or of all where it has none.
-func homes(servers []*state, entry, dataCentre string, peers map[string]string) {
-	for _, server := range servers {
-		server.home = home(server, entry, dataCentre, peers)
+// homeOf returns the entry that fills a server with batch work: each server has
+// one among the entries of its data centre, or of all where it has none. Entries
+// are given with their data centres.
+func homeOf(server *state, entries map[string]string) string {
+	near := false
+	for _, dataCentre := range entries {
+		near = near || dataCentre == server.DataCentre
 	}
-}
 
-func home(server *state, entry, dataCentre string, peers map[string]string) bool {
-	near := dataCentre == server.DataCentre
-	for _, place := range peers {
-		near = near || place == server.DataCentre
-	}
+	found, most := "", uint64(0)
 
-	if near && dataCentre != server.DataCentre {
-		return false
-	}
-
-	mine := mix(0, server.ID+"/"+entry)
-
-	for peer, place := range peers {
-		if near && place != server.DataCentre {
+	for entry, dataCentre := range entries {
+		if near && dataCentre != server.DataCentre {
 			continue
 		}
 
-		if other := mix(0, server.ID+"/"+peer); other > mine || other == mine && peer > entry {
-			return false
+		hash := mix(0, server.ID+"/"+entry)
+		if found == "" || hash > most || hash == most && entry > found {
+			found, most = entry, hash
 		}
 	}
 
-	return true
+	return found
 }
