--- a/app/gateway.go
+++ b/app/gateway.go
@@ -38,9 +38,9 @@
 	checkInterval = 400 * time.Millisecond
 	// headsPause gathers changes of jobs' heads into one watch. An ended job has
 	// to stop within three seconds, and a silent watch is noticed within two.
-	headsPause = 900 * time.Millisecond
+	headsPause = 1300 * time.Millisecond
 	// serversPause gathers backend servers that start or leave together.
-	serversPause = 100 * time.Millisecond
+	serversPause = 300 * time.Millisecond
 	// membersWait is long: who shares the servers is heard, and the jobs of a
 	// member that is gone are taken over by whoever notices first.
 	membersWait = 6 * time.Second
