Let an owner with an open proposal ask the store, split librarian from batcher

A listing whose answer is lost has taken effect, and the owner did not know of it for as long as its lease was certain, up to three seconds; the platform allows one. Ruled out: the split, which only moves code; inquirers (the scenario has none). Change: an owner is sure of its results only while nothing it proposed is open. batcher's records and reads are package librarian: what this process knows of jobs.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -342,7 +342,7 @@
 	mux := http.NewServeMux()
 	gateway.Meter.Register(mux)
 	mux.HandleFunc("GET "+PathStatus, gateway.status)
-	mux.Handle("POST "+inquirer.Path, inquirer.NewServer(gateway.Common, gateway.Batcher))
+	mux.Handle("POST "+inquirer.Path, inquirer.NewServer(gateway.Common, gateway.Batcher.Librarian))
 	mux.Handle("POST "+relayer.Path, relayer.NewServer(gateway.Common, gateway.Client.Direct(), gateway.copied))
 
 	return mux
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -12,6 +12,7 @@
 	"limpetrail/forwarder"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
+	"limpetrail/librarian"
 	"limpetrail/matcher"
 	"limpetrail/placer"
 	"limpetrail/sequencer"
@@ -30,17 +31,14 @@
 	Certain func() bool
 	// Depositor is nil where jobs are refused while the service is away.
 	Depositor Depositor
-	// Inquirer is nil where other owners cannot be asked.
-	Inquirer Inquirer
+	// Librarian holds what is known of all jobs.
+	Librarian *librarian.Librarian
 
 	ledger bookkeeper.Ledger
 	// pace foretells how long items still run.
 	pace  *sequencer.Pace
 	mutex sync.Mutex
-	// records of all jobs that were asked for or are owned.
-	records map[string]*record
-	// heads is the last copy of all heads, and members the live incarnations.
-	heads   map[string]bookkeeper.Version
+	// members holds the live incarnations.
 	members map[string]bool
 	// owned holds the work of this process by job.
 	owned map[string]*work
@@ -54,7 +52,6 @@
 	// wake asks the dispatcher, listing the committer, to look again.
 	wake    chan struct{}
 	listing chan struct{}
-	unread  *kernel.LineBudget
 	running sync.WaitGroup
 }
 
@@ -78,8 +75,8 @@
 type Option func(*Batcher)
 
 // WithInquirer lets readers ask the owners of jobs.
-func WithInquirer(inquirer Inquirer) Option {
-	return func(batcher *Batcher) { batcher.Inquirer = inquirer }
+func WithInquirer(inquirer librarian.Inquirer) Option {
+	return func(batcher *Batcher) { batcher.Librarian.Inquirer = inquirer }
 }
 
 // NewBatcher returns a batcher that owns no job.
@@ -95,16 +92,15 @@
 		Certain:       certain,
 		ledger:        bookkeeper.Ledger{Client: client},
 		pace:          sequencer.NewPace(),
-		records:       map[string]*record{},
-		heads:         map[string]bookkeeper.Version{},
 		members:       map[string]bool{},
 		owned:         map[string]*work{},
 		orphaned:      map[string]time.Time{},
 		taking:        map[string]bool{},
 		wake:          make(chan struct{}, 1),
 		listing:       make(chan struct{}, 1),
-		unread:        kernel.NewLineBudget(unreadInterval),
 	}
+	made.Librarian = librarian.NewLibrarian(common, made.ledger, owner, made.owns, made.absent)
+
 	for _, option := range options {
 		option(made)
 	}
@@ -114,7 +110,7 @@
 
 // Submit accepts a job, once however often it comes.
 func (batcher *Batcher) Submit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome {
-	if batcher.known(job.ID) {
+	if batcher.Librarian.Knows(job.ID) {
 		return bookkeeper.OK
 	}
 
@@ -132,40 +128,42 @@
 		return outcome
 	}
 
-	record := batcher.record(job.ID)
-	record.setHead(created)
+	record := batcher.Librarian.Record(job.ID)
+	record.SetHead(created)
 
 	if created.Owner == batcher.Owner && created.Open() {
-		record.mutex.Lock()
-		if record.items == nil {
-			record.items = job.Items
-		}
-		record.mutex.Unlock()
-
+		record.Offer(job.Items)
 		batcher.own(record, job, created, nil)
 	}
 
 	return bookkeeper.OK
 }
 
-// known tells whether the job is certain to exist.
-func (batcher *Batcher) known(id string) bool {
+// Read returns the results of a job from a position on. It waits for one if
+// there is none yet.
+func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (librarian.Reading, bookkeeper.Outcome) {
+	return batcher.Librarian.Read(ctx, id, after, wait)
+}
+
+// owns tells whether all listed results of the job are known here: no other
+// process can list any, and nothing that was proposed may have taken effect.
+func (batcher *Batcher) owns(id string) bool {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	record := batcher.records[id]
+	owned := batcher.owned[id]
 
-	return batcher.heads[id].Revision > 0 || record != nil && record.known().Revision > 0
+	return owned != nil && owned.proposed == nil && batcher.registered && batcher.Certain()
 }
 
 // Body returns the body of an item.
 func (batcher *Batcher) Body(ctx context.Context, id, item string) ([]byte, bookkeeper.Outcome) {
-	record, outcome := batcher.find(ctx, id)
+	record, outcome := batcher.Librarian.Find(ctx, id)
 	if outcome != bookkeeper.OK {
 		return nil, outcome
 	}
 
-	items, err := record.load(ctx, batcher.ledger)
+	items, err := record.Load(ctx, batcher.ledger)
 	if err != nil {
 		return nil, bookkeeper.NotDone
 	}
@@ -181,12 +179,12 @@
 
 // End stops a job. Its results stay.
 func (batcher *Batcher) End(ctx context.Context, id string) bookkeeper.Outcome {
-	record, outcome := batcher.find(ctx, id)
+	record, outcome := batcher.Librarian.Find(ctx, id)
 	if outcome != bookkeeper.OK {
 		return outcome
 	}
 
-	before := record.known()
+	before := record.Head()
 
 	for !before.Ended {
 		head := before.Head
@@ -203,7 +201,7 @@
 			return bookkeeper.NotFound
 		}
 
-		record.setHead(after)
+		record.SetHead(after)
 
 		if applied {
 			batcher.Log.WithField("JobID", id).Info("Job was ended.")
@@ -217,71 +215,9 @@
 	return bookkeeper.OK
 }
 
-// find returns the record of a job that exists.
-func (batcher *Batcher) find(ctx context.Context, id string) (*record, bookkeeper.Outcome) {
-	batcher.mutex.Lock()
-	head, listed := batcher.heads[id]
-	found := batcher.records[id]
-	batcher.mutex.Unlock()
-
-	if found != nil && found.known().Revision > 0 {
-		return found, bookkeeper.OK
-	}
-
-	if !listed {
-		var outcome bookkeeper.Outcome
-
-		head, outcome = batcher.lookUp(ctx, id)
-		if outcome != bookkeeper.OK {
-			return nil, outcome
-		}
-	}
-
-	found = batcher.record(id)
-	found.setHead(head)
-
-	return found, bookkeeper.OK
-}
-
-// lookUp reads the head of a job from the service. Custodians bring their jobs
-// into it before they drop them, so after they were asked it is read again.
-func (batcher *Batcher) lookUp(ctx context.Context, id string) (bookkeeper.Version, bookkeeper.Outcome) {
-	for _, last := range []bool{false, true} {
-		head, err := batcher.ledger.Head(ctx, id)
-		if err != nil {
-			return head, bookkeeper.NotDone
-		}
-
-		if head.Revision > 0 {
-			return head, bookkeeper.OK
-		}
-
-		if !last && !batcher.absent(ctx, id) {
-			return head, bookkeeper.NotDone
-		}
-	}
-
-	return bookkeeper.Version{}, bookkeeper.NotFound
-}
-
-func (batcher *Batcher) record(id string) *record {
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
-
-	found := batcher.records[id]
-	if found == nil {
-		found = newRecord(id)
-		batcher.records[id] = found
-	}
-
-	return found
-}
-
 // own starts the work on a job whose head names this process.
-func (batcher *Batcher) own(record *record, job bookkeeper.Job, head bookkeeper.Version, partials map[string]bookkeeper.Partial) {
-	record.mutex.Lock()
-	tasks := unlisted(record.items, record.results, partials)
-	record.mutex.Unlock()
+func (batcher *Batcher) own(record *librarian.Record, job bookkeeper.Job, head bookkeeper.Version, partials map[string]bookkeeper.Partial) {
+	tasks := tasksOf(record.Unlisted(), partials)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	owned := &work{record: record, job: job, context: ctx, cancel: cancel, waiting: tasks, unfinished: map[string]*task{}}
@@ -293,7 +229,7 @@
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	if batcher.owned[job.ID] != nil || batcher.leaving || record.known().Revision != head.Revision {
+	if batcher.owned[job.ID] != nil || batcher.leaving || record.Head().Revision != head.Revision {
 		cancel()
 
 		return
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -145,7 +145,7 @@
 			time.Sleep(time.Second)
 
 			known, _ := fleet.reads(1)
-			reading, certain := fleet.gateways[0].batcher.ReadOwned(context.Background(), jobID, max(0, len(known)-1), 0)
+			reading, certain := fleet.gateways[0].batcher.Librarian.ReadOwned(context.Background(), jobID, max(0, len(known)-1), 0)
 			require.False(t, certain && len(known) > 0 && len(reading.Results) == 0, "nothing is listed at %d", len(known)-1)
 		}
 
@@ -154,6 +154,41 @@
 	})
 }
 
+// An owner whose listing has an unknown fate may have listed more than it knows,
+// and does not answer that there is nothing new.
+func TestOwnerDoesNotKnowWhatItListed(t *testing.T) {
+	newFleet(t, 2, 1, func(fleet *fleet) {
+		// Seven items run at once; the last one does not end, so that the job stays
+		// open.
+		const items = 15
+
+		fleet.silent.Store(true)
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, items))
+		time.Sleep(800 * time.Millisecond)
+		fleet.all(emulator.EventFaults{Dark: true})
+
+		owner := fleet.gateways[0]
+		owner.catalog.Faults.Set(emulator.Switches{DropAnswers: 100})
+
+		for known := 0; known == 0; time.Sleep(10 * time.Millisecond) {
+			results, _ := fleet.reads(1)
+			known = len(results)
+		}
+
+		owner.catalog.Faults.Set(emulator.Switches{Outage: true})
+
+		for range 50 {
+			reading, outcome := owner.batcher.Read(context.Background(), jobID, 0, 0)
+			require.False(t, outcome == bookkeeper.OK && len(reading.Results) == 0, "the result was read elsewhere")
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		owner.catalog.Faults.Set(emulator.Switches{})
+		fleet.all(emulator.EventFaults{})
+		fleet.expectWhole(items)
+	})
+}
+
 // mover is a custodian that brings its job into the service between a reader's
 // two questions.
 type mover struct {
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -117,14 +117,10 @@
 			return nil, errors.Trace(err)
 		}
 
-		owned.record.mutex.Lock()
-		head, number := owned.record.head, owned.record.segments
-		listed := len(owned.record.results)
-		owned.record.mutex.Unlock()
-
+		end := owned.record.End()
 		made := proposal{
-			owned: owned, head: head, number: number, segment: *owned.proposed, value: value,
-			last: listed+len(owned.proposed.Results) == head.Total,
+			owned: owned, head: end.Head, number: end.Segment, segment: *owned.proposed, value: value,
+			last: end.Position+len(owned.proposed.Results) == end.Head.Total,
 		}
 		proposals = append(proposals, made)
 		size += len(value)
@@ -157,11 +153,7 @@
 		return
 	}
 
-	work.record.mutex.Lock()
-	first := len(work.record.results)
-	work.record.mutex.Unlock()
-
-	proposed := &bookkeeper.Segment{First: first}
+	proposed := &bookkeeper.Segment{First: work.record.End().Position}
 
 	for len(work.finished) > 0 && (len(proposed.Results) == 0 || room > 0) {
 		room -= len(work.finished[0].Output)
@@ -213,12 +205,12 @@
 
 func (batcher *Batcher) acceptListed(proposal proposal, revision keeper.Revision) {
 	owned := proposal.owned
-	owned.record.add(proposal.number, []bookkeeper.Segment{proposal.segment})
+	owned.record.Add(proposal.number, []bookkeeper.Segment{proposal.segment})
 
 	if proposal.last {
 		head := proposal.head
 		head.Done, head.Revision = true, revision
-		owned.record.setHead(head)
+		owned.record.SetHead(head)
 	}
 
 	batcher.mutex.Lock()
@@ -274,7 +266,7 @@
 		return
 	}
 
-	owned.record.setHead(head)
+	owned.record.SetHead(head)
 
 	if head.Owner != batcher.Owner || !head.Open() {
 		batcher.disown(id, errNotOwner.Error())
@@ -283,7 +275,7 @@
 	}
 
 	// Results that are listed here already were written by a former owner.
-	if err := owned.record.refresh(ctx, batcher.ledger, 0); err != nil {
+	if err := owned.record.Refresh(ctx, batcher.ledger, 0); err != nil {
 		batcher.Log.WithField("JobID", id).WithError(err).Info("Results cannot be read.")
 	}
 }
@@ -292,18 +284,11 @@
 // own copy that took effect late, or a former owner's results, were read from
 // the service. What is listed by now is dropped. The batcher's mutex is held.
 func (work *work) rebase() {
-	work.record.mutex.Lock()
-	defer work.record.mutex.Unlock()
-
-	if work.proposed == nil || work.proposed.First == len(work.record.results) {
+	if work.proposed == nil || work.proposed.First == work.record.End().Position {
 		return
 	}
 
-	listed := map[string]bool{}
-	for _, result := range work.record.results {
-		listed[result.ID] = true
-	}
-
+	listed := work.record.Listed()
 	finished := append(append([]bookkeeper.Result{}, work.proposed.Results...), work.finished...)
 	work.proposed, work.finished = nil, nil
 
--- a/batcher/duty.go
+++ b/batcher/duty.go
@@ -65,17 +65,19 @@
 // forget drops the results of other owners' jobs that nobody has read lately.
 func (batcher *Batcher) forget() {
 	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
 
-	for id, record := range batcher.records {
-		record.mutex.Lock()
-		unused := time.Since(record.used) > unusedTime
-		record.mutex.Unlock()
+	kept := map[string]bool{}
+	for id := range batcher.owned {
+		kept[id] = true
+	}
 
-		if unused && batcher.owned[id] == nil && !batcher.taking[id] {
-			delete(batcher.records, id)
-		}
+	for id := range batcher.taking {
+		kept[id] = true
 	}
+
+	batcher.mutex.Unlock()
+
+	batcher.Librarian.Forget(unusedTime, kept)
 }
 
 // expired returns the jobs that this member removes.
@@ -85,7 +87,7 @@
 
 	found := []string{}
 
-	for id, head := range batcher.heads {
+	for id, head := range batcher.Librarian.Heads() {
 		// Twice the retention allows for clocks that differ.
 		old := time.Since(head.Submitted) > 2*batcher.Settings.Retention
 		if old && !head.Open() && successor(id, batcher.members) == batcher.Owner {
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -20,6 +20,7 @@
 	"limpetrail/follower"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
+	"limpetrail/librarian"
 	"limpetrail/matcher"
 	"limpetrail/placer"
 	"limpetrail/registrar"
@@ -289,16 +290,16 @@
 	fleet.gateways[gateway].dead.Store(true)
 }
 
-// Ask implements batcher.Inquirer: gateways reach each other whether or not
+// Ask implements librarian.Inquirer: gateways reach each other whether or not
 // they reach the service.
-func (fleet *fleet) Ask(ctx context.Context, process, job string, after int, wait time.Duration) (batcher.Reading, bool) {
+func (fleet *fleet) Ask(ctx context.Context, process, job string, after int, wait time.Duration) (librarian.Reading, bool) {
 	for _, gateway := range fleet.started {
 		if gateway.batcher.Owner == process && !gateway.dead.Load() && !fleet.silent.Load() {
-			return gateway.batcher.ReadOwned(ctx, job, after, wait)
+			return gateway.batcher.Librarian.ReadOwned(ctx, job, after, wait)
 		}
 	}
 
-	return batcher.Reading{}, false
+	return librarian.Reading{}, false
 }
 
 // runs is how often an item began, over all servers.
--- a/batcher/partial.go
+++ b/batcher/partial.go
@@ -98,7 +98,7 @@
 
 		last.size += len(value)
 		last.progress[owned] = progress
-		last.transaction.Conditions = append(last.transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: owned.record.known().Revision})
+		last.transaction.Conditions = append(last.transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: owned.record.Head().Revision})
 		last.transaction.Puts = append(last.transaction.Puts, keeper.Put{Key: bookkeeper.PartialKey(id), Value: value})
 	}
 
--- a/batcher/status.go
+++ b/batcher/status.go
@@ -27,17 +27,13 @@
 	found := []JobStatus{}
 
 	for id, owned := range batcher.owned {
-		owned.record.mutex.Lock()
-		listed := len(owned.record.results)
-		owned.record.mutex.Unlock()
-
 		unlisted := len(owned.finished)
 		if owned.proposed != nil {
 			unlisted += len(owned.proposed.Results)
 		}
 
 		found = append(found, JobStatus{
-			ID: id, Due: owned.job.Due, Total: len(owned.job.Items), Listed: listed,
+			ID: id, Due: owned.job.Due, Total: len(owned.job.Items), Listed: owned.record.End().Position,
 			Running: owned.running, Waiting: len(owned.waiting), Unlisted: unlisted,
 		})
 	}
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -9,6 +9,7 @@
 
 	"limpetrail/bookkeeper"
 	"limpetrail/follower"
+	"limpetrail/librarian"
 )
 
 const (
@@ -36,17 +37,13 @@
 		heads[bookkeeper.IDOf(item.Key)] = head
 	}
 
+	batcher.Librarian.SetHeads(heads)
+
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	batcher.heads = heads
-
 	for id, head := range heads {
-		if record := batcher.records[id]; record != nil {
-			record.setHead(head)
-		}
-
-		if owned := batcher.owned[id]; owned != nil && head.Revision >= owned.record.known().Revision && (head.Owner != batcher.Owner || !head.Open()) {
+		if owned := batcher.owned[id]; owned != nil && head.Revision >= owned.record.Head().Revision && (head.Owner != batcher.Owner || !head.Open()) {
 			batcher.drop(id, "Its head changed.")
 		}
 	}
@@ -87,7 +84,7 @@
 
 	found := []string{}
 
-	for id, head := range batcher.heads {
+	for id, head := range batcher.Librarian.Heads() {
 		if !batcher.orphan(id, head) {
 			delete(batcher.orphaned, id)
 
@@ -151,12 +148,12 @@
 		delete(batcher.orphaned, id)
 	}()
 
-	record, outcome := batcher.find(ctx, id)
+	record, outcome := batcher.Librarian.Find(ctx, id)
 	if outcome != bookkeeper.OK {
 		return
 	}
 
-	before := record.known()
+	before := record.Head()
 	if !before.Open() {
 		return
 	}
@@ -165,7 +162,7 @@
 	head.Owner = batcher.Owner
 
 	taken, applied, err := batcher.ledger.Replace(ctx, id, before, head)
-	record.setHead(taken)
+	record.SetHead(taken)
 
 	if err != nil || !applied {
 		batcher.Log.WithField("JobID", id).WithError(err).Info("Job is not taken over.")
@@ -179,29 +176,29 @@
 }
 
 // resume starts the work on a job that was taken over.
-func (batcher *Batcher) resume(ctx context.Context, record *record, head bookkeeper.Version) error {
-	items, err := record.load(ctx, batcher.ledger)
+func (batcher *Batcher) resume(ctx context.Context, record *librarian.Record, head bookkeeper.Version) error {
+	items, err := record.Load(ctx, batcher.ledger)
 	if err != nil {
 		return err
 	}
 
 	// Whatever earlier owners listed came before the head that was just written.
-	if err := record.refresh(ctx, batcher.ledger, 0); err != nil {
+	if err := record.Refresh(ctx, batcher.ledger, 0); err != nil {
 		return err
 	}
 
-	partials, err := batcher.ledger.Partials(ctx, record.id)
+	partials, err := batcher.ledger.Partials(ctx, record.ID)
 	if err != nil {
 		// What was made is made again.
-		batcher.Log.WithField("JobID", record.id).WithError(err).Warn("Partial output cannot be read.")
+		batcher.Log.WithField("JobID", record.ID).WithError(err).Warn("Partial output cannot be read.")
 	}
 
 	batcher.own(record, bookkeeper.Job{
-		ID: record.id, Host: head.Host, Items: items,
+		ID: record.ID, Host: head.Host, Items: items,
 		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp,
 	}, head, partials)
 
-	batcher.Log.WithFields(logrus.Fields{"JobID": record.id, "Revision": head.Revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
+	batcher.Log.WithFields(logrus.Fields{"JobID": record.ID, "Revision": head.Revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
 
 	return nil
 }
@@ -210,7 +207,7 @@
 func (batcher *Batcher) release(ctx context.Context) {
 	batcher.mutex.Lock()
 	batcher.leaving = true
-	owned := []*record{}
+	owned := []*librarian.Record{}
 
 	for id, work := range batcher.owned {
 		owned = append(owned, work.record)
@@ -220,12 +217,12 @@
 	batcher.mutex.Unlock()
 
 	for _, record := range owned {
-		before := record.known()
+		before := record.Head()
 		head := before.Head
 		head.Owner = ""
 
-		if _, _, err := batcher.ledger.Replace(ctx, record.id, before, head); err != nil {
-			batcher.Log.WithField("JobID", record.id).WithError(err).Warn("Job waits for the end of this member's lease.")
+		if _, _, err := batcher.ledger.Replace(ctx, record.ID, before, head); err != nil {
+			batcher.Log.WithField("JobID", record.ID).WithError(err).Warn("Job waits for the end of this member's lease.")
 		}
 	}
 }
--- a/batcher/work.go
+++ b/batcher/work.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"limpetrail/bookkeeper"
+	"limpetrail/librarian"
 )
 
 // work is the part of a record that its owner has: the items that are not
 // listed yet.
 type work struct {
-	record *record
+	record *librarian.Record
 	job    bookkeeper.Job
 	// context ends when the job is ended or has another owner.
 	context context.Context //nolint:containedctx // It is the life of the ownership.
@@ -97,19 +98,11 @@
 	return made
 }
 
-// unlisted returns the items that have no result yet.
-func unlisted(items []bookkeeper.Item, results []bookkeeper.Result, partials map[string]bookkeeper.Partial) []*task {
-	listed := map[string]bool{}
-	for _, result := range results {
-		listed[result.ID] = true
-	}
-
+// tasksOf returns the tasks of items, with what earlier owners saved.
+func tasksOf(items []bookkeeper.Item, partials map[string]bookkeeper.Partial) []*task {
 	tasks := []*task{}
-
 	for _, item := range items {
-		if !listed[item.ID] {
-			tasks = append(tasks, newTask(item, partials[item.ID]))
-		}
+		tasks = append(tasks, newTask(item, partials[item.ID]))
 	}
 
 	return tasks
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -10,9 +10,9 @@
 
 	"github.com/juju/errors"
 
-	"limpetrail/batcher"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
+	"limpetrail/librarian"
 )
 
 // Path is where owners answer.
@@ -36,7 +36,7 @@
 	Wait  time.Duration
 }
 
-// Inquirer asks owners. It implements batcher.Inquirer.
+// Inquirer asks owners. It implements librarian.Inquirer.
 type Inquirer struct {
 	kernel.Common
 	Client *http.Client
@@ -52,7 +52,7 @@
 	breaker *keeper.Breaker
 }
 
-var _ batcher.Inquirer = (*Inquirer)(nil)
+var _ librarian.Inquirer = (*Inquirer)(nil)
 
 // NewInquirer returns an inquirer that knows no process.
 func NewInquirer(common kernel.Common, client *http.Client) *Inquirer {
@@ -77,14 +77,14 @@
 	}
 }
 
-// Ask implements batcher.Inquirer.
-func (inquirer *Inquirer) Ask(ctx context.Context, process, job string, after int, wait time.Duration) (batcher.Reading, bool) {
+// Ask implements librarian.Inquirer.
+func (inquirer *Inquirer) Ask(ctx context.Context, process, job string, after int, wait time.Duration) (librarian.Reading, bool) {
 	inquirer.mutex.Lock()
 	asked := inquirer.owners[process]
 	inquirer.mutex.Unlock()
 
 	if asked == nil || !asked.breaker.Allow() {
-		return batcher.Reading{}, false
+		return librarian.Reading{}, false
 	}
 
 	bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
@@ -93,7 +93,7 @@
 	reading, certain, err := inquirer.ask(bounded, asked.address, question{JobID: job, After: after, Wait: wait})
 	if err != nil && ctx.Err() != nil {
 		// The reader left, which says nothing about the owner.
-		return batcher.Reading{}, false
+		return librarian.Reading{}, false
 	}
 
 	if asked.breaker.Observe(err == nil) {
@@ -118,34 +118,34 @@
 
 // ask makes one call. It returns false if the process is not certain to own the
 // job.
-func (inquirer *Inquirer) ask(ctx context.Context, address string, asked question) (batcher.Reading, bool, error) {
+func (inquirer *Inquirer) ask(ctx context.Context, address string, asked question) (librarian.Reading, bool, error) {
 	body, err := json.Marshal(asked)
 	if err != nil {
-		return batcher.Reading{}, false, errors.Trace(err)
+		return librarian.Reading{}, false, errors.Trace(err)
 	}
 
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(body))
 	if err != nil {
-		return batcher.Reading{}, false, errors.Trace(err)
+		return librarian.Reading{}, false, errors.Trace(err)
 	}
 
 	response, err := inquirer.Client.Do(request)
 	if err != nil {
-		return batcher.Reading{}, false, errors.Trace(err)
+		return librarian.Reading{}, false, errors.Trace(err)
 	}
 	defer response.Body.Close()
 
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusConflict:
-		return batcher.Reading{}, false, nil
+		return librarian.Reading{}, false, nil
 	default:
-		return batcher.Reading{}, false, errors.Errorf("owner answered %s", response.Status)
+		return librarian.Reading{}, false, errors.Errorf("owner answered %s", response.Status)
 	}
 
-	reading := batcher.Reading{}
+	reading := librarian.Reading{}
 	if err := json.NewDecoder(response.Body).Decode(&reading); err != nil {
-		return batcher.Reading{}, false, errors.Annotate(err, "reading an owner's answer")
+		return librarian.Reading{}, false, errors.Annotate(err, "reading an owner's answer")
 	}
 
 	return reading, true, nil
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -18,6 +18,7 @@
 	"limpetrail/inquirer"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
+	"limpetrail/librarian"
 	"limpetrail/matcher"
 	"limpetrail/placer"
 )
@@ -68,7 +69,7 @@
 		stage.owner.SetMembers(map[string]bool{owner: true})
 
 		serving, end := sync.WaitGroup{}, []func() error{}
-		for name, handler := range map[string]http.Handler{"server-1": gate, address: inquirer.NewServer(common, stage.owner)} {
+		for name, handler := range map[string]http.Handler{"server-1": gate, address: inquirer.NewServer(common, stage.owner.Librarian)} {
 			web := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 			listener := stage.network.Listen(name)
 			if name == address {
@@ -135,7 +136,7 @@
 }
 
 // asks returns the answer and how long it took.
-func (stage *stage) asks(process string, wait time.Duration) (batcher.Reading, bool, time.Duration) {
+func (stage *stage) asks(process string, wait time.Duration) (librarian.Reading, bool, time.Duration) {
 	begun := time.Now()
 	reading, certain := stage.asker.Ask(context.Background(), process, job, 0, wait)
 
--- a/inquirer/server.go
+++ b/inquirer/server.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"limpetrail/batcher"
 	"limpetrail/kernel"
+	"limpetrail/librarian"
 )
 
 const (
@@ -23,13 +23,13 @@
 // Server answers for the jobs that this process owns.
 type Server struct {
 	kernel.Common
-	Jobs *batcher.Batcher
+	Jobs *librarian.Librarian
 
 	places chan struct{}
 }
 
-// NewServer returns a server of the batcher's jobs.
-func NewServer(common kernel.Common, jobs *batcher.Batcher) *Server {
+// NewServer returns a server of the librarian's jobs.
+func NewServer(common kernel.Common, jobs *librarian.Librarian) *Server {
 	return &Server{Common: common.ForPart("inquirer"), Jobs: jobs, places: make(chan struct{}, maxAtOnce)}
 }
 
--- a/batcher/read.go
+++ b/librarian/read.go
@@ -1,4 +1,4 @@
-package batcher
+package librarian
 
 import (
 	"context"
@@ -37,8 +37,8 @@
 
 // Read returns the results from a position on. It waits for one if there is
 // none yet.
-func (batcher *Batcher) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, bookkeeper.Outcome) {
-	record, outcome := batcher.find(ctx, id)
+func (librarian *Librarian) Read(ctx context.Context, id string, after int, wait time.Duration) (Reading, bookkeeper.Outcome) {
+	record, outcome := librarian.Find(ctx, id)
 	if outcome != bookkeeper.OK {
 		return Reading{}, outcome
 	}
@@ -46,19 +46,19 @@
 	until := time.Now().Add(wait)
 
 	for {
-		if reading, certain := batcher.readCertain(ctx, record, after, until); certain {
+		if reading, certain := librarian.readCertain(ctx, record, after, until); certain {
 			return reading, bookkeeper.OK
 		}
 
-		if err := record.refresh(ctx, batcher.ledger, readAge); err != nil {
-			if readers := batcher.unread.Take(); readers > 0 {
-				batcher.Log.WithFields(logrus.Fields{"JobID": id, "Readers": readers, "Error": err}).Info("Results cannot be read.")
+		if err := record.Refresh(ctx, librarian.Ledger, readAge); err != nil {
+			if readers := librarian.unread.Take(); readers > 0 {
+				librarian.Log.WithFields(logrus.Fields{"JobID": id, "Readers": readers, "Error": err}).Info("Results cannot be read.")
 			}
 
 			return Reading{}, bookkeeper.NotDone
 		}
 
-		results, total, grown := record.page(after)
+		results, total, grown := record.Page(after)
 
 		left := time.Until(until)
 		if len(results) > 0 || left <= 0 || ctx.Err() != nil {
@@ -74,47 +74,44 @@
 }
 
 // readCertain reads a job from memory, here or at its owner.
-func (batcher *Batcher) readCertain(ctx context.Context, record *record, after int, until time.Time) (Reading, bool) {
-	if reading, certain := batcher.readRecord(ctx, record, after, until); certain {
+func (librarian *Librarian) readCertain(ctx context.Context, record *Record, after int, until time.Time) (Reading, bool) {
+	if reading, certain := librarian.readRecord(ctx, record, after, until); certain {
 		return reading, true
 	}
 
-	owner := record.known().Owner
-	if batcher.Inquirer == nil || owner == "" || owner == batcher.Owner {
+	owner := record.Head().Owner
+	if librarian.Inquirer == nil || owner == "" || owner == librarian.Process {
 		return Reading{}, false
 	}
 
-	return batcher.Inquirer.Ask(ctx, owner, record.id, after, max(0, time.Until(until)))
+	return librarian.Inquirer.Ask(ctx, owner, record.ID, after, max(0, time.Until(until)))
 }
 
 // ReadOwned returns the results from a position on, for another process. It
 // returns false if this process is not certain that there are no others.
-func (batcher *Batcher) ReadOwned(ctx context.Context, id string, after int, wait time.Duration) (Reading, bool) {
-	batcher.mutex.Lock()
-	record := batcher.records[id]
-	batcher.mutex.Unlock()
-
+func (librarian *Librarian) ReadOwned(ctx context.Context, id string, after int, wait time.Duration) (Reading, bool) {
+	record := librarian.peek(id)
 	if record == nil {
 		return Reading{}, false
 	}
 
-	return batcher.readRecord(ctx, record, after, time.Now().Add(wait))
+	return librarian.readRecord(ctx, record, after, time.Now().Add(wait))
 }
 
 // readRecord returns the results from a position on as they are known here, and
 // waits for one if there is none yet. It returns false if there may be others
 // that are not known here. What is listed stays, whoever owns the job.
-func (batcher *Batcher) readRecord(ctx context.Context, record *record, after int, until time.Time) (Reading, bool) {
+func (librarian *Librarian) readRecord(ctx context.Context, record *Record, after int, until time.Time) (Reading, bool) {
 	for {
-		results, total, grown := record.page(after)
+		results, total, grown := record.Page(after)
 		left := time.Until(until)
 
 		switch {
 		case len(results) > 0:
 			return Reading{Total: total, Next: after + len(results), Results: results}, true
-		case !batcher.authoritative(record):
+		case !librarian.authoritative(record):
 			return Reading{}, false
-		case left <= 0 || ctx.Err() != nil || record.complete():
+		case left <= 0 || ctx.Err() != nil || record.Complete():
 			return Reading{Total: total, Next: after}, true
 		}
 
@@ -127,13 +124,6 @@
 }
 
 // authoritative tells whether no other process can list results of the job.
-func (batcher *Batcher) authoritative(record *record) bool {
-	if record.complete() {
-		return true
-	}
-
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
-
-	return batcher.registered && batcher.owned[record.id] != nil && batcher.Certain()
+func (librarian *Librarian) authoritative(record *Record) bool {
+	return record.Complete() || librarian.Owns(record.ID)
 }
--- a/batcher/record.go
+++ b/librarian/record.go
@@ -1,4 +1,4 @@
-package batcher
+package librarian
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"limpetrail/bookkeeper"
 )
 
-// record is what this process knows of a job.
-type record struct {
-	id string
+// Record is what this process knows of a job.
+type Record struct {
+	ID string
 
 	mutex sync.Mutex
 	head  bookkeeper.Version
@@ -30,13 +30,13 @@
 	readAt time.Time
 }
 
-func newRecord(id string) *record {
-	return &record{id: id, grown: make(chan struct{}), used: time.Now()}
+func newRecord(id string) *Record {
+	return &Record{ID: id, grown: make(chan struct{}), used: time.Now()}
 }
 
-// page returns the results from a position on, at least one if there is one,
+// Page returns the results from a position on, at least one if there is one,
 // and at most about maxPage bytes.
-func (record *record) page(after int) ([]bookkeeper.Result, int, <-chan struct{}) {
+func (record *Record) Page(after int) ([]bookkeeper.Result, int, <-chan struct{}) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -58,16 +58,16 @@
 // maxPage leaves room for names and escapes in an answer of 1 MB.
 const maxPage = 600 << 10
 
-// complete tells whether all results are known, so that none will come.
-func (record *record) complete() bool {
+// Complete tells whether all results are known, so that none will come.
+func (record *Record) Complete() bool {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
 	return record.head.Total > 0 && len(record.results) == record.head.Total
 }
 
-// setHead takes in a head unless it is older than the known one.
-func (record *record) setHead(head bookkeeper.Version) {
+// SetHead takes in a head unless it is older than the known one.
+func (record *Record) SetHead(head bookkeeper.Version) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -79,8 +79,8 @@
 	record.wake()
 }
 
-// add takes in segments that follow the known ones.
-func (record *record) add(from int, segments []bookkeeper.Segment) {
+// Add takes in segments that follow the known ones.
+func (record *Record) Add(from int, segments []bookkeeper.Segment) {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -97,21 +97,22 @@
 }
 
 // wake tells readers to look again, with the mutex held.
-func (record *record) wake() {
+func (record *Record) wake() {
 	close(record.grown)
 	record.grown = make(chan struct{})
 }
 
-func (record *record) known() bookkeeper.Version {
+// Head returns the newest head that is known; its revision is 0 before the first.
+func (record *Record) Head() bookkeeper.Version {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
 	return record.head
 }
 
-// refresh reads the segments that are new since the last read, unless that
+// Refresh reads the segments that are new since the last read, unless that
 // began within the age.
-func (record *record) refresh(ctx context.Context, ledger bookkeeper.Ledger, age time.Duration) error {
+func (record *Record) Refresh(ctx context.Context, ledger bookkeeper.Ledger, age time.Duration) error {
 	asked := time.Now()
 
 	record.reading.Lock()
@@ -127,19 +128,19 @@
 
 	begun := time.Now()
 
-	segments, err := ledger.Results(ctx, record.id, from)
+	segments, err := ledger.Results(ctx, record.ID, from)
 	if err != nil {
 		return err
 	}
 
-	record.add(from, segments)
+	record.Add(from, segments)
 	record.readAt = begun
 
 	return nil
 }
 
-// load reads the items once.
-func (record *record) load(ctx context.Context, ledger bookkeeper.Ledger) ([]bookkeeper.Item, error) {
+// Load reads the items once.
+func (record *Record) Load(ctx context.Context, ledger bookkeeper.Ledger) ([]bookkeeper.Item, error) {
 	record.reading.Lock()
 	defer record.reading.Unlock()
 
@@ -151,7 +152,7 @@
 		return items, nil
 	}
 
-	items, err := ledger.Items(ctx, record.id)
+	items, err := ledger.Items(ctx, record.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -163,3 +164,68 @@
 
 	return items, nil
 }
+
+// Offer gives the items of a job that came here, so that they need not be read.
+func (record *Record) Offer(items []bookkeeper.Item) {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	if record.items == nil {
+		record.items = items
+	}
+}
+
+// Unlisted returns the items that have no result yet.
+func (record *Record) Unlisted() []bookkeeper.Item {
+	listed := record.Listed()
+
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	found := []bookkeeper.Item{}
+
+	for _, item := range record.items {
+		if !listed[item.ID] {
+			found = append(found, item)
+		}
+	}
+
+	return found
+}
+
+// Listed returns the items that have a result, by ID.
+func (record *Record) Listed() map[string]bool {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	listed := map[string]bool{}
+	for _, result := range record.results {
+		listed[result.ID] = true
+	}
+
+	return listed
+}
+
+// End is where the next segment of a job goes.
+type End struct {
+	Head bookkeeper.Version
+	// Segment is its number, and Position that of its first result.
+	Segment  int
+	Position int
+}
+
+// End returns where the next segment goes, as far as is known here.
+func (record *Record) End() End {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	return End{Head: record.head, Segment: record.segments, Position: len(record.results)}
+}
+
+// unused tells whether nobody has asked for the record for a time.
+func (record *Record) unused(duration time.Duration) bool {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+
+	return time.Since(record.used) > duration
+}
