--- a/app/gateway.go
+++ b/app/gateway.go
@@ -154,7 +154,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gateway.Settings.Stop.Grace-stopMargin)
 	defer cancel()
 
-	rest(ctx, gateway.Settings.Stop.BalancerLag)
+	kernel.Pause(ctx, gateway.Settings.Stop.BalancerLag)
 
 	if err := server.Shutdown(ctx); err != nil {
 		gateway.Log.WithError(err).Warn("Requests are cut off at the end of the grace.")
@@ -315,7 +315,7 @@
 
 // check asks suspect backend servers whether they are back.
 func (gateway *Gateway) check(ctx context.Context) {
-	for rest(ctx, checkInterval) {
+	for kernel.Pause(ctx, checkInterval) {
 		for _, server := range gateway.Placer.Suspects() {
 			document := gateway.Configuration.Document()
 			if document != nil && gateway.Backend.Check(ctx, server, document.Services[server.Service].HealthPath) {
@@ -326,7 +326,7 @@
 }
 
 func (gateway *Gateway) trim(ctx context.Context) {
-	for rest(ctx, trimInterval) {
+	for kernel.Pause(ctx, trimInterval) {
 		gateway.Exchanger.Trim()
 	}
 }
@@ -367,13 +367,3 @@
 		handler.ServeHTTP(writer, request)
 	})
 }
-
-// rest waits, and tells whether the context is still alive.
-func rest(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-time.After(duration):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/app/holder.go
+++ b/app/holder.go
@@ -112,7 +112,7 @@
 	holder.Log.Info("This instance is to be emptied.")
 	holder.Custodian.Leave()
 
-	for rest(ctx, emptyInterval) {
+	for kernel.Pause(ctx, emptyInterval) {
 		if !holder.Custodian.Empty() {
 			continue
 		}
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -11,6 +11,7 @@
 
 	"limpetrail/bookkeeper"
 	"limpetrail/keeper"
+	"limpetrail/kernel"
 )
 
 const (
@@ -85,7 +86,7 @@
 		return true
 	default:
 		batcher.Log.WithField("Jobs", len(proposals)).WithError(err).Info("Results wait for the key-value service.")
-		pauseFor(ctx, listPause)
+		kernel.Pause(ctx, listPause)
 		poke(batcher.listing)
 
 		return false
@@ -298,10 +299,3 @@
 		}
 	}
 }
-
-func pauseFor(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -21,6 +21,9 @@
 	Server string
 	// Stamp signs answers.
 	Stamp string
+	// Deadline is how many milliseconds the caller waits; empty for a protocol
+	// that does not say so.
+	Deadline string
 }
 
 // EventFaults are how an EventServer misbehaves.
@@ -75,7 +78,7 @@
 func PlatformEventHeaders() EventHeaders {
 	return EventHeaders{
 		RequestID: "X-Limpetrail-Attempt-Id", Expect: "X-Limpetrail-Expect-Instance", NotRun: "X-Limpetrail-Not-Executed",
-		Server: "X-Limpetrail-Instance-Id", Stamp: "X-Limpetrail-Response-Stamp",
+		Server: "X-Limpetrail-Instance-Id", Stamp: "X-Limpetrail-Response-Stamp", Deadline: "X-Limpetrail-Deadline-Ms",
 	}
 }
 
--- a/fencer/fencer.go
+++ b/fencer/fencer.go
@@ -53,7 +53,7 @@
 // loaded, until the context ends.
 func (fencer *Fencer) Run(ctx context.Context) {
 	for !fencer.fetch(ctx) {
-		if !pause(ctx, fetchPause) {
+		if !kernel.Pause(ctx, fetchPause) {
 			return
 		}
 	}
@@ -61,7 +61,7 @@
 	for {
 		fencer.refresh(ctx)
 
-		if !pause(ctx, modelsInterval) {
+		if !kernel.Pause(ctx, modelsInterval) {
 			return
 		}
 	}
@@ -172,13 +172,3 @@
 
 	fencer.models = load.Models
 }
-
-// pause waits and returns false when the context ended first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-time.After(duration):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -210,7 +210,7 @@
 
 func (follower *Follower) watch(ctx context.Context) error {
 	if follower.Pause > 0 {
-		pause(ctx, follower.Pause)
+		kernel.Pause(ctx, follower.Pause)
 	}
 
 	changes, err := follower.Client.Watch(ctx, follower.Prefix, follower.revision, follower.nextWait())
@@ -358,7 +358,7 @@
 		follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Warn("Watch is lost; the last copy stays.")
 	}
 
-	pause(ctx, retryPause/2+rand.N(retryPause))
+	kernel.Pause(ctx, retryPause/2+rand.N(retryPause))
 }
 
 func (follower *Follower) regain() {
@@ -367,10 +367,3 @@
 		follower.Log.WithField("Prefix", follower.Prefix).WithField("Revision", follower.revision).Info("Watch is back.")
 	}
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -124,7 +124,7 @@
 		report.Loads = gossiper.Placer.Own()
 		gossiper.spread(socket, report)
 
-		sleep(ctx, leastInterval)
+		kernel.Pause(ctx, leastInterval)
 
 		select {
 		case <-changed:
@@ -159,7 +159,7 @@
 		if err != nil {
 			// An error of the socket is reported for a datagram that could not
 			// be delivered; the next read goes on.
-			sleep(ctx, time.Millisecond)
+			kernel.Pause(ctx, time.Millisecond)
 
 			continue
 		}
@@ -193,10 +193,3 @@
 		gossiper.Placer.Hear(report.Instance, report.DataCentre, report.Loads)
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/historian/explain_test.go
+++ b/historian/explain_test.go
@@ -10,7 +10,6 @@
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -139,7 +138,9 @@
 				first, second := story.Starts("gateway-1"), story.Starts("gateway-2")
 				story.set(emulator.EventFaults{Slow: 4})
 				require.Equal(story.T, http.StatusAccepted, stager.To(first).Submit(story.T.Context(), "/hasty/", "job-1", 2))
-				time.Sleep(100 * time.Millisecond)
+				story.Eventually(func() bool {
+					return story.Servers[0].Running()+story.Servers[1].Running()+story.Servers[2].Running() > 0
+				}, "an item runs")
 				story.Ends(first, syscall.SIGKILL)
 				story.Eventually(func() bool { return story.Done(second, "job-1") == 2 }, "the job is done")
 
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -8,6 +8,7 @@
 	"limpetrail/admitter"
 	"limpetrail/driver"
 	"limpetrail/emulator"
+	"limpetrail/kernel"
 )
 
 const (
@@ -84,19 +85,12 @@
 		return
 	}
 
-	pause(ctx, run.OutageAt)
+	kernel.Pause(ctx, run.OutageAt)
 	run.engine.Faults.Set(emulator.Switches{Freeze: true})
-	pause(ctx, run.OutageFor)
+	kernel.Pause(ctx, run.OutageFor)
 	run.engine.Faults.Set(emulator.Switches{})
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-time.After(length):
-	case <-ctx.Done():
-	}
-}
-
 // call is one online caller.
 func (run *run) call(ctx context.Context, request request) {
 	arrival := time.Now()
@@ -124,7 +118,7 @@
 			break
 		}
 
-		pause(ctx, outcome.RetryAfter)
+		kernel.Pause(ctx, outcome.RetryAfter)
 	}
 
 	if request.at >= run.Warmup {
@@ -185,7 +179,7 @@
 func (run *run) awaitEngine(ctx context.Context, offset time.Duration) {
 	now := time.Since(run.begin)
 	if now >= run.OutageAt && now < run.OutageAt+run.OutageFor {
-		pause(ctx, run.OutageAt+run.OutageFor-now+offset)
+		kernel.Pause(ctx, run.OutageAt+run.OutageFor-now+offset)
 	}
 }
 
--- a/publisher/follow.go
+++ b/publisher/follow.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/keeper"
+	"limpetrail/kernel"
 )
 
 const (
@@ -30,7 +31,7 @@
 		switch {
 		case publisher.members.watcher():
 			wait = publisher.watch(ctx, wait)
-			pause(ctx, wait)
+			kernel.Pause(ctx, wait)
 		case backstop.due():
 			if !backstop.empty || publisher.Current().Revision == 0 {
 				publisher.read(ctx)
@@ -38,7 +39,7 @@
 
 			backstop = publisher.backstop()
 		default:
-			pause(ctx, roleInterval)
+			kernel.Pause(ctx, roleInterval)
 		}
 	}
 }
@@ -121,10 +122,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean/2 + rand.N(mean)
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/publisher/spread.go
+++ b/publisher/spread.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/keeper"
+	"limpetrail/kernel"
 	"limpetrail/messenger"
 	"limpetrail/recorder"
 )
@@ -44,7 +45,7 @@
 func (publisher *Publisher) pull(ctx context.Context) {
 	for ctx.Err() == nil {
 		longest := publisher.Settings.Pull
-		pause(ctx, longest/2+rand.N(longest/2))
+		kernel.Pause(ctx, longest/2+rand.N(longest/2))
 
 		for _, peer := range publisher.members.choose(pullAttempts) {
 			if publisher.exchange(ctx, peer) == nil {
@@ -62,7 +63,7 @@
 			mean = min(mean, firstBackstop)
 		}
 
-		pause(ctx, jitter(mean))
+		kernel.Pause(ctx, jitter(mean))
 
 		if err := publisher.members.refresh(ctx); err != nil && ctx.Err() == nil {
 			publisher.Log.WithError(err).Warn("No instance list; the last one stays.")
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -94,7 +94,7 @@
 		case <-registrar.missing:
 			registrar.registered.Store(false)
 			// Two processes of one name must not overwrite each other without end.
-			sleep(ctx, retryInterval)
+			kernel.Pause(ctx, retryInterval)
 		case <-ctx.Done():
 		}
 	}
@@ -159,10 +159,3 @@
 		registrar.Log.WithError(err).Warn("The entry stays listed until its lease ends.")
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -109,14 +109,7 @@
 	}
 
 	for ; running < places; running++ {
-		var next *piled
-
-		for _, item := range items {
-			if !item.running && (next == nil || before(item.Item, next.Item, now)) {
-				next = item
-			}
-		}
-
+		next := first(items, now, before)
 		if next == nil {
 			break
 		}
@@ -139,6 +132,19 @@
 	return left
 }
 
+// first returns the waiting item that goes first by the rule, or nil.
+func first(items []*piled, now time.Time, before rule) *piled {
+	var found *piled
+
+	for _, item := range items {
+		if !item.running && (found == nil || before(item.Item, found.Item, now)) {
+			found = item
+		}
+	}
+
+	return found
+}
+
 // firstDue is the simplest rule.
 func firstDue(a, b sequencer.Item, _ time.Time) bool {
 	if !a.Due.Equal(b.Due) {
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"limpetrail/kernel"
 	"limpetrail/stager"
 )
 
@@ -40,7 +41,7 @@
 	caller := soak.caller()
 	defer caller.Client.CloseIdleConnections()
 
-	for request := 0; pause(ctx, soak.random.between(0, 2*callPause)); request++ {
+	for request := 0; kernel.Pause(ctx, soak.random.between(0, 2*callPause)); request++ {
 		id := fmt.Sprintf("r-%d-%d", number, request)
 		once := soak.random.intN(2) == 0
 
@@ -61,7 +62,7 @@
 
 	jobs := []string{}
 
-	for job := 0; pause(ctx, jobPause); job++ {
+	for job := 0; kernel.Pause(ctx, jobPause); job++ {
 		id := fmt.Sprintf("j-%d-%d", number, job)
 		for item := range jobItems {
 			soak.history.Send(stager.ItemID(id, item), false)
@@ -76,7 +77,7 @@
 				break
 			}
 
-			pause(ctx, readPause)
+			kernel.Pause(ctx, readPause)
 		}
 
 		if len(jobs) > 0 {
@@ -88,7 +89,7 @@
 // readJob reads a job, at times from an earlier position. An accepted job is
 // known wherever it is read.
 func (soak *Soak) readJob(ctx context.Context, caller stager.Caller, id string) {
-	pause(ctx, readPause)
+	kernel.Pause(ctx, readPause)
 
 	after := 0
 	if known := soak.history.Known(id); known > 0 {
--- a/soaker/judge.go
+++ b/soaker/judge.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"limpetrail/kernel"
 	"limpetrail/stager"
 )
 
@@ -20,7 +21,7 @@
 	// The newest version of each process, which is a new one after a restart.
 	newest := map[*stager.Process]int64{}
 
-	for pause(ctx, statusInterval) {
+	for kernel.Pause(ctx, statusInterval) {
 		for number := range gateways {
 			process := soak.gateway(number)
 
@@ -75,7 +76,7 @@
 	until := time.Now().Add(recoveryTime)
 
 	for !condition() {
-		if time.Now().After(until) || !pause(ctx, statusInterval) {
+		if time.Now().After(until) || !kernel.Pause(ctx, statusInterval) {
 			return false
 		}
 	}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpetrail/emulator"
+	"limpetrail/kernel"
 	"limpetrail/stager"
 )
 
@@ -130,7 +131,7 @@
 func (soak *Soak) balance(ctx context.Context) {
 	misses := [gateways]int{}
 
-	for pause(ctx, time.Second) {
+	for kernel.Pause(ctx, time.Second) {
 		for number := range gateways {
 			if soak.IsReady(soak.gateway(number)) { //nolint:contextcheck // Deployments live as long as the test.
 				misses[number] = 0
@@ -146,7 +147,7 @@
 // supervise starts gateways again that ended by themselves, as the platform does.
 // None should.
 func (soak *Soak) supervise(ctx context.Context) {
-	for pause(ctx, statusInterval) {
+	for kernel.Pause(ctx, statusInterval) {
 		for number := range gateways {
 			if !soak.hands[number].TryLock() {
 				continue
@@ -194,13 +195,3 @@
 		holder.StoreLink.Set(stager.Disturbance{})
 	}
 }
-
-// pause waits, and tells whether the context is still alive.
-func pause(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-time.After(duration):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetrail/emulator"
+	"limpetrail/kernel"
 	"limpetrail/stager"
 )
 
@@ -48,7 +49,7 @@
 
 	for range atOnce {
 		series.Go(func() {
-			for pause(ctx, soak.random.between(0, mostLength/2)) {
+			for kernel.Pause(ctx, soak.random.between(0, mostLength/2)) {
 				troubles[soak.random.intN(len(troubles))](soak, ctx)
 			}
 		})
@@ -59,7 +60,7 @@
 
 // last lets a trouble last.
 func (soak *Soak) last(ctx context.Context) {
-	pause(ctx, soak.random.between(leastLength, mostLength))
+	kernel.Pause(ctx, soak.random.between(leastLength, mostLength))
 }
 
 // take returns a gateway that no other trouble has, and how to give it back. A
@@ -100,7 +101,7 @@
 	soak.gateway(number).Signal(syscall.SIGTERM)
 	soak.restart(number) //nolint:contextcheck // Processes last as long as the test.
 	// The balancer sends callers again once it has seen the gateway ready.
-	pause(ctx, 2*time.Second)
+	kernel.Pause(ctx, 2*time.Second)
 }
 
 func (soak *Soak) kill(ctx context.Context) {
@@ -108,7 +109,7 @@
 	defer giveBack()
 
 	soak.gateway(number).Signal(syscall.SIGKILL)
-	pause(ctx, soak.random.between(0, time.Second))
+	kernel.Pause(ctx, soak.random.between(0, time.Second))
 	soak.restart(number) //nolint:contextcheck // Processes last as long as the test.
 }
 
@@ -134,7 +135,7 @@
 
 	// Before a program is loaded, the system ends it at a hangup.
 	process := soak.gateway(number)
-	for !process.Logged("Serving.") && pause(ctx, statusInterval) {
+	for !process.Logged("Serving.") && kernel.Pause(ctx, statusInterval) {
 		continue
 	}
 
@@ -152,7 +153,7 @@
 func (soak *Soak) drainServer(ctx context.Context) {
 	index := soak.random.intN(len(soak.Servers))
 	soak.Leave(index)
-	pause(ctx, 2*time.Second)
+	kernel.Pause(ctx, 2*time.Second)
 	soak.last(ctx)
 	soak.List(index)
 }
--- a/stager/caller.go
+++ b/stager/caller.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
@@ -16,8 +18,12 @@
 	"limpetrail/emulator"
 )
 
-// Host is the host of all routes.
-const Host = "host.example"
+const (
+	// Host is the host of all routes.
+	Host = "host.example"
+	// Deadline is how long a caller says that it waits.
+	Deadline = 5 * time.Second
+)
 
 // Caller speaks to the deployment as its callers do.
 type Caller struct {
@@ -42,8 +48,9 @@
 	request.URL.Opaque = target
 	request.Host = Host
 	request.Close = !caller.Keep
-	request.Header.Set("X-Limpetrail-Attempt-Id", id)
-	request.Header.Set("X-Limpetrail-Deadline-Ms", "5000")
+	headers := emulator.PlatformEventHeaders()
+	request.Header.Set(headers.RequestID, id)
+	request.Header.Set(headers.Deadline, strconv.FormatInt(Deadline.Milliseconds(), 10))
 
 	response, err := caller.Client.Do(request)
 
