Wait in the process tests until an entry knows every sidecar

Cause: warm waited for one completion per entry. An entry reads the list of instances each second, so that one which read it between the entries of model-1 and model-2 knew model-1 alone, and refused (503, not run, 'replica model-1 takes no connection') once that was killed. The refusal is right; the harness killed the only server that the entry knew.

Ruled out: the retry budget (the first attempt was free), an ejection of model-2 (none logged).

Change: warm waits until the entries' status pages name every sidecar on the list. Assertions stay. Refusals are logged by the witness.

--- a/verifier/promise_test.go
+++ b/verifier/promise_test.go
@@ -105,6 +105,7 @@
 	case response.Header.Get("Content-Type") == classifier.ProblemContentType:
 		if json.Unmarshal(text, &problem) == nil {
 			end.Kind, end.Fate = checker.KindRefused, problem.Fate
+			witness.fleet.t.Logf("%s through %s was refused: %s", end.Request, end.Process, text)
 		}
 
 		witness.mutex.Lock()
--- a/verifier/stop_test.go
+++ b/verifier/stop_test.go
@@ -16,6 +16,7 @@
 
 	"limpetrail/app"
 	"limpetrail/handler"
+	"limpetrail/observer"
 )
 
 // load is a set of clients that keep their connections alive and send one
@@ -158,15 +159,49 @@
 	return response.StatusCode, strings.TrimSpace(string(text))
 }
 
+// warm waits until the entries serve completions and know every sidecar: one
+// reads the list each second, and one that has seen only the sidecar that the
+// test is about to kill has to refuse.
 func (fleet *fleet) warm(entries ...string) {
 	fleet.t.Helper()
 
 	caller := newCaller(fleet, "briefings")
 	for _, entry := range entries {
 		caller.eventually(http.StatusOK, entry, "/v1/completions", loadBody)
+		require.Eventually(fleet.t, func() bool {
+			return len(fleet.known(entry)) == len(fleet.sidecars())
+		}, patience, 50*time.Millisecond, "%s knows only %v", entry, fleet.known(entry))
 	}
 }
 
+// sidecars names the sidecars on the list.
+func (fleet *fleet) sidecars() []string {
+	names := []string{}
+
+	for _, instance := range fleet.instances {
+		if !instance.Entry {
+			names = append(names, instance.Name)
+		}
+	}
+
+	return names
+}
+
+// known names the sidecars that the entry knows.
+func (fleet *fleet) known(entry string) []string {
+	fleet.t.Helper()
+
+	response := newCaller(fleet, "briefings").get(entry, "/v1/status")
+	status := parse[observer.Status](fleet.t, response)
+	names := []string{}
+
+	for _, replica := range status.Replicas {
+		names = append(names, replica.Name)
+	}
+
+	return names
+}
+
 func TestPlannedStopOfEntryCutsNoRequest(t *testing.T) {
 	fleet := newFleet(t, exampleDocument())
 	fleet.balancerLag = 5 * time.Second
