Show by runs why two targets of the admission cannot be met

Ruled out as the cause of the fairness row: waiting. As the cause of the row beside batch: places.

Conclusion: the targets ask for more than the engine's steps allow.

--- a/kernel/formatter_test.go
+++ b/kernel/formatter_test.go
@@ -1,10 +1,11 @@
 package kernel_test
 
 import (
-	"errors"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
--- a/measurer/decisions_test.go
+++ b/measurer/decisions_test.go
@@ -32,6 +32,13 @@
 
 var reserves = []float64{0, 0.1, 0.3, 0.6}
 
+// fixed are the batch streams that run at all times, whatever online work does.
+var fixed = []int{32, 40, 48}
+
+// modest are the shares of the capacity at which the heavy firm keeps within
+// its half and nobody waits for admission.
+var modest = []float64{0.25, 0.5}
+
 // shape is an online load beside which batch runs.
 type shape struct {
 	name   string
@@ -82,7 +89,11 @@
 		add("alone", 0, direct(1))
 		add("alone, admitted", 0, adaptive(unchanged))
 		add("naive", 80, direct(80))
-		add("fixed 32", 80, direct(32))
+
+		// Online work never waits for these; what it loses is the longer steps.
+		for _, streams := range fixed {
+			add(fmt.Sprintf("fixed %d", streams), 80, direct(streams))
+		}
 
 		for _, share := range reserves {
 			add(fmt.Sprintf("reserve %.1f", share), 80, adaptive(reserve(share)))
@@ -111,9 +122,19 @@
 	unfair := scenario("fairness direct", 120, 0, light, direct(1))
 	unfair.Online = append(unfair.Online, heavy)
 
+	for _, share := range modest {
+		beside := scenario(modestName(share), 120, 0, light, direct(1))
+		beside.Online = append(beside.Online, measurer.Arrivals{Firm: "heavy", Rate: share * capacity})
+		list = append(list, beside)
+	}
+
 	return append(list, scenario("fairness alone", 120, 0, light, adaptive(unchanged)), both, unfair)
 }
 
+func modestName(share float64) string {
+	return fmt.Sprintf("fairness, heavy at %.2f of the capacity, direct", share)
+}
+
 // spare is the batch tokens a second that the spare capacity allows: every
 // step carries as many streams as the engine has memory for, no batch prompt is
 // ever read, and the online load is as it is alone.
@@ -190,7 +211,11 @@
 
 	for _, shape := range shapes {
 		alone := results[shape.name+" alone"]
-		names := []string{"alone, admitted", "naive", "fixed 32"}
+		names := []string{"alone, admitted", "naive"}
+
+		for _, streams := range fixed {
+			names = append(names, fmt.Sprintf("fixed %d", streams))
+		}
 
 		for _, share := range reserves {
 			names = append(names, fmt.Sprintf("reserve %.1f", share))
@@ -253,7 +278,12 @@
 	}
 
 	alone := results["fairness alone"].FirstToken("light", 0.99)
-	for _, name := range []string{"fairness both", "fairness direct"} {
+	names := []string{"fairness both", "fairness direct"}
+	for _, share := range modest {
+		names = append(names, modestName(share))
+	}
+
+	for _, name := range names {
 		ratio := float64(results[name].FirstToken("light", 0.99)) / float64(alone)
 		list = append(list, figure{"light firm's p99 / its own alone", name, ratio, maxFairnessRatio, false, redFairness})
 	}
