Print the last answer when a test waits in vain

Ruled out: load alone. 578 plays under the race detector, six and eight at once beside busy loops, passed; the first copy ended after 4.8 s and each later one was answered within 50 ms of SIGCONT. Change: a wait in vain prints the last answer and how long it took. Conclusion: not traced.

--- a/verifier/caller_test.go
+++ b/verifier/caller_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"limpetrail/emulator"
@@ -69,15 +71,21 @@
 func (caller *caller) eventually(status int, entry, path, body string) answer {
 	caller.t.Helper()
 
-	var last answer
+	var last atomic.Pointer[answer]
 
-	require.Eventually(caller.t, func() bool {
-		last = caller.post(entry, path, body)
+	begun := time.Now()
+	met := assert.Eventually(caller.t, func() bool {
+		got := caller.post(entry, path, body)
+		last.Store(&got)
 
-		return last.status == status
-	}, patience, 50*time.Millisecond, "no answer with status %d", status)
+		return got.status == status
+	}, patience, 50*time.Millisecond)
 
-	return last
+	got := last.Load()
+	require.NotNil(caller.t, got, "%s gave no answer within %s", entry, time.Since(begun))
+	require.True(caller.t, met, "%s gave no answer with status %d within %s; the last one: %d %s", entry, status, time.Since(begun), got.status, got.body)
+
+	return *got
 }
 
 // tokens returns the texts of a streamed completion, and whether it ended.
