Send a copy to a holder only if it has none as new

Cause: each gateway sent each changed prefix whole to each holder. Change: a gateway waits up to 0.7 s longer, by chance, and asks before it sends; a holder that gives no answer to the question is logged, with prefix and revision. Conclusion: the copies cost one sending a holder and a question a gateway.

--- a/app/holder.go
+++ b/app/holder.go
@@ -68,6 +68,7 @@
 	holder.Custodian.Register(mux)
 	holder.Meter.Register(mux)
 	mux.Handle("POST "+relayer.PathCopies, holder.Copies)
+	mux.Handle("GET "+relayer.PathCopies, holder.Copies)
 	mux.Handle("POST "+relayer.Path, relayer.NewServer(holder.Common, holder.Client.Direct(), holder.Copies.Shown))
 
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
--- a/relayer/copies.go
+++ b/relayer/copies.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"sync"
 
 	"github.com/juju/errors"
@@ -14,8 +16,11 @@
 )
 
 const (
-	// PathCopies is where a holder takes copies.
-	PathCopies = "/v1/copies"
+	// PathCopies is where a holder takes copies, and says whether it has one as
+	// new as that of the prefix and revision in the query.
+	PathCopies    = "/v1/copies"
+	prefixField   = "prefix"
+	revisionField = "revision"
 	// maxCopyBytes bounds a copy: a configuration of a megabyte, in base64.
 	maxCopyBytes = 4 << 20
 	// copiesOwner names the files of copies for the folder.
@@ -120,8 +125,14 @@
 	return page.Items, page.Revision, found
 }
 
-// ServeHTTP takes a copy from a gateway.
+// ServeHTTP takes a copy from a gateway, or says whether it is needed.
 func (copies *Copies) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Method == http.MethodGet {
+		copies.compare(writer, request.URL.Query())
+
+		return
+	}
+
 	taken := Copy{}
 	if err := json.NewDecoder(io.LimitReader(request.Body, maxCopyBytes)).Decode(&taken); err != nil || taken.Prefix == "" {
 		http.Error(writer, "The body is no copy.", http.StatusBadRequest)
@@ -134,3 +145,22 @@
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 	}
 }
+
+// compare answers 204 where the copy is as new as the one that is offered, and
+// 404 where it is older or missing.
+func (copies *Copies) compare(writer http.ResponseWriter, offered url.Values) {
+	revision, err := strconv.ParseInt(offered.Get(revisionField), 10, 64)
+	if err != nil || offered.Get(prefixField) == "" {
+		http.Error(writer, "The query names no prefix and revision.", http.StatusBadRequest)
+
+		return
+	}
+
+	if _, newest, found := copies.Shown(offered.Get(prefixField)); !found || int64(newest) < revision {
+		writer.WriteHeader(http.StatusNotFound)
+
+		return
+	}
+
+	writer.WriteHeader(http.StatusNoContent)
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +168,56 @@
 	}
 }
 
+// The load: a change that many gateways see at one moment. Each of them sending
+// it to each holder makes the traffic grow with the square of the fleet.
+func TestHoldersGetACopyAboutOnce(t *testing.T) {
+	const gateways = 20
+
+	folder, err := archiver.NewFolder(t.TempDir(), 0)
+	require.NoError(t, err)
+
+	copies, err := relayer.NewCopies(kernel.Discard("holder"), folder)
+	require.NoError(t, err)
+
+	sent := atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method == http.MethodPost {
+			sent.Add(1)
+		}
+
+		copies.ServeHTTP(writer, request)
+	}))
+	t.Cleanup(server.Close)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	running := sync.WaitGroup{}
+	told := make(chan struct{})
+	asked := sync.WaitGroup{}
+	asked.Add(gateways)
+
+	for range gateways {
+		sharer := relayer.NewSharer(kernel.Discard("gateway"))
+		sharer.SetHolders([]string{strings.TrimPrefix(server.URL, "http://")})
+		running.Go(func() { sharer.Run(ctx) })
+		running.Go(func() {
+			<-told
+			sharer.Share("op/", []keeper.Item{{Key: "op/config", Revision: 3}}, 3)
+			require.Eventually(t, func() bool { return !sharer.Waiting() }, 10*time.Second, time.Millisecond)
+			asked.Done()
+		})
+	}
+
+	close(told)
+	asked.Wait()
+	cancel()
+	running.Wait()
+
+	_, revision, _ := copies.Shown("op/")
+	require.EqualValues(t, 3, revision)
+	// Those that ask while another one sends may send as well.
+	require.LessOrEqual(t, sent.Load(), int64(gateways/4))
+}
+
 // Holders get the newest copies, also those that come later.
 func TestHoldersGetCopies(t *testing.T) {
 	holders := []*relayer.Copies{}
--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -4,19 +4,27 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 )
 
 const (
-	// shareInterval gathers changes before holders are told.
+	// shareInterval gathers changes before holders are told, and shareSpread is
+	// the most that is added by chance: all gateways see a change at one moment,
+	// and the first of them spares the others the sending. Together they stay
+	// below the shortest time in which an operator makes two changes by hand.
 	shareInterval = 300 * time.Millisecond
+	shareSpread   = 700 * time.Millisecond
 	// shareTimeout bounds the handing over of one copy; a disk may stall.
 	shareTimeout = time.Second
 )
@@ -30,6 +38,8 @@
 	// holders are addresses, and pending the copies that they have not got yet.
 	holders []string
 	pending map[string]keeper.Page
+	// handing is set while copies are on their way to holders.
+	handing bool
 	// newest holds the last copy of each prefix, for holders that come later.
 	newest map[string]keeper.Page
 }
@@ -71,30 +81,64 @@
 func (sharer *Sharer) Run(ctx context.Context) {
 	for {
 		select {
-		case <-time.After(shareInterval):
+		case <-time.After(shareInterval + rand.N(shareSpread)):
 		case <-ctx.Done():
 			return
 		}
 
 		holders, pending := sharer.take()
-
 		for prefix, page := range pending {
-			encoded, err := json.Marshal(Copy{Prefix: prefix, Page: page})
-			if err != nil {
-				sharer.Log.WithField("Prefix", prefix).WithError(err).Error("Copy cannot be written as text.")
-
-				continue
-			}
-
-			for _, holder := range holders {
-				if err := sharer.send(ctx, holder, encoded); err != nil {
-					sharer.Log.WithField("Holder", holder).WithError(err).Info("Holder takes no copy.")
-				}
-			}
+			sharer.hand(ctx, holders, Copy{Prefix: prefix, Page: page})
 		}
+
+		sharer.rest()
 	}
 }
 
+// hand gives the copy to the holders that do not have it.
+func (sharer *Sharer) hand(ctx context.Context, holders []string, taken Copy) {
+	for _, holder := range holders {
+		has, err := sharer.has(ctx, holder, taken)
+		if err == nil && !has {
+			err = sharer.send(ctx, holder, taken)
+		}
+
+		if err != nil {
+			sharer.Log.WithFields(logrus.Fields{
+				"Holder": holder, "Prefix": taken.Prefix, "Revision": taken.Page.Revision,
+			}).WithError(err).Info("Holder takes no copy.")
+		}
+	}
+}
+
+// has asks whether the holder has a copy as new as this one.
+func (sharer *Sharer) has(ctx context.Context, holder string, offered Copy) (bool, error) {
+	query := url.Values{
+		prefixField:   {offered.Prefix},
+		revisionField: {strconv.FormatInt(int64(offered.Page.Revision), 10)},
+	}
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder+PathCopies+"?"+query.Encode(), nil)
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+
+	response, err := sharer.Client.Do(request)
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+
+	return response.StatusCode == http.StatusNoContent, errors.Trace(response.Body.Close())
+}
+
+// Waiting tells whether a copy has still to be handed over or offered.
+func (sharer *Sharer) Waiting() bool {
+	sharer.mutex.Lock()
+	defer sharer.mutex.Unlock()
+
+	return sharer.handing || len(sharer.pending) > 0
+}
+
 func (sharer *Sharer) take() ([]string, map[string]keeper.Page) {
 	sharer.mutex.Lock()
 	defer sharer.mutex.Unlock()
@@ -104,12 +148,25 @@
 	}
 
 	pending := sharer.pending
-	sharer.pending = map[string]keeper.Page{}
+	sharer.pending, sharer.handing = map[string]keeper.Page{}, true
 
 	return sharer.holders, pending
 }
 
-func (sharer *Sharer) send(ctx context.Context, holder string, encoded []byte) error {
+// rest notes that nothing is on its way.
+func (sharer *Sharer) rest() {
+	sharer.mutex.Lock()
+	defer sharer.mutex.Unlock()
+
+	sharer.handing = false
+}
+
+func (sharer *Sharer) send(ctx context.Context, holder string, taken Copy) error {
+	encoded, err := json.Marshal(taken)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+holder+PathCopies, bytes.NewReader(encoded))
 	if err != nil {
 		return errors.Trace(err)
