Take in a report by what it changes, keep homes while entries stay

Change: a report is taken out and the new one put in; the usual time to the first bytes is found again after 100 ms; the home of a server is found again when it or the entries change.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -17,6 +17,9 @@
 	prefixGain = 1.0
 	// slowFactor times the usual time to the first bytes makes a server slow.
 	slowFactor = 2.5
+	// usualLife is how long the usual time to the first bytes counts before it is
+	// found again; a server that turns slow shows over many requests.
+	usualLife = 100 * time.Millisecond
 	// slowLoss is how many places of load a slow server is charged.
 	slowLoss = 4.0
 )
@@ -135,6 +138,17 @@
 	return found
 }
 
+// usualFirst returns the median time to the first bytes over the service's
+// servers, as of a moment ago: with a thousand of them it takes as long as a
+// placement.
+func (service *service) usualFirst(now time.Time) time.Duration {
+	if now.Sub(service.usualAt) >= usualLife {
+		service.usual, service.usualAt = usual(service.servers), now
+	}
+
+	return service.usual
+}
+
 // usual returns the median time to the first bytes over the servers.
 func usual(servers []*state) time.Duration {
 	times := []time.Duration{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,6 +43,9 @@
 	// stay is the mean length of an online run.
 	stay    time.Duration
 	returns returns
+	// usual is the median time to the first bytes over the servers at usualAt.
+	usual   time.Duration
+	usualAt time.Time
 }
 
 // report is what another entry runs, by server ID.
@@ -70,7 +73,7 @@
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	before := placer.servers
+	before, entries := placer.servers, placer.entries()
 	placer.servers = map[string]*state{}
 
 	for _, service := range placer.services {
@@ -80,13 +83,20 @@
 	for _, server := range servers {
 		known := before[server.ID]
 		if known == nil || known.Incarnation != server.Incarnation {
-			known = &state{grants: map[*Grant]bool{}}
+			known = &state{grants: map[*Grant]bool{}, others: placer.heardOf(server.ID)}
 			placer.Log.WithFields(logrus.Fields{"BackendServer": server.ID, "Address": server.Address, "Service": server.Service}).Info("Backend server is listed.")
 		} else if server.Leaving && !known.Leaving {
 			placer.Log.WithField("BackendServer", server.ID).Info("Backend server is leaving.")
 		}
 
+		moved := known.DataCentre != server.DataCentre || known.ID != server.ID
 		known.Server = server
+
+		// Among the same entries a server keeps its home.
+		if moved {
+			placer.settleHome(known, entries)
+		}
+
 		placer.servers[server.ID] = known
 		placer.service(server.Service).servers = append(placer.service(server.Service).servers, known)
 	}
@@ -97,7 +107,6 @@
 		}
 	}
 
-	placer.settleHomes()
 	placer.settle()
 }
 
@@ -118,8 +127,12 @@
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	_, known := placer.reports[peer]
-	placer.reports[peer] = report{dataCentre: dataCentre, loads: loads, at: time.Now()}
+	before, known := placer.reports[peer]
+	heard := report{dataCentre: dataCentre, loads: loads, at: time.Now()}
+
+	placer.discharge(before)
+	placer.charge(heard)
+	placer.reports[peer] = heard
 
 	if !known {
 		placer.Log.WithFields(logrus.Fields{"Peer": peer, "DataCentre": dataCentre}).Info("Another entry is heard.")
@@ -300,19 +313,21 @@
 }
 
 func (placer *Placer) chooser(work Work) chooser {
+	now := time.Now()
+
 	return chooser{
 		dataCentre: placer.DataCentre,
-		now:        time.Now(),
+		now:        now,
 		work:       work,
-		usual:      usual(placer.service(work.Service).servers),
+		usual:      placer.service(work.Service).usualFirst(now),
 	}
 }
 
 func (placer *Placer) freePlaces(name string) int {
-	free := 0
+	free, now := 0, time.Now()
 
 	for _, server := range placer.service(name).servers {
-		if server.usable(time.Now()) {
+		if server.usable(now) {
 			free += max(0, server.free())
 		}
 	}
--- a/placer/server.go
+++ b/placer/server.go
@@ -32,7 +32,7 @@
 	Server
 	// own is what this entry runs there.
 	own Load
-	// others is the sum of what fresh reports of other entries say.
+	// others is the sum of what the reports that are kept say, at all times.
 	others Load
 	// home tells that this entry may fill the server with batch work, unheard
 	// that an entry does of which nothing is heard.
--- a/placer/settle.go
+++ b/placer/settle.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// settle brings all decisions up to date after a change: sums of reports,
-// batch work that has to yield, and waiting work. The mutex is held.
+// settle brings all decisions up to date after a change: reports that are too
+// old, batch work that has to yield, and waiting work. The mutex is held.
 func (placer *Placer) settle() {
-	placer.sum()
+	placer.expire()
 
 	for _, service := range placer.services {
 		for _, server := range service.servers {
@@ -40,50 +40,82 @@
 // prune forgets reports that are too old. An entry that died last is followed by
 // no report that would do so. The mutex is held.
 func (placer *Placer) prune() {
-	for _, report := range placer.reports {
-		if time.Since(report.at) > reportLife {
-			placer.settle()
-
-			return
-		}
+	if placer.expire() {
+		placer.settle()
 	}
 }
 
-// sum adds up the fresh reports of other entries.
-func (placer *Placer) sum() {
-	silent := false
+// expire forgets reports that are too old, and tells whether there were any.
+func (placer *Placer) expire() bool {
+	now, silent := time.Now(), false
 
-	for _, server := range placer.servers {
-		server.others = Load{}
+	for peer, report := range placer.reports {
+		if now.Sub(report.at) <= reportLife {
+			continue
+		}
+
+		placer.discharge(report)
+		delete(placer.reports, peer)
+		placer.Log.WithField("Peer", peer).Info("Another entry is no longer heard.")
+
+		silent = true
 	}
 
-	for peer, report := range placer.reports {
-		if time.Since(report.at) > reportLife {
-			delete(placer.reports, peer)
-			placer.Log.WithField("Peer", peer).Info("Another entry is no longer heard.")
+	if silent {
+		placer.settleHomes()
+	}
 
-			silent = true
+	return silent
+}
 
-			continue
+// charge adds a report to what others run. Only the servers that it names are
+// touched: with many entries reports come hundreds of times a second, and there
+// are thousands of servers.
+func (placer *Placer) charge(report report) {
+	for id, load := range report.loads {
+		if server := placer.servers[id]; server != nil {
+			server.others.Online += load.Online
+			server.others.Batch += load.Batch
 		}
+	}
+}
 
-		for id, load := range report.loads {
-			if server := placer.servers[id]; server != nil {
-				server.others.Online += load.Online
-				server.others.Batch += load.Batch
-			}
+// discharge takes a report out of what others run.
+func (placer *Placer) discharge(report report) {
+	for id, load := range report.loads {
+		if server := placer.servers[id]; server != nil {
+			server.others.Online -= load.Online
+			server.others.Batch -= load.Batch
 		}
 	}
+}
 
-	if silent {
-		placer.settleHomes()
+// heardOf sums what the reports say of a server that is new on the list.
+func (placer *Placer) heardOf(id string) Load {
+	sum := Load{}
+
+	for _, report := range placer.reports {
+		load := report.loads[id]
+		sum.Online += load.Online
+		sum.Batch += load.Batch
 	}
+
+	return sum
 }
 
-// settleHomes shares the servers anew among the entries that are heard or
-// listed, with the mutex held. One that is cut off from this entry still runs
-// work.
+// settleHomes shares all servers anew among the entries, with the mutex held.
 func (placer *Placer) settleHomes() {
+	entries := placer.entries()
+
+	for _, server := range placer.servers {
+		placer.settleHome(server, entries)
+	}
+}
+
+// entries returns the data centres of the entries that share the servers: those
+// that are heard or listed, and this one. One that is cut off from this entry
+// still runs work.
+func (placer *Placer) entries() map[string]string {
 	entries := map[string]string{placer.Instance: placer.DataCentre}
 	for entry, dataCentre := range placer.listed {
 		entries[entry] = dataCentre
@@ -99,12 +131,12 @@
 		entries[entry] = report.dataCentre
 	}
 
-	for _, service := range placer.services {
-		for _, server := range service.servers {
-			owner := homeOf(server, entries)
-			server.home, server.unheard = owner == placer.Instance, !placer.hears(owner)
-		}
-	}
+	return entries
+}
+
+func (placer *Placer) settleHome(server *state, entries map[string]string) {
+	owner := homeOf(server, entries)
+	server.home, server.unheard = owner == placer.Instance, !placer.hears(owner)
 }
 
 // hears tells whether this entry knows what another one runs.
