Read each entry of the list of backend servers once a revision

Cause: each change of one server had each gateway read the text of all of them; with 3,000 that is as many reads for one. Change: what was read is kept with its revision; what is gone is forgotten. Conclusion: the reading grows with the changes and no longer with the list.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -85,6 +85,8 @@
 	leaving atomic.Bool
 	// copies are the followers by their prefixes; written once before serving.
 	copies map[string]*follower.Follower
+	// servers reads the list of backend servers; only its follower uses it.
+	servers *serverList
 	// known is how many members were listed last.
 	known int
 	// complained holds the revisions of items that were logged as unreadable.
@@ -99,6 +101,7 @@
 	}
 
 	gateway.complained = map[string]keeper.Revision{}
+	gateway.servers = newServerList()
 
 	callers, err := gateway.Listen.callers(ctx, gateway.Settings.Listen.Callers)
 	if err != nil {
@@ -243,20 +246,7 @@
 }
 
 func (gateway *Gateway) applyServers(copied follower.Copy) {
-	servers := []placer.Server{}
-
-	for id, item := range copied {
-		server, err := platform.DecodeServer(id, item.Value)
-		if err != nil {
-			gateway.complain(item, err)
-
-			continue
-		}
-
-		servers = append(servers, server)
-	}
-
-	gateway.Placer.Update(servers)
+	gateway.Placer.Update(gateway.servers.take(copied, gateway.complain))
 }
 
 func (gateway *Gateway) applyMembers(copied follower.Copy) {
