Have holders take whole copies at a bounded rate

Change: a holder takes of each prefix at most 256 KB a second on average and tells others to ask again; a gateway keeps what was put off and offers the newest copy then. A configuration of 10 KB waits 40 ms after the last one. The last revision is taken in the end. Conclusion: a holder's bytes no longer grow with the gateways.

--- a/relayer/copies.go
+++ b/relayer/copies.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -23,6 +24,10 @@
 	revisionField = "revision"
 	// maxCopyBytes bounds a copy: a configuration of a megabyte, in base64.
 	maxCopyBytes = 4 << 20
+	// copyRate is what a holder takes of one prefix, in bytes a second: in a large
+	// fleet a list of a megabyte changes all the time, and each gateway has come
+	// to another revision of it. A configuration of 10 KB waits 40 ms.
+	copyRate = 256 << 10
 	// copiesOwner names the files of copies for the folder.
 	copiesOwner = "copies"
 )
@@ -43,11 +48,13 @@
 	// pages and files are by prefix; a page's revision never falls.
 	pages map[string]keeper.Page
 	files map[string]string
+	// next is when another copy of the prefix may come.
+	next map[string]time.Time
 }
 
 // NewCopies opens the folder and reads what an earlier process left.
 func NewCopies(common kernel.Common, folder *archiver.Folder) (*Copies, error) {
-	copies := &Copies{Common: common.ForPart("relayer"), Folder: folder, pages: map[string]keeper.Page{}, files: map[string]string{}}
+	copies := &Copies{Common: common.ForPart("relayer"), Folder: folder, pages: map[string]keeper.Page{}, files: map[string]string{}, next: map[string]time.Time{}}
 
 	names, err := folder.Names()
 	if err != nil {
@@ -95,6 +102,7 @@
 	}
 
 	copies.replace(taken, name)
+	copies.next[taken.Prefix] = time.Now().Add(time.Duration(len(encoded)) * time.Second / copyRate)
 
 	return nil
 }
@@ -146,21 +154,30 @@
 	}
 }
 
-// compare answers 204 where the copy is as new as the one that is offered, and
-// 404 where it is older or missing.
+// compare answers 204 where the copy is as new as the one that is offered, 404
+// where it is older or missing, and 429 where it is older and the next one would
+// come too soon.
 func (copies *Copies) compare(writer http.ResponseWriter, offered url.Values) {
+	prefix := offered.Get(prefixField)
+
 	revision, err := strconv.ParseInt(offered.Get(revisionField), 10, 64)
-	if err != nil || offered.Get(prefixField) == "" {
+	if err != nil || prefix == "" {
 		http.Error(writer, "The query names no prefix and revision.", http.StatusBadRequest)
 
 		return
 	}
 
-	if _, newest, found := copies.Shown(offered.Get(prefixField)); !found || int64(newest) < revision {
-		writer.WriteHeader(http.StatusNotFound)
+	copies.mutex.Lock()
+	defer copies.mutex.Unlock()
 
-		return
-	}
+	page, found := copies.pages[prefix]
 
-	writer.WriteHeader(http.StatusNoContent)
+	switch {
+	case found && int64(page.Revision) >= revision:
+		writer.WriteHeader(http.StatusNoContent)
+	case time.Now().Before(copies.next[prefix]):
+		writer.WriteHeader(http.StatusTooManyRequests)
+	default:
+		writer.WriteHeader(http.StatusNotFound)
+	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -1,13 +1,17 @@
 package relayer_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -255,3 +259,62 @@
 	cancel()
 	<-done
 }
+
+// The load: a long list that changes all the time, seen by gateways of which
+// each has come to another revision.
+func TestHolderTakesCopiesAtARate(t *testing.T) {
+	const (
+		offers   = 200
+		interval = 50 * time.Millisecond
+		// rate is the stated bound, in bytes a second.
+		rate = 256 << 10
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		folder, err := archiver.NewFolder(t.TempDir(), 0)
+		require.NoError(t, err)
+
+		copies, err := relayer.NewCopies(kernel.Discard("holder"), folder)
+		require.NoError(t, err)
+
+		value := bytes.Repeat([]byte("x"), 200<<10)
+		taken, largest := 0, 0
+
+		offer := func(revision int) int {
+			answer := httptest.NewRecorder()
+			copies.ServeHTTP(answer, httptest.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("%s?prefix=s/&revision=%d", relayer.PathCopies, revision), nil))
+
+			if answer.Code != http.StatusNotFound {
+				return answer.Code
+			}
+
+			encoded, err := json.Marshal(relayer.Copy{Prefix: "s/", Page: keeper.Page{
+				Items: []keeper.Item{{Key: "s/a", Value: value, Revision: keeper.Revision(revision)}}, Revision: keeper.Revision(revision),
+			}})
+			require.NoError(t, err)
+
+			taken, largest = taken+len(encoded), max(largest, len(encoded))
+
+			answer = httptest.NewRecorder()
+			copies.ServeHTTP(answer, httptest.NewRequestWithContext(t.Context(), http.MethodPost, relayer.PathCopies, bytes.NewReader(encoded)))
+			require.Equal(t, http.StatusOK, answer.Code)
+
+			return answer.Code
+		}
+
+		for number := range offers {
+			offer(1 + number)
+			time.Sleep(interval)
+		}
+
+		length := offers * interval
+		require.LessOrEqual(t, taken, int(rate*length.Seconds())+largest)
+
+		// The last one is taken in the end.
+		for offer(offers) != http.StatusNoContent {
+			require.Less(t, time.Duration(0), length)
+			time.Sleep(interval)
+			length -= interval
+		}
+	})
+}
--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -95,11 +95,17 @@
 	}
 }
 
-// hand gives the copy to the holders that do not have it.
+// hand gives the copy to the holders that do not have it. One that takes none now
+// is asked again, with what is the newest copy then.
 func (sharer *Sharer) hand(ctx context.Context, holders []string, taken Copy) {
 	for _, holder := range holders {
-		has, err := sharer.has(ctx, holder, taken)
-		if err == nil && !has {
+		status, err := sharer.ask(ctx, holder, taken)
+
+		switch {
+		case err != nil || status == http.StatusNoContent:
+		case status == http.StatusTooManyRequests:
+			sharer.postpone(taken.Prefix)
+		default:
 			err = sharer.send(ctx, holder, taken)
 		}
 
@@ -111,8 +117,16 @@
 	}
 }
 
-// has asks whether the holder has a copy as new as this one.
-func (sharer *Sharer) has(ctx context.Context, holder string, offered Copy) (bool, error) {
+// postpone has the newest copy of the prefix handed over with the next ones.
+func (sharer *Sharer) postpone(prefix string) {
+	sharer.mutex.Lock()
+	defer sharer.mutex.Unlock()
+
+	sharer.pending[prefix] = sharer.newest[prefix]
+}
+
+// ask offers a copy and returns the status of the answer; see Copies.
+func (sharer *Sharer) ask(ctx context.Context, holder string, offered Copy) (int, error) {
 	query := url.Values{
 		prefixField:   {offered.Prefix},
 		revisionField: {strconv.FormatInt(int64(offered.Page.Revision), 10)},
@@ -120,15 +134,15 @@
 
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder+PathCopies+"?"+query.Encode(), nil)
 	if err != nil {
-		return false, errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 
 	response, err := sharer.Client.Do(request)
 	if err != nil {
-		return false, errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 
-	return response.StatusCode == http.StatusNoContent, errors.Trace(response.Body.Close())
+	return response.StatusCode, errors.Trace(response.Body.Close())
 }
 
 // Waiting tells whether a copy has still to be handed over or offered.
