Kill holders and cut all power in the soak

Change: seeds from 200 on draw also a killed holder that comes back on its disk, a holder's link to the store, and the end of all processes at one moment. Earlier seeds draw what they drew.

--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -39,12 +39,13 @@
 	// balancer sends to.
 	version  atomic.Int64
 	rotation sync.Map
-	held     []*stager.Process
 	// hands guards the gateways: one trouble at a time has each in its hands.
 	hands [gateways]sync.Mutex
+	// holderHands guards the holders in the same way.
+	holderHands [holders]sync.Mutex
 	// rolling lets one planned stop go on at a time.
 	rolling sync.Mutex
-	// mutex guards the present processes of the gateways.
+	// mutex guards the present processes.
 	mutex sync.Mutex
 }
 
@@ -81,7 +82,7 @@
 	}
 
 	for number := range holders {
-		soak.held = append(soak.held, soak.Holds(fmt.Sprintf("holder-%d", number)))
+		soak.Holds(holderName(number))
 	}
 
 	return soak
@@ -91,6 +92,18 @@
 	return fmt.Sprintf("gateway-%d", number)
 }
 
+func holderName(number int) string {
+	return fmt.Sprintf("holder-%d", number)
+}
+
+// holder returns the present process of a holder.
+func (soak *Soak) holder(number int) *stager.Process {
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+
+	return soak.Holders[holderName(number)]
+}
+
 // gateway returns the present process of a gateway.
 func (soak *Soak) gateway(number int) *stager.Process {
 	soak.mutex.Lock()
@@ -191,7 +204,7 @@
 		soak.gateway(number).StoreLink.Set(stager.Disturbance{})
 	}
 
-	for _, holder := range soak.held {
-		holder.StoreLink.Set(stager.Disturbance{})
+	for number := range holders {
+		soak.holder(number).StoreLink.Set(stager.Disturbance{})
 	}
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -28,14 +28,14 @@
 	9: "a custodian brought a job into the store between a reader's two questions: 404",
 }
 
-// seeds are those that CI plays: one of planned work, one of all troubles, and
+// seeds are those that CI plays: one of planned work, one of all troubles, one of the wider set, and
 // each that ever failed.
 func seeds(t *testing.T) []uint64 {
 	t.Helper()
 
 	given := os.Getenv(seedsVariable)
 	if given == "" {
-		return append([]uint64{4, 5}, slices.Sorted(maps.Keys(kept))...)
+		return append([]uint64{4, 5, 201}, slices.Sorted(maps.Keys(kept))...)
 	}
 
 	from, to, _ := strings.Cut(given, "-")
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// firstWideSeed is the first one that draws from all troubles. Earlier ones draw
+// from those that there were when they were kept.
+const firstWideSeed = 200
+
+// wide troubles hit the holders, and everything at once.
+func wide() []trouble {
+	return []trouble{(*Soak).killHolder, (*Soak).killHolder, (*Soak).disturbHolderLink, (*Soak).powerOff}
+}
+
 // disturb runs series of troubles beside each other for a time.
 func (soak *Soak) disturb(ctx context.Context, length time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, length)
@@ -45,6 +54,10 @@
 		troubles = append(troubles, unplanned()...)
 	}
 
+	if !soak.Planned && soak.Seed >= firstWideSeed {
+		troubles = append(troubles, wide()...)
+	}
+
 	series := sync.WaitGroup{}
 
 	for range atOnce {
@@ -123,10 +136,71 @@
 }
 
 func (soak *Soak) freezeHolder(ctx context.Context) {
-	holder := soak.held[soak.random.intN(len(soak.held))]
-	holder.Signal(syscall.SIGSTOP)
+	number := soak.random.intN(holders)
+
+	soak.holderHands[number].Lock()
+	defer soak.holderHands[number].Unlock()
+
+	soak.holder(number).Signal(syscall.SIGSTOP)
 	soak.last(ctx)
-	holder.Signal(syscall.SIGCONT)
+	soak.holder(number).Signal(syscall.SIGCONT)
+}
+
+// killHolder ends a holder at any moment. It comes back on the same disk.
+func (soak *Soak) killHolder(ctx context.Context) {
+	number := soak.random.intN(holders)
+
+	soak.holderHands[number].Lock()
+	defer soak.holderHands[number].Unlock()
+
+	soak.holder(number).Signal(syscall.SIGKILL)
+	kernel.Pause(ctx, soak.random.between(0, time.Second))
+	soak.restartHolder(number) //nolint:contextcheck // Processes last as long as the test.
+}
+
+func (soak *Soak) restartHolder(number int) {
+	<-soak.holder(number).Ended
+
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+
+	soak.BeginsHolder(holderName(number))
+}
+
+func (soak *Soak) disturbHolderLink(ctx context.Context) {
+	soak.disturbLink(ctx, soak.holder(soak.random.intN(holders)).StoreLink)
+}
+
+// powerOff ends all processes at one moment and starts them again, as after a
+// loss of power; what they wrote is on their disks.
+func (soak *Soak) powerOff(ctx context.Context) {
+	for number := range gateways {
+		soak.hands[number].Lock()
+		defer soak.hands[number].Unlock()
+	}
+
+	for number := range holders {
+		soak.holderHands[number].Lock()
+		defer soak.holderHands[number].Unlock()
+	}
+
+	for number := range gateways {
+		soak.gateway(number).Signal(syscall.SIGKILL)
+	}
+
+	for number := range holders {
+		soak.holder(number).Signal(syscall.SIGKILL)
+	}
+
+	kernel.Pause(ctx, soak.random.between(0, time.Second))
+
+	for number := range holders {
+		soak.restartHolder(number) //nolint:contextcheck // Processes last as long as the test.
+	}
+
+	for number := range gateways {
+		soak.restart(number) //nolint:contextcheck // Processes last as long as the test.
+	}
 }
 
 func (soak *Soak) hangUp(ctx context.Context) {
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -37,8 +37,9 @@
 	// Servers are the backend servers, each behind the link of its index.
 	Servers     []*emulator.EventServer
 	ServerLinks []*Link
-	// Gateways are those that were started, by name.
+	// Gateways and Holders are those that were started, by name.
 	Gateways map[string]*Process
+	Holders  map[string]*Process
 
 	storeAddress string
 	seeds        []string
@@ -52,7 +53,7 @@
 	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "limpetrail/cmd/limpetrail").CombinedOutput() //nolint:gosec // The arguments are fixed but for a folder of the test.
 	require.NoError(t, err, string(output))
 
-	deployment := &Deployment{T: t, Binary: binary, Store: emulator.NewPlatformStore(), Gateways: map[string]*Process{}}
+	deployment := &Deployment{T: t, Binary: binary, Store: emulator.NewPlatformStore(), Gateways: map[string]*Process{}, Holders: map[string]*Process{}}
 	deployment.storeAddress = deployment.serve(deployment.Store)
 
 	for index := range serversStarted {
@@ -182,14 +183,30 @@
 // Holds runs a holder and returns when it is listed.
 func (deployment *Deployment) Holds(name string) *Process {
 	before := len(deployment.members())
-	holder := &Process{Name: name, StoreLink: deployment.Link(deployment.storeAddress)}
-	holder.start(deployment.T, deployment.Binary, "holder", fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nOperations = %s\n[Catalog]\nAddress = %s\n[Data]\nFolder = %s\n",
-		name, deployment.port(), holder.StoreLink.Address, deployment.T.TempDir()))
+	holder := deployment.BeginsHolder(name)
 	deployment.Eventually(func() bool { return len(deployment.members()) > before }, "the holder is listed")
 
 	return holder
 }
 
+// BeginsHolder runs a holder. One of the same name has its address and its disk
+// again.
+func (deployment *Deployment) BeginsHolder(name string) *Process {
+	holder := &Process{Name: name}
+
+	if before := deployment.Holders[name]; before != nil {
+		holder.Operations, holder.Folder, holder.StoreLink = before.Operations, before.Folder, before.StoreLink
+	} else {
+		holder.Operations, holder.Folder, holder.StoreLink = deployment.port(), deployment.T.TempDir(), deployment.Link(deployment.storeAddress)
+	}
+
+	holder.start(deployment.T, deployment.Binary, "holder", fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nOperations = %s\n[Catalog]\nAddress = %s\n[Data]\nFolder = %s\n",
+		name, holder.Operations, holder.StoreLink.Address, holder.Folder))
+	deployment.Holders[name] = holder
+
+	return holder
+}
+
 func (deployment *Deployment) members() []string {
 	page, err := deployment.Store.Catalog.View().Range(deployment.T.Context(), "limpetrail/members/", "", false)
 	require.NoError(deployment.T, err)
--- a/stager/process.go
+++ b/stager/process.go
@@ -24,6 +24,8 @@
 	Ready   string
 	// Operations is where it shows what it believes.
 	Operations string
+	// Folder is a holder's disk.
+	Folder string
 	// StoreLink is its own way to the store.
 	StoreLink *Link
 	// Ended is closed when the process is gone.
