Offer a copy again to a holder that could not take it

A holder that was out of reach, or answered that its disk is full, got no copy until the next change; a refused copy was not even logged. Change: such a copy is offered again with the next ones, to all holders at once so that a silent one delays no other; one line in five seconds says so and how many offers it stands for. The soak takes holders in hand in one place. Conclusion: the newest copy reaches each holder that comes back.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -259,6 +259,40 @@
 	<-done
 }
 
+// A holder that was out of reach, or could not write, gets the copy once it can.
+func TestHolderGetsTheCopyLater(t *testing.T) {
+	folder, err := archiver.NewFolder(t.TempDir(), 0)
+	require.NoError(t, err)
+
+	copies, err := relayer.NewCopies(kernel.Discard("holder"), folder)
+	require.NoError(t, err)
+
+	failures := atomic.Int64{}
+	failures.Store(2)
+
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method == http.MethodPost && failures.Add(-1) >= 0 {
+			http.Error(writer, "The disk is full.", http.StatusInternalServerError)
+
+			return
+		}
+
+		copies.ServeHTTP(writer, request)
+	}))
+	t.Cleanup(server.Close)
+
+	sharer := relayer.NewSharer(kernel.Discard("gateway"))
+	ctx, cancel := context.WithCancel(context.Background())
+	running := sync.WaitGroup{}
+	running.Go(func() { sharer.Run(ctx) })
+
+	sharer.SetHolders([]string{strings.TrimPrefix(server.URL, "http://")})
+	sharer.Share("op/", []keeper.Item{{Key: "op/config", Revision: 3}}, 3)
+	require.Eventually(t, func() bool { _, revision, _ := copies.Shown("op/"); return revision == 3 }, 20*time.Second, time.Millisecond)
+	cancel()
+	running.Wait()
+}
+
 // The load: many gateways that offer one copy before the first has sent it.
 func TestHolderAsksOneGatewayForACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -25,6 +25,9 @@
 	// below the shortest time in which an operator makes two changes by hand.
 	shareInterval = 300 * time.Millisecond
 	shareSpread   = 700 * time.Millisecond
+	// untakenInterval is the least time between two lines about holders that take
+	// no copy; an operator reads on within seconds.
+	untakenInterval = 5 * time.Second
 	// shareTimeout bounds the handing over of one copy; a disk may stall.
 	shareTimeout = time.Second
 )
@@ -42,6 +45,8 @@
 	handing bool
 	// newest holds the last copy of each prefix, for holders that come later.
 	newest map[string]keeper.Page
+	// untaken bounds the lines about holders that take no copy.
+	untaken *kernel.LineBudget
 }
 
 // NewSharer returns a sharer that knows no holders.
@@ -51,6 +56,7 @@
 		Client:  &http.Client{Timeout: shareTimeout},
 		pending: map[string]keeper.Page{},
 		newest:  map[string]keeper.Page{},
+		untaken: kernel.NewLineBudget(untakenInterval),
 	}
 }
 
@@ -95,25 +101,40 @@
 	}
 }
 
-// hand gives the copy to the holders that do not have it. One that takes none now
-// is asked again, with what is the newest copy then.
+// hand offers the copy to all holders. They are told at once, so that a silent one
+// delays no other.
 func (sharer *Sharer) hand(ctx context.Context, holders []string, taken Copy) {
+	offers := sync.WaitGroup{}
 	for _, holder := range holders {
-		status, err := sharer.ask(ctx, holder, taken)
-
-		switch {
-		case err != nil || status == http.StatusNoContent:
-		case status == http.StatusTooManyRequests:
-			sharer.postpone(taken.Prefix)
-		default:
-			err = sharer.send(ctx, holder, taken)
-		}
+		offers.Go(func() { sharer.offer(ctx, holder, taken) })
+	}
 
-		if err != nil {
-			sharer.Log.WithFields(logrus.Fields{
-				"Holder": holder, "Prefix": taken.Prefix, "Revision": taken.Page.Revision,
-			}).WithError(err).Info("Holder takes no copy.")
-		}
+	offers.Wait()
+}
+
+// offer gives the copy to a holder that does not have it. One that takes none now
+// is asked again, with what is the newest copy then.
+func (sharer *Sharer) offer(ctx context.Context, holder string, taken Copy) {
+	status, err := sharer.ask(ctx, holder, taken)
+
+	switch {
+	case err != nil || status == http.StatusNoContent:
+	case status == http.StatusTooManyRequests:
+		sharer.postpone(taken.Prefix)
+	default:
+		err = sharer.send(ctx, holder, taken)
+	}
+
+	if err == nil {
+		return
+	}
+
+	sharer.postpone(taken.Prefix)
+
+	if offers := sharer.untaken.Take(); offers > 0 {
+		sharer.Log.WithFields(logrus.Fields{
+			"Holder": holder, "Prefix": taken.Prefix, "Revision": taken.Page.Revision, "Offers": offers,
+		}).WithError(err).Warn("Holder takes no copy; it is offered again.")
 	}
 }
 
@@ -191,5 +212,13 @@
 		return errors.Trace(err)
 	}
 
-	return errors.Trace(response.Body.Close())
+	if err := response.Body.Close(); err != nil {
+		return errors.Trace(err)
+	}
+
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("the holder answered %s", response.Status)
+	}
+
+	return nil
 }
--- a/soaker/trouble.go
+++ b/soaker/trouble.go
@@ -85,6 +85,14 @@
 	return number, soak.hands[number].Unlock
 }
 
+// takeHolder returns a holder that no other trouble has, and how to give it back.
+func (soak *Soak) takeHolder() (int, func()) {
+	number := soak.random.intN(holders)
+	soak.holderHands[number].Lock()
+
+	return number, soak.holderHands[number].Unlock
+}
+
 // restart waits for the end of a gateway's process and starts the next one.
 func (soak *Soak) restart(number int) {
 	before := soak.gateway(number)
@@ -136,10 +144,8 @@
 }
 
 func (soak *Soak) freezeHolder(ctx context.Context) {
-	number := soak.random.intN(holders)
-
-	soak.holderHands[number].Lock()
-	defer soak.holderHands[number].Unlock()
+	number, giveBack := soak.takeHolder()
+	defer giveBack()
 
 	soak.holder(number).Signal(syscall.SIGSTOP)
 	soak.last(ctx)
@@ -148,10 +154,8 @@
 
 // killHolder ends a holder at any moment. It comes back on the same disk.
 func (soak *Soak) killHolder(ctx context.Context) {
-	number := soak.random.intN(holders)
-
-	soak.holderHands[number].Lock()
-	defer soak.holderHands[number].Unlock()
+	number, giveBack := soak.takeHolder()
+	defer giveBack()
 
 	soak.holder(number).Signal(syscall.SIGKILL)
 	kernel.Pause(ctx, soak.random.between(0, time.Second))
