Log how many attempts a request's route allows

Change: the line of a request's end has AttemptsAllowed. Figures: the field was missing before (the test failed).

--- a/forwarder/account.go
+++ b/forwarder/account.go
@@ -57,7 +57,7 @@
 
 	account.Log.WithFields(logrus.Fields{
 		"RequestID": call.ID, "Route": call.Route.Name, "Kind": call.Route.Kind.String(), "Repeatable": call.Route.Repeatable(), "Service": call.Service, "Outcome": result.Kind.String(),
-		"Reason": result.Reason, "Status": result.Status, "BackendServer": result.BackendServer, "Attempts": result.Attempts,
+		"Reason": result.Reason, "Status": result.Status, "BackendServer": result.BackendServer, "Attempts": result.Attempts, "AttemptsAllowed": call.Route.Attempts,
 		"Waited": result.Waited, "First": result.First, "Total": total, "Allowed": time.Until(call.Deadline) + total, "Events": result.Events,
 		"RetryAfter": result.RetryAfter, "Calls": represented,
 	}).Info("Request ended.")
--- a/forwarder/log_test.go
+++ b/forwarder/log_test.go
@@ -129,6 +129,20 @@
 	return least
 }
 
+// A call that got no answer in its time says what more it could have had.
+func TestLineSaysHowManyAttemptsWereAllowed(t *testing.T) {
+	kept := &lines{}
+
+	runFleet(t, logged(kept, kept), 1, func(fleet *fleet) {
+		fleet.prompt()
+		fleet.all(emulator.EventFaults{Fail: http.StatusInternalServerError})
+		fleet.when(context.Background(), route(matcher.Idempotent, false, 3))
+	})
+
+	require.NotEmpty(t, kept.data)
+	require.Equal(t, 3, kept.data[len(kept.data)-1].Data["AttemptsAllowed"])
+}
+
 // The load: every call fails, so that each has its lines, and nobody reads
 // them.
 func TestCallsDoNotWaitForTheReaderOfTheLog(t *testing.T) {
