Keep the platform's words of the harness in its stand-in

Cause: stager spelled paths, keys and fields of the users' platform, which belong into platform/ and the stand-in only. Change: they moved, as they were, to emulator/platform_words.go.

--- a/stager/caller.go
+++ b/stager/caller.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -91,12 +89,12 @@
 
 // WholeOutput is the output of an item.
 func WholeOutput() string {
-	lines := []string{}
+	texts := []string{}
 	for number := range Events {
-		lines = append(lines, emulator.EventText(number))
+		texts = append(texts, emulator.EventText(number))
 	}
 
-	return strings.Join(lines, "\n")
+	return emulator.PlatformOutput(texts)
 }
 
 // ItemID names an item of a job.
@@ -107,12 +105,12 @@
 // Submit hands in a job of so many items under the prefix and returns the
 // status, or 0 without an answer.
 func (caller Caller) Submit(ctx context.Context, prefix, id string, count int) int {
-	items := []map[string]any{}
+	items := []string{}
 	for number := range count {
-		items = append(items, map[string]any{"id": ItemID(id, number), "path": prefix + "x", "headers": map[string]string{"X-One": "1"}, "body": base64.StdEncoding.EncodeToString([]byte("body"))})
+		items = append(items, ItemID(id, number))
 	}
 
-	body, err := json.Marshal(map[string]any{"items": items})
+	body, err := emulator.PlatformJob(prefix, items)
 	if err != nil {
 		return 0
 	}
@@ -128,32 +126,26 @@
 }
 
 // Result is a listed item.
-type Result struct {
-	ID     string `json:"id"`
-	State  string `json:"state"`
-	Output string `json:"output"`
-}
+type Result = emulator.PlatformResult
 
 // Read returns the status and the results of a job from a position on.
 func (caller Caller) Read(ctx context.Context, id string, after int) (int, []Result) {
-	response, err := caller.Ask(ctx, http.MethodGet, fmt.Sprintf("/limpetrail/lots/%s?after=%d", id, after), "", nil)
+	response, err := caller.Ask(ctx, http.MethodGet, emulator.PlatformResultsPath(id, after), "", nil)
 	if err != nil {
 		return 0, nil
 	}
 	defer response.Body.Close()
 
-	reading := struct {
-		Results []Result `json:"results"`
-	}{}
 	if response.StatusCode != http.StatusOK {
 		return response.StatusCode, nil
 	}
 
-	if err := json.NewDecoder(response.Body).Decode(&reading); err != nil {
+	results, err := emulator.ReadPlatformResults(response.Body)
+	if err != nil {
 		return 0, nil
 	}
 
-	return http.StatusOK, reading.Results
+	return http.StatusOK, results
 }
 
 // Done returns how many items of a job a gateway lists, all of them whole, or -1
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -73,30 +73,22 @@
 
 // List writes the entry of a backend server into the store, as ready.
 func (deployment *Deployment) List(index int) {
-	deployment.enter(index, "ready")
+	deployment.enter(index, emulator.PlatformReady)
 }
 
 // Leave says that a backend server is leaving. It goes on serving.
 func (deployment *Deployment) Leave(index int) {
-	deployment.enter(index, "draining")
+	deployment.enter(index, emulator.PlatformLeaving)
 }
 
 func (deployment *Deployment) enter(index int, state string) {
 	server := deployment.Servers[index]
-	deployment.Store.Catalog.Put("servers/"+server.ID, fmt.Appendf(nil,
-		`{"service":"model","address":%q,"zone":"a","slots":8,"state":%q,"born":%d}`, deployment.ServerLinks[index].Address, state, index+1))
+	deployment.Store.Catalog.Put(emulator.PlatformServer(server.ID, deployment.ServerLinks[index].Address, state, index+1))
 }
 
 // Configure writes a version of the operators' configuration.
 func (deployment *Deployment) Configure(version int) {
-	deployment.Store.Catalog.Put("op/config", fmt.Appendf(nil, `{"version":%d,
-		"routes":[
-			{"name":"stream","host":"host.example","prefix":"/stream/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":2,"resumable":true,"gapAimMs":250},
-			{"name":"once","host":"host.example","prefix":"/once/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":1,"gapAimMs":250},
-			{"name":"batch","host":"host.example","prefix":"/batch/","kind":"batch","targetLatencyMs":400,"service":"model","maxAttempts":3,"completionTargetMs":18000,"expiryS":60},
-			{"name":"hasty","host":"host.example","prefix":"/hasty/","kind":"batch","targetLatencyMs":400,"service":"model","maxAttempts":3,"completionTargetMs":100,"expiryS":60},
-			{"name":"version","host":"host.example","prefix":"/version-%d/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":2,"resumable":true,"gapAimMs":250}],
-		"services":[{"name":"model","healthPath":"/healthz"}],"limits":{"maxBodyBytes":1000000}}`, version, version))
+	deployment.Store.Catalog.Put(emulator.PlatformDocumentKey, emulator.PlatformDocument(version))
 }
 
 // Link starts a link to a target that ends with the test.
@@ -165,7 +157,7 @@
 
 // IsReady tells whether the balancer would send callers to a gateway.
 func (deployment *Deployment) IsReady(gateway *Process) bool {
-	request, err := http.NewRequestWithContext(deployment.T.Context(), http.MethodGet, "http://"+gateway.Ready+"/limpetrail/readyz", nil)
+	request, err := http.NewRequestWithContext(deployment.T.Context(), http.MethodGet, "http://"+gateway.Ready+emulator.PlatformReadyPath, nil)
 	require.NoError(deployment.T, err)
 
 	client := http.Client{Timeout: time.Second}
