Kill the owner in the test once it was heard

What was never heard is not missed. Change: the test kills gateway-1 once gateway-2 has heard it. The parts asserted are the same.

--- a/historian/explain_test.go
+++ b/historian/explain_test.go
@@ -158,6 +158,8 @@
 				story.Eventually(func() bool {
 					return story.Servers[0].Running()+story.Servers[1].Running()+story.Servers[2].Running() > 0
 				}, "an item runs")
+				// An entry that was never heard is not missed.
+				story.Eventually(func() bool { return second.Logged("Another entry is heard.") }, "the second entry hears the first")
 				story.Ends(first, syscall.SIGKILL)
 				story.Eventually(func() bool { return story.Done(second, "job-1") == 2 }, "the job is done")
 
