Heed servers that say they leave, and bound answers without end

Cause: answers may carry Server-Leaving: 1, which nothing read: a server was used until the platform's list said so, up to a whole watch later. Heads, announcements and bodies of a backend server had no bound but the caller's deadline, and the parser of heads none of bytes. A stream that sent a byte now and then was never taken for silent, since each byte began the wait anew. Ruled out: marking the listed entry only (the list or a stale copy would take it back); a bound on the whole body's time (cuts slow, sound answers). Change: placer keeps departures by incarnation, gossiper spreads them, the exchanger asks once more before it writes. exchanger.Limits (settings [Answers]) bounds bytes, announcements and the time of a part; silence counts from the last whole event; what is read before it is passed on fell from 1 MB to 128 KB, so that 200 endless answers fit. A wait that is over looks once more for bytes, for processes that were suspended.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -51,7 +51,7 @@
 	// the settings say.
 	leastWait = 500 * time.Millisecond
 	// trimInterval is how often idle connections are looked through.
-	trimInterval = 5 * time.Second
+	trimInterval = time.Second
 	// stopMargin is left of the grace at a planned stop, for the last log lines.
 	stopMargin = 500 * time.Millisecond
 	// memoryShare of the limit is where the collector starts to work harder.
@@ -308,7 +308,16 @@
 	for kernel.Pause(ctx, checkInterval) {
 		for _, server := range gateway.Placer.Suspects() {
 			document := gateway.Configuration.Document()
-			if document != nil && gateway.Backend.Check(ctx, server, document.Services[server.Service].HealthPath) {
+			if document == nil {
+				continue
+			}
+
+			healthy, leaves := gateway.Backend.Check(ctx, server, document.Services[server.Service].HealthPath)
+			if leaves {
+				gateway.Placer.Leave(server, "health check")
+			}
+
+			if healthy && !leaves {
 				gateway.Placer.Pass(server)
 			}
 		}
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -95,8 +95,8 @@
 	return custodian.NewDepositor(common, settings.Jobs.LostDisks+1)
 }
 
-func newExchanger(common kernel.Common) *exchanger.Exchanger {
-	return exchanger.NewExchanger(common)
+func newExchanger(common kernel.Common, settings loader.Gateway) *exchanger.Exchanger {
+	return exchanger.NewExchanger(common, exchanger.WithLimits(settings.Answers))
 }
 
 func newGossiper(common kernel.Common, places *placer.Placer, settings loader.Gateway) *gossiper.Gossiper {
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -159,7 +159,7 @@
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
 	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
-	exchanger := newExchanger(common)
+	exchanger := newExchanger(common, settings)
 	platformBackend := platform.NewBackend(exchanger)
 	inquirer := newInquirer(common, relay)
 	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, inquirer, settings)
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -25,6 +25,8 @@
 	firstWait = 2 * time.Second
 	// itemSilence between two events is taken for a fault of the server.
 	itemSilence = time.Second
+	// itemPart is what an event that has begun to arrive may take longer.
+	itemPart = time.Second
 	// failurePause is the longest first pause after a failed attempt.
 	failurePause = 300 * time.Millisecond
 	// longestPause is the longest of all; a few of them fit before the due time.
@@ -200,12 +202,16 @@
 	begun := time.Now()
 
 	reply, err := batcher.Backend.Send(ctx, grant.Server, call, forwarder.Attempt{
-		Left: time.Until(owned.job.GiveUp), FirstBy: begun.Add(firstWait), After: item.after, Repeatable: true,
+		Left: time.Until(owned.job.GiveUp), FirstBy: begun.Add(firstWait), After: item.after, Withdrawn: grant.Withdrawn, Repeatable: true,
 	})
 	if err != nil {
 		return batcher.unanswered(ctx, grant, err)
 	}
 
+	if reply.Leaving {
+		grant.Leaves(item.item.ID)
+	}
+
 	switch reply.Sense {
 	case forwarder.Full:
 		grant.Observe(placer.Full, 0)
@@ -244,6 +250,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return interrupted, "Its place was taken back."
+	case errors.Is(err, exchanger.ErrWithdrawn):
 	case errors.As(err, &failure) && failure.Fate == exchanger.Unsent:
 		grant.Observe(placer.Unreachable, 0)
 	case failure.Fate == exchanger.Unanswered:
@@ -257,13 +264,17 @@
 
 // read takes in the events of an answer.
 func (batcher *Batcher) read(ctx context.Context, item *task, grant *placer.Grant, answer *exchanger.Answer) (ending, string) {
-	events := &exchanger.Events{}
+	events := answer.Events()
 	buffer := make([]byte, chunk)
+	// taken is when the last whole event came. Bytes that complete none do not count.
+	taken, before := time.Now(), item.events
 
 	for {
-		answer.SetDeadline(time.Now().Add(itemSilence))
+		if silent := answer.Await(taken.Add(itemSilence)); silent != nil {
+			return batcher.unanswered(ctx, grant, silent)
+		}
 
-		count, err := answer.Read(buffer)
+		count, err := answer.ReadPart(buffer, taken.Add(itemSilence+itemPart))
 		if wrong := take(item, events, buffer[:count]); wrong != nil {
 			grant.Observe(placer.Broken, 0)
 
@@ -272,6 +283,10 @@
 
 		grant.SetProgress(item.events)
 
+		if item.events > before {
+			taken, before = time.Now(), item.events
+		}
+
 		switch {
 		case errors.Is(err, io.EOF) && events.Empty() && item.events > 0:
 			grant.Observe(placer.Whole, 0)
--- a/emulator/event_backend.go
+++ b/emulator/event_backend.go
@@ -37,12 +37,12 @@
 
 	answer, err := backend.Exchanger.Exchange(ctx, server.Address,
 		exchanger.Request{Method: http.MethodPost, Target: call.Target, Host: call.Host, Header: header, Body: call.Body},
-		exchanger.Terms{FirstBy: attempt.FirstBy, LastBy: call.Deadline, GiveUp: attempt.GiveUp, Repeatable: attempt.Repeatable})
+		exchanger.Terms{FirstBy: attempt.FirstBy, LastBy: call.Deadline, GiveUp: attempt.GiveUp, Withdrawn: attempt.Withdrawn, Repeatable: attempt.Repeatable})
 	if err != nil {
 		return forwarder.Reply{}, errors.Trace(err)
 	}
 
-	reply := forwarder.Reply{Answer: answer}
+	reply := forwarder.Reply{Answer: answer, Leaving: answer.Header.Get(headers.Leaving) != ""}
 
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -21,6 +21,8 @@
 	Server string
 	// Stamp signs answers.
 	Stamp string
+	// Leaving is 1 in all answers of a server that leaves.
+	Leaving string
 	// Deadline is how many milliseconds the caller waits; empty for a protocol
 	// that does not say so.
 	Deadline string
@@ -36,10 +38,15 @@
 	BreakWithin bool
 	// StallAfter goes silent after that many events; 0 for never.
 	StallAfter int
+	// Trickle makes a stalled stream send a byte of an event each time; 0 for
+	// nothing.
+	Trickle time.Duration
 	// Fail answers with that status; 0 for none.
 	Fail int
 	// SkipEvent leaves out the event with that number; 0 for none.
 	SkipEvent int
+	// Leaving says in each answer that the server leaves.
+	Leaving bool
 	// Slow multiplies the times of its answers; 0 for not.
 	Slow int
 }
@@ -71,7 +78,7 @@
 
 // DefaultEventHeaders are names for tests that need no platform.
 func DefaultEventHeaders() EventHeaders {
-	return EventHeaders{RequestID: "Request-Id", Expect: "Expect-Server", NotRun: "Not-Run", Server: "Server-Id", Stamp: "Stamp"}
+	return EventHeaders{RequestID: "Request-Id", Expect: "Expect-Server", NotRun: "Not-Run", Server: "Server-Id", Stamp: "Stamp", Leaving: "Leaving"}
 }
 
 // PlatformEventHeaders are the names of the platform's protocol.
@@ -79,6 +86,7 @@
 	return EventHeaders{
 		RequestID: "X-Limpetrail-Attempt-Id", Expect: "X-Limpetrail-Expect-Instance", NotRun: "X-Limpetrail-Not-Executed",
 		Server: "X-Limpetrail-Instance-Id", Stamp: "X-Limpetrail-Response-Stamp", Deadline: "X-Limpetrail-Deadline-Ms",
+		Leaving: "Server-Leaving",
 	}
 }
 
@@ -104,6 +112,13 @@
 	server.faults = faults
 }
 
+func (server *EventServer) leaves() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+
+	return server.faults.Leaving
+}
+
 // Started returns how often a request began to run.
 func (server *EventServer) Started(id string) int {
 	server.mutex.Lock()
@@ -166,6 +181,10 @@
 	writer.Header().Set(server.Headers.RequestID, id)
 	writer.Header().Set(server.Headers.Server, server.ID)
 
+	if server.leaves() {
+		writer.Header().Set(server.Headers.Leaving, "1")
+	}
+
 	if expected := request.Header.Get(server.Headers.Expect); expected != "" && expected != server.ID {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 
@@ -229,7 +248,7 @@
 		}
 
 		if faults.StallAfter > 0 && made == faults.StallAfter {
-			<-request.Context().Done()
+			trickle(writer, request, faults.Trickle)
 			panic(http.ErrAbortHandler)
 		}
 
@@ -247,6 +266,22 @@
 	}
 }
 
+// trickle sends a byte of an event now and then, and never its end, until the
+// caller leaves.
+func trickle(writer http.ResponseWriter, request *http.Request, interval time.Duration) {
+	control := http.NewResponseController(writer)
+
+	for interval > 0 && pauseFor(request, interval) {
+		if _, err := io.WriteString(writer, "d"); err != nil {
+			return
+		}
+
+		_ = control.Flush()
+	}
+
+	<-request.Context().Done()
+}
+
 // EventText is the data of an event.
 func EventText(number int) string {
 	return "event-" + strconv.Itoa(number)
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -40,6 +40,7 @@
 		return errors.Trace(err)
 	}
 
+	conn.left = answer.exchanger.Limits.HeadBytes
 	head := request.encode()
 
 	if len(request.Body) <= inlineBody {
@@ -56,22 +57,49 @@
 		return errors.Trace(err)
 	}
 
-	for {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+	response, err := answer.readHead(request.Method, terms.LastBy)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	conn.left = answer.exchanger.Limits.BodyBytes
+	answer.response = response
+	answer.Status, answer.Header, answer.Length = response.StatusCode, response.Header, response.ContentLength
+	answer.Framed = wholeLength(response)
+
+	return errors.Trace(conn.SetDeadline(time.Time{}))
+}
+
+// readHead reads the head of the answer, after those that only announce it.
+func (answer *Answer) readHead(method string, lastBy time.Time) (*http.Response, error) {
+	for range answer.exchanger.Limits.Announcements + 1 {
+		if err := answer.Await(lastBy); err != nil {
+			return nil, errors.Annotate(err, "awaiting an answer")
+		}
+
+		answer.boundPart(lastBy)
+
+		response, err := http.ReadResponse(answer.conn.reader, &http.Request{Method: method})
 		if err != nil {
-			return errors.Annotate(err, "reading the head of an answer")
+			return nil, errors.Annotate(answer.conn.cause(err), "reading the head of an answer")
 		}
 
-		if informational(response) {
-			continue
+		if !informational(response) {
+			return response, nil
 		}
+	}
 
-		answer.response = response
-		answer.Status, answer.Header, answer.Length = response.StatusCode, response.Header, response.ContentLength
-		answer.Framed = wholeLength(response)
+	return nil, errors.Annotate(ErrTooLong, "answers that only announce another")
+}
 
-		return errors.Trace(conn.SetDeadline(time.Time{}))
+// boundPart sets until when a part that has begun to arrive has to be there.
+func (answer *Answer) boundPart(lastBy time.Time) {
+	partBy := time.Now().Add(answer.exchanger.Limits.PartTime)
+	if partBy.Before(lastBy) {
+		lastBy = partBy
 	}
+
+	answer.SetDeadline(lastBy)
 }
 
 // awaitFirst waits for the first byte of the answer.
@@ -83,17 +111,26 @@
 		}
 	}
 
-	answer.SetDeadline(terms.LastBy)
-
 	return nil
 }
 
+// lateLook is how long a wait that is over looks for bytes that have come
+// meanwhile.
+const lateLook = time.Millisecond
+
 // Await waits until something can be read, at most until a time. A wait that
 // fails leaves the answer as it was, so that it can be awaited again.
 func (answer *Answer) Await(until time.Time) error {
 	answer.SetDeadline(until)
 
 	_, err := answer.conn.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// A process that was suspended finds its deadline over and the bytes there.
+		answer.SetDeadline(time.Now().Add(lateLook))
+
+		_, err = answer.conn.reader.Peek(1)
+	}
+
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return FailureError{Fate: Unanswered, Cause: err}
 	}
@@ -120,6 +157,13 @@
 	_ = answer.conn.SetReadDeadline(deadline)
 }
 
+// ReadPart reads what has begun to arrive of the body; see Await and Read.
+func (answer *Answer) ReadPart(buffer []byte, lastBy time.Time) (int, error) {
+	answer.boundPart(lastBy)
+
+	return answer.Read(buffer)
+}
+
 // Read reads the body. It returns io.EOF only at the end of a whole body;
 // other errors are of the type FailureError.
 func (answer *Answer) Read(buffer []byte) (int, error) {
@@ -133,10 +177,15 @@
 
 		return count, io.EOF
 	default:
-		return count, answer.exchanger.failure(answer.context, errors.Annotate(err, "reading an answer"))
+		return count, answer.exchanger.failure(answer.context, errors.Annotate(answer.conn.cause(err), "reading an answer"))
 	}
 }
 
+// Events returns a cutter for the answer's stream.
+func (answer *Answer) Events() *Events {
+	return NewEvents(answer.exchanger.Limits.EventBytes)
+}
+
 // Close ends the exchange. The connection is kept if both sides are done with
 // it; otherwise it is closed, which makes the server stop.
 func (answer *Answer) Close() {
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -25,6 +27,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// left is how many bytes of the present answer may still come in.
+	left int
 	// usable is until when an idle connection may be used again.
 	usable time.Time
 	// idle is since when the connection is idle.
@@ -32,7 +36,32 @@
 }
 
 func newConn(connection net.Conn) *conn {
-	return &conn{Conn: connection, reader: bufio.NewReaderSize(connection, readBuffer)}
+	made := &conn{Conn: connection}
+	made.reader = bufio.NewReaderSize(made, readBuffer)
+
+	return made
+}
+
+// Read reads what may still come in of the present answer.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	if conn.left <= 0 {
+		return 0, errors.Trace(ErrTooLong)
+	}
+
+	count, err := conn.Conn.Read(buffer[:min(len(buffer), conn.left)])
+	conn.left -= count
+
+	return count, err //nolint:wrapcheck // The reader compares it with io.EOF.
+}
+
+// cause names the limit where it is what ended an answer; parsers replace the
+// error of the connection by their own.
+func (conn *conn) cause(err error) error {
+	if conn.left <= 0 {
+		return errors.Wrap(err, ErrTooLong)
+	}
+
+	return err
 }
 
 // rest notes how long the connection may lie idle after an answer.
--- a/exchanger/events.go
+++ b/exchanger/events.go
@@ -7,8 +7,9 @@
 	"github.com/juju/errors"
 )
 
-// maxEventBytes bounds an event that has not ended.
-const maxEventBytes = 1 << 20
+// maxRead is the most that is written at once, so that several whole events in it
+// are not taken for a long one.
+const maxRead = 4 << 10
 
 // Event is one event of a stream (HTML standard, server-sent events).
 type Event struct {
@@ -22,16 +23,25 @@
 
 // Events cuts a stream into whole events.
 type Events struct {
+	// limit bounds an event that has not ended.
+	limit   int
 	pending []byte
 }
 
-// Write adds bytes of the stream.
+// NewEvents returns a cutter of streams whose events have at most so many bytes.
+func NewEvents(limit int) *Events {
+	return &Events{limit: limit}
+}
+
+// Write adds bytes of the stream. They count once the whole events before them are
+// taken.
 func (events *Events) Write(read []byte) error {
-	events.pending = append(events.pending, read...)
-	if len(events.pending) > maxEventBytes {
-		return errors.NotValidf("event of over %d bytes", maxEventBytes)
+	if len(events.pending)+len(read) > events.limit+maxRead {
+		return errors.Annotatef(ErrTooLong, "event of over %d bytes", events.limit)
 	}
 
+	events.pending = append(events.pending, read...)
+
 	return nil
 }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -34,6 +34,8 @@
 	kernel.Common
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Limits bound each answer.
+	Limits Limits
 
 	mutex sync.Mutex
 	// idle connections by address, the latest used last.
@@ -49,12 +51,18 @@
 	return func(exchanger *Exchanger) { exchanger.Dial = dial }
 }
 
+// WithLimits replaces the limits of answers.
+func WithLimits(limits Limits) Option {
+	return func(exchanger *Exchanger) { exchanger.Limits = limits }
+}
+
 // NewExchanger returns an exchanger without connections.
 func NewExchanger(common kernel.Common, options ...Option) *Exchanger {
 	common = common.ForPart("exchanger")
 	exchanger := &Exchanger{
 		Common: common,
 		Dial:   (&net.Dialer{}).DialContext,
+		Limits: DefaultLimits(),
 		idle:   map[string][]*conn{},
 		dials:  common.Metrics.Counter("dials"),
 	}
@@ -75,6 +83,8 @@
 	// GiveUp is asked when FirstBy has passed and nothing came. Without it, or
 	// if it agrees, the exchange ends.
 	GiveUp func() bool
+	// Withdrawn is asked once there is a connection; nothing is sent if it agrees.
+	Withdrawn func() bool
 	// Repeatable requests may use connections that have been idle for long.
 	Repeatable bool
 }
@@ -91,6 +101,12 @@
 		return nil, FailureError{Fate: Unsent, Cause: err}
 	}
 
+	if terms.Withdrawn != nil && terms.Withdrawn() {
+		conn.Close()
+
+		return nil, FailureError{Fate: Unsent, Cause: ErrWithdrawn}
+	}
+
 	answer := &Answer{exchanger: exchanger, address: address, conn: conn, context: ctx}
 	answer.stop = context.AfterFunc(ctx, func() { conn.Close() })
 
@@ -181,8 +197,9 @@
 	exchanger.idle[address] = append(exchanger.idle[address], conn)
 }
 
-// Trim closes connections that may not be used again. It is called now and
-// then, so that addresses that are gone leave nothing behind.
+// Trim closes connections that may not be used again, or on which something came
+// in that nobody asked for. It is called now and then, so that addresses that are
+// gone and servers that send without end leave nothing behind.
 func (exchanger *Exchanger) Trim() {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
@@ -193,7 +210,7 @@
 		kept := idle[:0]
 
 		for _, conn := range idle {
-			if now.Before(conn.usable) {
+			if now.Before(conn.usable) && conn.quiet() {
 				kept = append(kept, conn)
 			} else {
 				conn.Close()
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -268,7 +268,7 @@
 	text := "id: 1\ndata: one\ndata: more\n\n: comment\nid: 2\r\ndata:two\r\n\r\nid: x\ndata: 3\n\nid: 4\nda"
 
 	for size := 1; size <= len(text); size++ {
-		events := &exchanger.Events{}
+		events := exchanger.NewEvents(1 << 16)
 		seen := []string{}
 		ids := []int{}
 
@@ -286,6 +286,32 @@
 		require.False(t, events.Empty())
 	}
 
-	events := &exchanger.Events{}
+	events := exchanger.NewEvents(1 << 16)
 	require.True(t, errors.Is(events.Write(make([]byte, 2<<20)), errors.NotValid))
 }
+
+// A request whose server left while a connection was made is not sent.
+func TestWithdrawnRequestsAreNotSent(t *testing.T) {
+	server := newScripted(t, false, whole, whole)
+	made := exchanger.NewExchanger(kernel.Discard("entry"))
+
+	// Once on a new connection, once on one that is used again.
+	for _, used := range []int{0, 1} {
+		for range used {
+			_, err := fetch(made, server, soon())
+			require.NoError(t, err)
+			<-server.heads
+		}
+
+		terms := soon()
+		terms.Withdrawn = func() bool { return true }
+
+		_, err := fetch(made, server, terms)
+		failure := exchanger.FailureError{}
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, exchanger.Unsent, failure.Fate)
+		require.ErrorIs(t, err, exchanger.ErrWithdrawn)
+	}
+
+	require.Empty(t, server.heads)
+}
--- a/exchanger/fate.go
+++ b/exchanger/fate.go
@@ -1,5 +1,11 @@
 package exchanger
 
+import "github.com/juju/errors"
+
+// ErrWithdrawn is the cause of a request that was not sent because its server is
+// no longer to be used.
+var ErrWithdrawn = errors.New("the backend server is no longer to be used")
+
 // Fate is what is known of a request whose exchange failed.
 type Fate int
 
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -16,6 +16,9 @@
 	FirstBy time.Time
 	// GiveUp is asked when FirstBy has passed; nil to end the attempt then.
 	GiveUp func() bool
+	// Withdrawn is asked before anything is sent; the server may have begun to
+	// leave while a connection was made. It is nil for an attempt that stands.
+	Withdrawn func() bool
 	// After is the number of the last event that need not come again, or -1.
 	After int
 	// Repeatable calls may use connections that have been idle for long.
@@ -41,6 +44,8 @@
 type Reply struct {
 	Sense  Sense
 	Answer *exchanger.Answer
+	// Leaving tells that the server said that it leaves.
+	Leaving bool
 }
 
 // Backend is how backend servers are spoken to. An error is an
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -14,7 +14,7 @@
 const (
 	// maxWhole is the longest answer that is read before it is passed on, so
 	// that a broken one can be asked for again.
-	maxWhole = 1 << 20
+	maxWhole = 128 << 10
 	// chunk is read from a stream at once.
 	chunk = 4 << 10
 )
@@ -96,19 +96,26 @@
 		journey.start(answer, -1)
 	}
 
-	events := &exchanger.Events{}
+	events := answer.Events()
 	buffer := make([]byte, chunk)
+	// passed is when the last whole event was passed on. Bytes that complete none
+	// do not count.
+	passed, before := time.Now(), journey.events
 
 	for {
-		if silent := journey.await(answer, last); silent != nil {
+		if silent := journey.await(answer, passed, last); silent != nil {
 			return journey.cut(grant, silent, last)
 		}
 
-		count, err := answer.Read(buffer)
+		count, err := answer.ReadPart(buffer, journey.call.Deadline)
 		if failed := journey.passOn(events, buffer[:count]); failed != nil {
 			return journey.spoiled(grant, failed, last)
 		}
 
+		if journey.events > before {
+			passed, before = time.Now(), journey.events
+		}
+
 		switch {
 		case errors.Is(err, io.EOF) && events.Empty():
 			grant.Observe(placer.Whole, 0)
@@ -124,19 +131,17 @@
 	}
 }
 
-// await waits for the next part of a stream. A silent one is given up if it may
-// go on elsewhere.
-func (journey *journey) await(answer *exchanger.Answer, last bool) error {
+// await waits for the next part of a stream. One without a whole event for long is
+// given up if it may go on elsewhere.
+func (journey *journey) await(answer *exchanger.Answer, passed time.Time, last bool) error {
 	if !last {
-		silent := answer.Await(time.Now().Add(silence(journey.call.Route)))
+		silent := answer.Await(passed.Add(silence(journey.call.Route)))
 		if silent != nil && journey.mayGiveUp() {
 			return silent
 		}
 	}
 
-	answer.SetDeadline(journey.call.Deadline)
-
-	return nil
+	return answer.Await(journey.call.Deadline)
 }
 
 // errCallerLeft is the cause of a part that could not be passed on.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -52,6 +52,16 @@
 			resumable: ending{forwarder.Answered, 2, whole(20)},
 			once:      ending{forwarder.Broken, 1, whole(12)},
 		},
+		"streams send a byte now and then": {
+			faults:    emulator.EventFaults{StallAfter: 12, Trickle: 40 * time.Millisecond},
+			resumable: ending{forwarder.Answered, 2, whole(20)},
+			once:      ending{forwarder.Broken, 1, whole(12)},
+		},
+		"streams are slow but sound": {
+			faults:    emulator.EventFaults{Slow: 5},
+			resumable: ending{forwarder.Answered, 1, whole(20)},
+			once:      ending{forwarder.Answered, 1, whole(20)},
+		},
 		"an event is left out": {
 			faults:    emulator.EventFaults{SkipEvent: 7},
 			resumable: ending{forwarder.Broken, 3, whole(7)},
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -98,7 +98,10 @@
 func (journey *journey) attempt(ctx context.Context, grant *placer.Grant) (Result, bool) {
 	begun := time.Now()
 	last := journey.lastAttempt()
-	attempt := Attempt{Left: time.Until(journey.call.Deadline), FirstBy: journey.call.Deadline, After: journey.after, Repeatable: journey.call.Route.Repeatable()}
+	attempt := Attempt{
+		Left: time.Until(journey.call.Deadline), FirstBy: journey.call.Deadline, After: journey.after,
+		Withdrawn: grant.Withdrawn, Repeatable: journey.call.Route.Repeatable(),
+	}
 
 	if !last {
 		attempt.GiveUp = journey.mayGiveUp
@@ -110,6 +113,10 @@
 		return journey.failed(grant, err, last)
 	}
 
+	if reply.Leaving {
+		grant.Leaves(journey.call.ID)
+	}
+
 	switch reply.Sense {
 	case Full, Misdirected:
 		return journey.bounced(grant, reply.Sense)
@@ -170,8 +177,7 @@
 
 	switch failure.Fate {
 	case exchanger.Unsent:
-		grant.Observe(placer.Unreachable, 0)
-		journey.log(grant, failure.Error()).Info("Backend server cannot be reached.")
+		journey.unsent(grant, failure)
 
 		return journey.bounce()
 	case exchanger.Left:
@@ -191,6 +197,19 @@
 	return journey.again(grant, failure.Error(), last)
 }
 
+// unsent notes why nothing was sent: the server left meanwhile, or no connection
+// was made.
+func (journey *journey) unsent(grant *placer.Grant, failure exchanger.FailureError) {
+	if errors.Is(failure.Cause, exchanger.ErrWithdrawn) {
+		journey.log(grant, failure.Error()).Info("Backend server left before a request was sent.")
+
+		return
+	}
+
+	grant.Observe(placer.Unreachable, 0)
+	journey.log(grant, failure.Error()).Info("Backend server cannot be reached.")
+}
+
 // bounced decides after a server said that it has not run the call.
 func (journey *journey) bounced(grant *placer.Grant, sense Sense) (Result, bool) {
 	journey.tried = append(journey.tried, grant.Server.ID)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -40,6 +40,8 @@
 	Incarnation int64
 	Number      int64
 	Loads       map[string]placer.Load
+	// Departures are the listed servers that said that they leave.
+	Departures []placer.Departure `json:",omitempty"`
 }
 
 // peer is where another entry is reached.
@@ -127,6 +129,7 @@
 		changed := gossiper.Placer.Changed()
 		report.Number++
 		report.Loads = gossiper.Placer.Own()
+		report.Departures = gossiper.Placer.Departures()
 		gossiper.spread(socket, report)
 
 		kernel.Pause(ctx, gossiper.interval())
@@ -206,5 +209,6 @@
 
 	if known && !late {
 		gossiper.Placer.Hear(report.Instance, report.DataCentre, report.Loads)
+		gossiper.Placer.Depart(report.Departures, "report of "+report.Instance)
 	}
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -153,3 +153,18 @@
 	require.Greater(t, received, 2*peers, "each peer hears more than once")
 	require.LessOrEqual(t, received, peers+int(mostRate*length.Seconds()))
 }
+
+// A departure that one entry saw is known at the others soon, also at one that
+// starts later.
+func TestDeparturesAreToldToOthers(t *testing.T) {
+	addresses := []string{freePort(t), freePort(t)}
+	first, seeing := newEntry(t, "a", addresses[0])
+
+	seeing.Leave(placer.Server{ID: "x"}, "answer to r-1")
+	first.SetPeers(map[string]string{"b": addresses[1]})
+
+	second, hearing := newEntry(t, "b", addresses[1])
+	second.SetPeers(map[string]string{"a": addresses[0]})
+
+	require.Eventually(t, func() bool { return hearing.Status()[0].Leaving }, 5*time.Second, time.Millisecond)
+}
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpetrail/batcher"
+	"limpetrail/exchanger"
 	"limpetrail/keeper"
 )
 
@@ -16,10 +17,12 @@
 	// Calls bounds the use of the catalog.
 	Calls  keeper.Settings
 	Follow Follow
-	Jobs   batcher.Settings
-	Memory Memory
-	Stop   Stop
-	Log    Log
+	// Answers bounds the answers of backend servers.
+	Answers exchanger.Limits
+	Jobs    batcher.Settings
+	Memory  Memory
+	Stop    Stop
+	Log     Log
 }
 
 // GatewayListen is where a gateway listens.
@@ -114,6 +117,7 @@
 		Catalog: Platform{Adapter: "platform"},
 		Calls:   gatewayCalls(),
 		Follow:  Follow{NoticeSilence: defaultNoticeSilence},
+		Answers: exchanger.DefaultLimits(),
 		Jobs:    batcher.DefaultSettings(),
 		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
 		Log:     Log{Level: "info"},
--- a/placer/grant.go
+++ b/placer/grant.go
@@ -37,6 +37,17 @@
 	grant.placer.observe(grant.Server, observation, first)
 }
 
+// Leaves tells that the server said so in its answer to a request.
+func (grant *Grant) Leaves(requestID string) {
+	grant.placer.Leave(grant.Server, "answer to "+requestID)
+}
+
+// Withdrawn tells whether the server is no longer to be used. What has begun to
+// run there goes on.
+func (grant *Grant) Withdrawn() bool {
+	return grant.placer.withdrawn(grant.Server)
+}
+
 // Release gives the place back. Further calls do nothing.
 func (grant *Grant) Release() {
 	if grant.released.CompareAndSwap(false, true) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,9 @@
 	// servers by ID.
 	servers  map[string]*state
 	services map[string]*service
+	// departures holds the incarnations that said that they leave, and when each
+	// was last listed.
+	departures map[Departure]time.Time
 	// reports holds the fresh reports of other entries by name.
 	reports map[string]report
 	// listed holds the data centres of the other entries that the platform lists,
@@ -58,12 +61,13 @@
 // NewPlacer returns a placer that knows no servers.
 func NewPlacer(common kernel.Common) *Placer {
 	return &Placer{
-		Common:   common.ForPart("placer"),
-		servers:  map[string]*state{},
-		services: map[string]*service{},
-		reports:  map[string]report{},
-		changed:  make(chan struct{}),
-		room:     make(chan struct{}),
+		Common:     common.ForPart("placer"),
+		servers:    map[string]*state{},
+		services:   map[string]*service{},
+		departures: map[Departure]time.Time{},
+		reports:    map[string]report{},
+		changed:    make(chan struct{}),
+		room:       make(chan struct{}),
 	}
 }
 
@@ -81,6 +85,8 @@
 	}
 
 	for _, server := range servers {
+		server.Leaving = server.Leaving || placer.departed(server)
+
 		known := before[server.ID]
 		if known == nil || known.Incarnation != server.Incarnation {
 			known = &state{grants: map[*Grant]bool{}, others: placer.heardOf(server.ID)}
@@ -101,6 +107,8 @@
 		placer.service(server.Service).servers = append(placer.service(server.Service).servers, known)
 	}
 
+	placer.forgetDepartures(time.Now())
+
 	for id := range before {
 		if placer.servers[id] == nil {
 			placer.Log.WithField("BackendServer", id).Info("Backend server is gone from the list.")
