Prefer homes by how old reports are, pause batch where it yielded

Cause: 36 gateways hear of each other every 95 ms and all found the same server the least loaded; batch items were sent into places that were free for moments: 218 of 343 runs that yielded in one data centre had made at most one event. Ruled out: servers' own refusals of online calls (12 in 14 s of 7 gateways). Change: a home counts for more, and strangers are ranked with some chance, in proportion to the age of reports among more than eight entries; batch stays away from a server for 400 ms after it yielded there.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -95,7 +95,7 @@
 	if server.home {
 		cost -= homeGain * chooser.doubt
 	} else {
-		cost += strangerSpread * (chooser.doubt - 1) * rand.Float64() //nolint:gosec // Nothing secret hangs on the choice.
+		cost += strangerSpread * (chooser.doubt - 1) * rand.Float64()
 	}
 
 	if chooser.slow(server) {
--- a/placer/give.go
+++ b/placer/give.go
@@ -34,6 +34,7 @@
 	delete(server.grants, grant)
 	server.own.Batch--
 	grant.yielded = true
+	server.yielded = time.Now()
 	close(grant.Yield)
 
 	return true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -293,7 +293,7 @@
 	chooser := placer.chooser(work)
 
 	server := best(service.servers, func(server *state) (float64, bool) {
-		room := batchRoom(server, placer.blind)
+		room := batchRoom(server, placer.blind, chooser.now)
 
 		return -float64(room), chooser.candidate(server) && room > 0
 	})
@@ -330,6 +330,7 @@
 		now:        now,
 		work:       work,
 		usual:      placer.service(work.Service).usualFirst(now),
+		doubt:      doubtAmong(len(placer.reports)),
 	}
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -354,3 +354,37 @@
 		require.True(t, placed)
 	})
 }
+
+// The load: a peak in which places become free for moments only. Batch work that
+// had to yield at a server does not come back to it at once.
+func TestBatchPausesWhereItYielded(t *testing.T) {
+	tell(t, func(story *story) {
+		story.lists("x")
+		story.placer.Update([]placer.Server{{ID: "x", Incarnation: 1, Service: modelService, Places: 2, DataCentre: "a"}})
+
+		grant, placed := story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.True(t, placed)
+
+		online := []*placer.Grant{}
+
+		for range 2 {
+			taken, _ := story.takes()
+			online = append(online, taken)
+		}
+
+		<-grant.Yield
+		grant.Release()
+
+		for _, taken := range online {
+			taken.Release()
+		}
+
+		_, placed = story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.False(t, placed, "a place that was free for no time is not taken")
+
+		time.Sleep(time.Second)
+
+		_, placed = story.placer.PlaceBatch(placer.Work{Service: modelService})
+		require.True(t, placed)
+	})
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -40,7 +40,9 @@
 	unheard bool
 	// grants are the batch runs of this entry, which can yield.
 	grants map[*Grant]bool
-	health health
+	// yielded is when batch work had to yield here last.
+	yielded time.Time
+	health  health
 }
 
 func (server *state) online() int {
--- a/placer/yield.go
+++ b/placer/yield.go
@@ -11,12 +11,17 @@
 	strangerReserve = 3
 )
 
+// yieldPause is how long a server gets no batch work after some had to yield there.
+// In a peak places become free for moments only, and a run that yields again at once
+// has made nothing and held a place of the engine's queue.
+const yieldPause = 400 * time.Millisecond
+
 // batchRoom tells whether batch work may start at a server: in the troughs
 // between the peaks of callers, up to the reserve. A server that an entry fills
 // which is not heard has no room, since nobody here knows what runs there.
-func batchRoom(server *state, blind bool) int {
+func batchRoom(server *state, blind bool, now time.Time) int {
 	switch {
-	case server.unheard:
+	case server.unheard || now.Sub(server.yielded) < yieldPause:
 		return 0
 	case server.home && !blind:
 		return server.free() - homeReserve
