Start no batch work where online work has most of the homes

Cause: at the peaks places are free for moments; batch runs began in them and had to yield again, each a closed connection and a place in an engine's queue. Ruled out: a longer pause after a yield (six of them fit into a peak either way). Change: batch starts only while online work has at most three quarters of the places at the homes of an entry.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -150,6 +150,16 @@
 	placer.settle()
 }
 
+// Heard returns how many other entries are heard.
+func (placer *Placer) Heard() int {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	placer.prune()
+
+	return len(placer.reports)
+}
+
 // Own returns what this entry runs, by server ID.
 func (placer *Placer) Own() map[string]Load {
 	placer.mutex.Lock()
@@ -286,7 +296,7 @@
 	placer.prune()
 
 	service := placer.service(work.Service)
-	if len(service.queue.waiting) > 0 {
+	if len(service.queue.waiting) > 0 || service.crowdedHomes() {
 		return nil, false
 	}
 
--- a/placer/yield.go
+++ b/placer/yield.go
@@ -16,6 +16,25 @@
 // has made nothing and held a place of the engine's queue.
 const yieldPause = 400 * time.Millisecond
 
+// mostOnline is the part of the places at an entry's homes that online work may have
+// while batch work still starts there. Above it, what is free will not stay so.
+const mostOnline = 0.75
+
+// crowdedHomes tells whether online work has most of the places at the homes of this
+// entry: the peak of callers, in which batch runs would begin only to yield.
+func (service *service) crowdedHomes() bool {
+	online, places := 0, 0
+
+	for _, server := range service.servers {
+		if server.home && !server.Leaving && !server.health.suspect() {
+			online += server.online()
+			places += server.Places
+		}
+	}
+
+	return places > 0 && float64(online) > mostOnline*float64(places)
+}
+
 // batchRoom tells whether batch work may start at a server: in the troughs
 // between the peaks of callers, up to the reserve. A server that an entry fills
 // which is not heard has no room, since nobody here knows what runs there.
