Let watches of what seldom changes wait long among many gateways

Ruled out: watchers for a data centre that the others ask: one that is cut off from the store would have to be noticed within drainMs, which takes as many calls. Change: follower waits 20 s while eight others are heard and no call has failed for 10 s; reports of load carry the newest change that each saw, and whoever has not seen it makes its watch anew, at most once for each mark. Small fleets ask as before.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -44,6 +44,10 @@
 	// fleet for longestPause. One that leaves gets no work two seconds later.
 	serversPause = 300 * time.Millisecond
 	longestPause = time.Second
+	// calmPeers are heard, and no call has failed for calmTime, where watches wait
+	// long: a silent one is noticed by what the others see.
+	calmPeers = 8
+	calmTime  = 10 * time.Second
 	// watchRate is how many watches of a prefix that changes all the time a whole
 	// fleet makes a second.
 	watchRate = 20
@@ -211,20 +215,51 @@
 func (gateway *Gateway) followers() map[string]*follower.Follower {
 	borrow, share := follower.WithFallback(gateway.Relay.Copy), follower.WithShare(gateway.Sharer.Share)
 	prompt := max(leastWait, gateway.Settings.Follow.NoticeSilence-silenceMargin)
+	calm := follower.WithCalm(gateway.calm)
 	gateway.copies = map[string]*follower.Follower{}
 
 	for _, made := range []*follower.Follower{
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithWait(prompt)),
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithWait(prompt), gateway.paced(serversPause, longestPause)),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold(), follower.WithWait(membersWait), gateway.paced(0, longestPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithWait(prompt), calm),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithWait(prompt), calm, gateway.paced(serversPause, longestPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold(), follower.WithWait(membersWait), calm, gateway.paced(0, longestPause)),
 		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithWait(prompt), gateway.paced(headsPause, longestHeadsPause)),
 	} {
 		gateway.copies[made.Prefix] = made
 	}
 
+	gateway.Gossiper.Marks, gateway.Gossiper.Notice = gateway.marks, gateway.notice
+
 	return gateway.copies
 }
 
+// calm tells whether a silent watch here would be noticed by others: enough of them
+// watch the same and are heard, and the key-value service answers.
+func (gateway *Gateway) calm() bool {
+	return gateway.Placer.Heard() >= calmPeers && !gateway.Client.FailedWithin(calmTime)
+}
+
+// marks returns the newest changes that were seen here, by prefix.
+func (gateway *Gateway) marks() map[string]keeper.Revision {
+	marks := map[string]keeper.Revision{}
+
+	for prefix, followed := range gateway.copies {
+		if followed.Calm != nil {
+			marks[prefix] = followed.Mark()
+		}
+	}
+
+	return marks
+}
+
+// notice takes in the newest changes that another gateway saw.
+func (gateway *Gateway) notice(marks map[string]keeper.Revision) {
+	for prefix, mark := range marks {
+		if followed := gateway.copies[prefix]; followed != nil {
+			followed.Notice(mark)
+		}
+	}
+}
+
 // paced pauses before each watch by the size of the fleet.
 func (gateway *Gateway) paced(least, longest time.Duration) follower.Option {
 	return follower.WithPause(func() time.Duration {
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -214,3 +214,35 @@
 
 	return false
 }
+
+// A full disk refuses new jobs, keeps what it has, and takes jobs again once there is
+// room, without a restart.
+func TestFullDisk(t *testing.T) {
+	service := &service{away: true, created: map[string]int{}}
+	folder, err := archiver.NewFolder(t.TempDir(), 600)
+	require.NoError(t, err)
+
+	made, err := custodian.NewCustodian(kernel.Discard("holder"), folder, time.Hour, service.create)
+	require.NoError(t, err)
+
+	large := job("large")
+	large.Items[0].Body = make([]byte, 300)
+
+	require.NoError(t, made.Accept(large))
+	require.Error(t, made.Accept(job("late")))
+	require.False(t, made.Holds("late"), "what was refused is not held")
+	require.True(t, made.Holds("large"))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	running := sync.WaitGroup{}
+	running.Go(func() { made.Run(ctx) })
+
+	service.set(false)
+	require.Eventually(t, made.Empty, 10*time.Second, time.Millisecond)
+	require.Equal(t, 1, service.count("large"))
+	require.Zero(t, service.count("late"))
+	require.NoError(t, made.Accept(job("late")))
+
+	cancel()
+	running.Wait()
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -45,6 +45,8 @@
 	Pause func() time.Duration
 	// Wait is how long a watch waits for changes.
 	Wait time.Duration
+	// Calm tells whether watches may wait long; nil for never.
+	Calm func() bool
 	// Apply takes each new copy. It must not be changed or kept.
 	Apply func(copied Copy)
 
@@ -58,6 +60,11 @@
 	// shown is what was handed last, for other processes.
 	shown atomic.Pointer[keeper.Page]
 
+	marks marks
+	// doubted is the newest change heard of when a watch was last made anew for it.
+	// One that never comes is not asked for again and again.
+	doubted uint64
+
 	copied Copy
 	// removed holds the keys that are gone, and when they leave the copy.
 	removed  map[string]time.Time
@@ -207,6 +214,7 @@
 	}
 
 	follower.revision = listing.revision
+	follower.note()
 	follower.hand()
 }
 
@@ -215,12 +223,14 @@
 		kernel.Pause(ctx, follower.Pause())
 	}
 
-	changes, err := follower.Client.Watch(ctx, follower.Prefix, follower.revision, follower.nextWait())
+	changes, err := follower.await(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
 
 	for _, event := range changes.Events {
+		raise(&follower.marks.newest, uint64(event.Revision))
+
 		if event.Deleted {
 			follower.remove(event.Key[len(follower.Prefix):])
 		} else {
@@ -229,6 +239,7 @@
 	}
 
 	follower.revision = max(follower.revision, changes.Revision)
+	follower.note()
 
 	if follower.release() || len(changes.Events) > 0 {
 		follower.hand()
@@ -237,10 +248,36 @@
 	return nil
 }
 
+// await watches once. A long watch that may be silent ends without changes, and the
+// next one is another call.
+func (follower *Follower) await(ctx context.Context) (keeper.Changes, error) {
+	wait := follower.nextWait()
+	bounded, cancel := context.WithCancel(ctx)
+
+	defer cancel()
+
+	if wait > follower.Wait {
+		go follower.attend(bounded, cancel)
+	}
+
+	changes, err := follower.Client.Watch(bounded, follower.Prefix, follower.revision, wait)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		follower.doubted = follower.marks.heard.Load()
+
+		return keeper.Changes{}, nil
+	}
+
+	return changes, errors.Trace(err)
+}
+
 // nextWait is how long the next watch may wait: at most until the first hold
 // ends.
 func (follower *Follower) nextWait() time.Duration {
 	wait := follower.Wait
+	if follower.Calm != nil && follower.Calm() {
+		wait = max(wait, calmWait)
+	}
+
 	for _, until := range follower.removed {
 		wait = min(wait, max(leastHold, time.Until(until)))
 	}
@@ -255,6 +292,8 @@
 		return
 	}
 
+	raise(&follower.marks.newest, uint64(item.Revision))
+
 	follower.copied[name] = item
 	delete(follower.removed, name)
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,16 +28,37 @@
 	catalog *emulator.Catalog
 	made    *follower.Follower
 
+	// loses takes the answer of the next watch that ends; it is never answered.
+	loses atomic.Bool
+
 	mutex sync.Mutex
 	seen  []string
 }
 
+// losing is a catalog whose connections fall silent.
+type losing struct {
+	*emulator.Catalog
+	loses *atomic.Bool
+}
+
+// Watch implements keeper.Catalog.
+func (losing losing) Watch(ctx context.Context, prefix string, after keeper.Revision, wait time.Duration) (keeper.Changes, error) {
+	changes, err := losing.Catalog.Watch(ctx, prefix, after, wait)
+	if losing.loses.CompareAndSwap(true, false) {
+		<-ctx.Done()
+
+		return keeper.Changes{}, errors.Trace(ctx.Err())
+	}
+
+	return changes, errors.Trace(err)
+}
+
 func tell(t *testing.T, play func(story *story), options ...follower.Option) {
 	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
 		story := &story{t: t, catalog: emulator.NewCatalog()}
-		client := keeper.NewCatalogClient(kernel.Discard("entry"), story.catalog, loader.DefaultGateway().Calls)
+		client := keeper.NewCatalogClient(kernel.Discard("entry"), losing{Catalog: story.catalog, loses: &story.loses}, loader.DefaultGateway().Calls)
 		story.made = follower.NewFollower(kernel.Discard("entry"), client, prefix, func(copied follower.Copy) {
 			story.mutex.Lock()
 			defer story.mutex.Unlock()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
 )
@@ -42,6 +43,9 @@
 	Loads       map[string]placer.Load
 	// Departures are the listed servers that said that they leave.
 	Departures []placer.Departure `json:",omitempty"`
+	// Marks are the newest changes that the entry saw below prefixes of the
+	// key-value service.
+	Marks map[string]keeper.Revision `json:",omitempty"`
 }
 
 // peer is where another entry is reached.
@@ -57,6 +61,10 @@
 	Placer *placer.Placer
 	// Address is the host and port of this entry, for datagrams.
 	Address string
+	// Marks returns this entry's marks, and Notice takes in those of others. They
+	// are set before Run; nil for none.
+	Marks  func() map[string]keeper.Revision
+	Notice func(marks map[string]keeper.Revision)
 
 	mutex sync.Mutex
 	// peers are the addresses of other entries. They stay while an entry is
@@ -130,6 +138,11 @@
 		report.Number++
 		report.Loads = gossiper.Placer.Own()
 		report.Departures = gossiper.Placer.Departures()
+
+		if gossiper.Marks != nil {
+			report.Marks = gossiper.Marks()
+		}
+
 		gossiper.spread(socket, report)
 
 		kernel.Pause(ctx, gossiper.interval())
@@ -206,6 +219,10 @@
 	gossiper.mutex.Unlock()
 
 	if known && !late {
+		if gossiper.Notice != nil {
+			gossiper.Notice(report.Marks)
+		}
+
 		gossiper.Placer.Hear(report.Instance, report.DataCentre, report.Loads)
 		gossiper.Placer.Depart(report.Departures, "report of "+report.Instance)
 	}
