Gather changes of members for up to two seconds in a large fleet

Ruled out: a longer watch (the list changes all the time then). Change: up to 2 s instead of 1 s between two watches of members, by the size of the fleet. Who is live is heard in reports of load meanwhile.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -44,6 +44,9 @@
 	// fleet for longestPause. One that leaves gets no work two seconds later.
 	serversPause = 300 * time.Millisecond
 	longestPause = time.Second
+	// longestMembersPause gathers members that come and go, as many do when processes
+	// are stopped in turn. Loads are heard meanwhile.
+	longestMembersPause = 2 * time.Second
 	// calmPeers are heard, and no call has failed for calmTime, where watches wait
 	// long: a silent one is noticed by what the others see.
 	calmPeers = 8
@@ -221,7 +224,7 @@
 	for _, made := range []*follower.Follower{
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, borrow, share, follower.WithWait(prompt), calm),
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, borrow, share, follower.WithHold(), follower.WithWait(prompt), calm, gateway.paced(serversPause, longestPause)),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold(), follower.WithWait(membersWait), calm, gateway.paced(0, longestPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.Prefix, gateway.applyMembers, borrow, share, follower.WithHold(), follower.WithWait(membersWait), calm, gateway.paced(0, longestMembersPause)),
 		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithWait(prompt), gateway.paced(headsPause, longestHeadsPause)),
 	} {
 		gateway.copies[made.Prefix] = made
