Use the newest of several copies at a start, bound answers of peers

Cause: a process that starts while the store is away took the copy of the first process that answered. One that was away itself until a moment ago may still have servers that left and keys that were withdrawn. Change: up to five processes are asked at once; a newer copy has 50 ms after the first. Replies of peers, of owners and of engines' load are bounded in bytes.

--- a/driver/http_engine.go
+++ b/driver/http_engine.go
@@ -75,7 +75,7 @@
 	defer response.Body.Close()
 
 	load := Load{}
-	err = json.NewDecoder(response.Body).Decode(&load)
+	err = json.NewDecoder(io.LimitReader(response.Body, maxTokenLineBytes)).Decode(&load)
 
 	return load, errors.Trace(err)
 }
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	// that is gone loses its jobs within a few seconds.
 	firstProbe = 500 * time.Millisecond
 	lastProbe  = 4 * time.Second
+	// maxReadingBytes bounds an answer: a page of at most a megabyte, escaped.
+	maxReadingBytes = 4 << 20
 )
 
 // question is what a reader wants to know, as it travels.
@@ -144,7 +147,7 @@
 	}
 
 	reading := librarian.Reading{}
-	if err := json.NewDecoder(response.Body).Decode(&reading); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReadingBytes)).Decode(&reading); err != nil {
 		return librarian.Reading{}, false, errors.Annotate(err, "reading an owner's answer")
 	}
 
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +24,12 @@
 	idlePerPeer = 8
 	// copyTimeout of the question for a copy; it is answered from memory.
 	copyTimeout = 500 * time.Millisecond
+	// maxReplyBytes bounds a reply: a page of some megabytes, in base64.
+	maxReplyBytes = 32 << 20
+	// copyPeers are asked for a copy at once, and copyPatience is how long a newer
+	// one is awaited after the first.
+	copyPeers    = 5
+	copyPatience = 50 * time.Millisecond
 )
 
 // Relay is a keeper.Catalog that is reached through other gateways.
@@ -115,27 +123,77 @@
 	return errors.Trace(err)
 }
 
-// Copy returns what some other gateway last saw below a prefix.
+// Copy returns the newest of what a few other processes last saw below a prefix. One
+// that was away until a moment ago may still have servers and keys that are gone.
 func (relay *Relay) Copy(ctx context.Context, prefix string) (keeper.Page, error) {
-	err := errors.NotFoundf("another gateway")
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 
-	for range relay.count() {
-		var answer reply
+	peers := relay.some(copyPeers)
+	answers := make(chan copyAnswer, len(peers))
 
-		answer, err = relay.copyOnce(ctx, prefix)
-		if err == nil {
-			return answer.Page, nil
+	for _, peer := range peers {
+		go func() { answers <- relay.copyOf(ctx, peer, prefix) }()
+	}
+
+	newest := copyAnswer{err: errors.NotFoundf("another process")}
+	// enough is nil until there is a copy; others have a moment to give a newer one.
+	var enough <-chan time.Time
+
+	for range peers {
+		select {
+		case answer := <-answers:
+			if answer.err == nil && enough == nil {
+				enough = time.After(copyPatience)
+			}
+
+			newest = newest.orNewer(answer)
+		case <-enough:
+			return newest.page, nil
 		}
 	}
 
-	return keeper.Page{}, errors.Trace(err)
+	return newest.page, newest.err
 }
 
-func (relay *Relay) copyOnce(ctx context.Context, prefix string) (reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
+// copyAnswer is another process's copy, or why there is none.
+type copyAnswer struct {
+	page keeper.Page
+	err  error
+}
+
+// orNewer returns the other answer if it is a copy and newer.
+func (answer copyAnswer) orNewer(other copyAnswer) copyAnswer {
+	if answer.err == nil && (other.err != nil || other.page.Revision <= answer.page.Revision) {
+		return answer
+	}
+
+	return other
+}
+
+func (relay *Relay) copyOf(ctx context.Context, peer, prefix string) copyAnswer {
+	answer, err := relay.ask(ctx, peer, call{Operation: operationCopy, Prefix: prefix})
+	if err == nil {
+		err = errors.Annotatef(answer.err(), "through %s", peer)
+	}
+
+	return copyAnswer{page: answer.Page, err: err}
+}
+
+// some returns a few processes by chance.
+func (relay *Relay) some(most int) []string {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+
+	chosen := []string{}
+
+	for _, index := range rand.Perm(len(relay.peers)) {
+		if len(chosen) < most {
+			chosen = append(chosen, relay.peers[index])
+		}
+	}
 
-	return relay.call(ctx, call{Operation: operationCopy, Prefix: prefix})
+	return chosen
 }
 
 func (relay *Relay) count() int {
@@ -208,7 +266,7 @@
 
 	answer := reply{}
 
-	return answer, errors.Trace(json.NewDecoder(response.Body).Decode(&answer))
+	return answer, errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&answer))
 }
 
 // first returns the process to ask next, or nothing if there is none.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -136,6 +136,38 @@
 	require.Equal(t, keeper.Page{Items: pair.copied, Revision: 7}, page)
 }
 
+// The load: a start while the service is away, and the first process that answers
+// was away itself until a moment ago. What is gone by now is not used again.
+func TestNewestCopyIsUsed(t *testing.T) {
+	answered := make(chan struct{}, 1)
+	serve := func(revision keeper.Revision, before func(context.Context), after func()) string {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			before(request.Context())
+
+			relayer.NewServer(kernel.Discard("other"), emulator.NewCatalog(), func(string) ([]keeper.Item, keeper.Revision, bool) {
+				return []keeper.Item{{Key: "op/config", Revision: revision}}, revision, true
+			}).ServeHTTP(writer, request)
+			after()
+		}))
+		t.Cleanup(server.Close)
+
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+
+	stale := serve(5, func(context.Context) {}, func() { answered <- struct{}{} })
+	current := serve(9, func(ctx context.Context) {
+		select {
+		case <-answered:
+		case <-ctx.Done():
+		}
+	}, func() {})
+	relay := relayer.NewRelay(kernel.Discard("entry"), []string{stale, "127.0.0.1:1", current})
+
+	page, err := relay.Copy(t.Context(), "op/")
+	require.NoError(t, err)
+	require.Equal(t, keeper.Revision(9), page.Revision)
+}
+
 // A holder keeps the newest copy of each prefix over its restarts.
 func TestCopiesOnADisk(t *testing.T) {
 	path := t.TempDir()
