Take over jobs in turn, and none by an old list of members

Ruled out: calls of readers (2,101 ranges, most after the owners had changed). Change: members take their turn by rank, three seconds apart; a list that is older than a job's head waits four seconds more; a head that was found changed is not tried again until it is seen.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -337,7 +337,7 @@
 	gateway.Sharer.SetHolders(slices.Sorted(maps.Values(custodians)))
 	gateway.Gossiper.SetPeers(addresses)
 	gateway.Placer.SetListed(entries)
-	gateway.Batcher.SetMembers(live)
+	gateway.Batcher.SetMembers(live, gateway.copies[registrar.Prefix].Reached())
 	gateway.Inquirer.SetMembers(owners)
 	gateway.Registrar.Notice(members)
 }
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -40,10 +40,14 @@
 	mutex sync.Mutex
 	// members holds the live incarnations.
 	members map[string]bool
+	// membersAt is the revision of the service that members is as of.
+	membersAt keeper.Revision
 	// owned holds the work of this process by job.
 	owned map[string]*work
 	// orphaned is since when a job is seen without an owner.
 	orphaned map[string]time.Time
+	// overtaken holds the revisions of heads that had changed at a takeover.
+	overtaken map[string]keeper.Revision
 	// taking holds the jobs whose takeover is under way.
 	taking map[string]bool
 	// registered tells whether others see this process as live.
@@ -96,6 +100,7 @@
 		members:       map[string]bool{},
 		owned:         map[string]*work{},
 		orphaned:      map[string]time.Time{},
+		overtaken:     map[string]keeper.Revision{},
 		taking:        map[string]bool{},
 		wake:          make(chan struct{}, 1),
 		listing:       make(chan struct{}, 1),
--- a/batcher/duty.go
+++ b/batcher/duty.go
@@ -90,7 +90,7 @@
 	for id, head := range batcher.Librarian.Heads() {
 		// Twice the retention allows for clocks that differ.
 		old := time.Since(head.Submitted) > 2*batcher.Settings.Retention
-		if old && !head.Open() && successor(id, batcher.members) == batcher.Owner {
+		if old && !head.Open() && rank(id, batcher.Owner, batcher.members) == 0 {
 			found = append(found, id)
 		}
 	}
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -61,6 +61,8 @@
 	document *matcher.Current
 	starts   int
 	running  sync.WaitGroup
+	// pause comes before each watch of a gateway that starts.
+	pause time.Duration
 	// silent tells that gateways do not reach each other.
 	silent atomic.Bool
 }
@@ -144,20 +146,26 @@
 	made := &gateway{name: name, catalog: view, client: client, batcher: jobs, placer: places, stop: cancel, stopped: make(chan struct{})}
 	serving, end := context.WithCancel(context.Background())
 
-	for _, followed := range []*follower.Follower{
-		follower.NewFollower(common, client, bookkeeper.PrefixHeads, jobs.SetHeads),
-		follower.NewFollower(common, client, registrar.Prefix, func(copied follower.Copy) {
-			members, err := registrar.Decode(copied)
-			require.NoError(fleet.t, err)
-
-			live := map[string]bool{}
-			for _, member := range members {
-				live[member.Process()] = true
-			}
+	pause := fleet.pause
+	paused := follower.WithPause(func() time.Duration { return pause })
+
+	var followsMembers *follower.Follower
+
+	followsMembers = follower.NewFollower(common, client, registrar.Prefix, func(copied follower.Copy) {
+		members, err := registrar.Decode(copied)
+		require.NoError(fleet.t, err)
 
-			jobs.SetMembers(live)
-			listing.Notice(members)
-		}),
+		live := map[string]bool{}
+		for _, member := range members {
+			live[member.Process()] = true
+		}
+
+		jobs.SetMembers(live, followsMembers.Reached())
+		listing.Notice(members)
+	}, paused)
+
+	for _, followed := range []*follower.Follower{
+		followsMembers, follower.NewFollower(common, client, bookkeeper.PrefixHeads, jobs.SetHeads, paused),
 	} {
 		fleet.running.Go(func() { followed.Run(serving) })
 	}
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -9,13 +9,18 @@
 
 	"limpetrail/bookkeeper"
 	"limpetrail/follower"
+	"limpetrail/keeper"
 	"limpetrail/librarian"
 )
 
 const (
-	// orphanTime is how long the chosen member has for a job without an owner
-	// before any other may take it.
-	orphanTime = 1500 * time.Millisecond
+	// orphanTime is how long the chosen member has for a job without an owner before
+	// the next one may take it, and so on. It is longer than a process takes to see
+	// in the heads that the job was taken.
+	orphanTime = 3 * time.Second
+	// listLag is how long a list of members that is older than a job's head may lack
+	// its owner: the pause before a watch, and the watch.
+	listLag = 4 * time.Second
 	// overseeInterval is how often jobs without an owner are looked for.
 	overseeInterval = 500 * time.Millisecond
 	// takeTimeout bounds the reading and writing of a takeover.
@@ -49,12 +54,12 @@
 	}
 }
 
-// SetMembers takes in the live incarnations.
-func (batcher *Batcher) SetMembers(members map[string]bool) {
+// SetMembers takes in the live incarnations as of a revision of the service.
+func (batcher *Batcher) SetMembers(members map[string]bool, revision keeper.Revision) {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	batcher.members = members
+	batcher.members, batcher.membersAt = members, revision
 	batcher.registered = members[batcher.Owner]
 }
 
@@ -87,6 +92,7 @@
 	for id, head := range batcher.Librarian.Heads() {
 		if !batcher.orphan(id, head) {
 			delete(batcher.orphaned, id)
+			delete(batcher.overtaken, id)
 
 			continue
 		}
@@ -97,9 +103,9 @@
 			batcher.orphaned[id] = since
 		}
 
-		// A job that names this process may be about to start here.
-		mine := head.Owner != batcher.Owner && successor(id, batcher.members) == batcher.Owner
-		if (mine || time.Since(since) > orphanTime) && !batcher.taking[id] {
+		// One that another process took is seen in the heads soon.
+		taken := batcher.overtaken[id] == head.Revision
+		if time.Since(since) >= batcher.orphanWait(id, head) && !batcher.taking[id] && !taken {
 			batcher.taking[id] = true
 			found = append(found, id)
 		}
@@ -108,6 +114,24 @@
 	return found
 }
 
+// orphanWait is how long this process leaves a job without an owner to others: the
+// load of all processes that start at once, with hundreds of such jobs. One that names
+// this process may be about to start here.
+func (batcher *Batcher) orphanWait(id string, head bookkeeper.Version) time.Duration {
+	turn := rank(id, batcher.Owner, batcher.members)
+	if head.Owner == batcher.Owner {
+		turn = max(turn, 1)
+	}
+
+	wait := time.Duration(turn) * orphanTime
+	if head.Owner != "" && batcher.membersAt < head.Revision {
+		// The owner may be too new for the list.
+		wait += listLag
+	}
+
+	return wait
+}
+
 // orphan tells whether nobody works on a job that is open.
 func (batcher *Batcher) orphan(id string, head bookkeeper.Version) bool {
 	if !head.Open() || batcher.owned[id] != nil {
@@ -117,22 +141,27 @@
 	return head.Owner == batcher.Owner || !batcher.members[head.Owner]
 }
 
-// successor is the member that takes over a job, the same for all who ask. The
-// jobs of one member spread over the others.
-func successor(id string, members map[string]bool) string {
-	best, most := "", uint64(0)
-
-	for member := range members {
+// rank is how many members come before one in taking over a job, the same for all
+// who ask. The jobs of one member spread over the others.
+func rank(id, own string, members map[string]bool) int {
+	weight := func(member string) uint64 {
 		hash := fnv.New64a()
 		// Writing to a hash does not fail.
 		_, _ = hash.Write([]byte(id + "/" + member))
 
-		if value := hash.Sum64(); best == "" || value > most || value == most && member > best {
-			best, most = member, value
+		return hash.Sum64()
+	}
+
+	mine, before := weight(own), 0
+
+	for member := range members {
+		value := weight(member)
+		if value > mine || value == mine && member > own {
+			before++
 		}
 	}
 
-	return best
+	return before
 }
 
 // take makes this process the owner of a job and goes on where its results end.
@@ -164,6 +193,12 @@
 	taken, applied, err := batcher.ledger.Replace(ctx, id, before, head)
 	record.SetHead(taken)
 
+	if err == nil && !applied {
+		batcher.mutex.Lock()
+		batcher.overtaken[id] = before.Revision
+		batcher.mutex.Unlock()
+	}
+
 	if err != nil || !applied {
 		batcher.Log.WithField("JobID", id).WithError(err).Info("Job is not taken over.")
 
--- /dev/null
+++ b/batcher/takeover_test.go
@@ -0,0 +1,63 @@
+package batcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/bookkeeper"
+)
+
+// A process whose list of members is older than a job takes it for no orphan: its
+// owner is live, and both would run it.
+func TestOldListOfMembersTakesNoJob(t *testing.T) {
+	newFleet(t, 2, 1, func(fleet *fleet) {
+		own, other := fleet.gateways[0].batcher, fleet.gateways[1].batcher
+		require.Equal(t, bookkeeper.OK, fleet.submits(0, 400))
+
+		other.SetMembers(map[string]bool{other.Owner: true}, 1)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, own.Owner, other.Librarian.Heads()[jobID].Owner)
+
+		other.SetMembers(map[string]bool{other.Owner: true, own.Owner: true}, 1)
+	})
+}
+
+// The load: a process with many jobs dies, and the others see each other's takeovers
+// seconds later. Each job is taken about once.
+func TestTakeoversOfManyJobs(t *testing.T) {
+	const (
+		gateways = 8
+		jobs     = 30
+	)
+
+	newFleet(t, 1, 0, func(fleet *fleet) {
+		fleet.pause = 2 * time.Second
+		for number := range gateways {
+			fleet.gateways = append(fleet.gateways, fleet.start(fmt.Sprintf("later-%d", number)))
+		}
+
+		time.Sleep(5 * time.Second)
+
+		for number := range jobs {
+			require.Equal(t, bookkeeper.OK, fleet.submitsJob(0, fmt.Sprintf("job-%d", number), 100))
+		}
+
+		fleet.kill(0)
+
+		before := fleet.catalog.Calls("Transact")
+		// The lease ends, the lists show it, and each takeover reads a job's records.
+		time.Sleep(12 * time.Second)
+
+		owners := map[string]int{}
+		for _, head := range fleet.gateways[1].batcher.Librarian.Heads() {
+			owners[head.Owner]++
+		}
+
+		require.Zero(t, owners[fleet.gateways[0].batcher.Owner], "all jobs have another owner")
+		// Without servers nothing but takeovers is written.
+		require.LessOrEqual(t, fleet.catalog.Calls("Transact")-before, jobs+jobs/2)
+	})
+}
--- a/follower/calm.go
+++ b/follower/calm.go
@@ -39,6 +39,12 @@
 	return keeper.Revision(follower.marks.newest.Load())
 }
 
+// Reached returns the revision up to which the copy is known to be right. It is 0
+// while there is only another process's copy.
+func (follower *Follower) Reached() keeper.Revision {
+	return keeper.Revision(follower.marks.reached.Load())
+}
+
 // Notice takes in the mark of another process.
 func (follower *Follower) Notice(mark keeper.Revision) {
 	raise(&follower.marks.heard, uint64(mark))
