--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -120,7 +120,7 @@
 func (batcher *Batcher) orphanWait(id string, head bookkeeper.Version) time.Duration {
 	turn := rank(id, batcher.Owner, batcher.members)
 	if head.Owner == batcher.Owner {
-		turn = max(turn, 1)
+		turn = 1
 	}
 
 	wait := time.Duration(turn) * orphanTime
--- a/batcher/takeover_test.go
+++ b/batcher/takeover_test.go
@@ -1,6 +1,7 @@
 package batcher_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -61,3 +62,22 @@
 		require.LessOrEqual(t, fleet.catalog.Calls("Transact")-before, jobs+jobs/2)
 	})
 }
+
+// A job that names a process which does not work on it, since its write was settled
+// late, is taken up by that process soon: all others see its owner live.
+func TestJobThatNamesThisProcessIsTakenUp(t *testing.T) {
+	newFleet(t, 1, 2, func(fleet *fleet) {
+		fleet.expectsCompany(40)
+
+		gateway := fleet.gateways[0]
+		job := bookkeeper.Job{ID: jobID, Host: host, Items: []bookkeeper.Item{{ID: itemID(0), Target: "/batch/x"}}}
+		head := bookkeeper.Head{Owner: gateway.batcher.Owner, Host: host, Total: 1, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
+
+		_, outcome, err := bookkeeper.Ledger{Client: gateway.client}.Create(context.Background(), job, head)
+		require.NoError(t, err)
+		require.Equal(t, bookkeeper.OK, outcome)
+
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, fleet.listed(jobID))
+	})
+}
