--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -118,12 +118,11 @@
 // load of all processes that start at once, with hundreds of such jobs. One that names
 // this process may be about to start here.
 func (batcher *Batcher) orphanWait(id string, head bookkeeper.Version) time.Duration {
-	turn := rank(id, batcher.Owner, batcher.members)
 	if head.Owner == batcher.Owner {
-		turn = 1
+		return orphanTime
 	}
 
-	wait := time.Duration(turn) * orphanTime
+	wait := time.Duration(rank(id, batcher.Owner, batcher.members)) * orphanTime
 	if head.Owner != "" && batcher.membersAt < head.Revision {
 		// The owner may be too new for the list.
 		wait += listLag
--- a/batcher/takeover_test.go
+++ b/batcher/takeover_test.go
@@ -63,21 +63,30 @@
 	})
 }
 
-// A job that names a process which does not work on it, since its write was settled
-// late, is taken up by that process soon: all others see its owner live.
-func TestJobThatNamesThisProcessIsTakenUp(t *testing.T) {
+// Jobs that name a process which does not work on them, since their writes were
+// settled late, are taken up by that process soon, whatever its rank: all others see
+// it live.
+func TestJobsThatNameThisProcessAreTakenUp(t *testing.T) {
+	const jobs = 10
+
 	newFleet(t, 1, 2, func(fleet *fleet) {
 		fleet.expectsCompany(40)
 
 		gateway := fleet.gateways[0]
-		job := bookkeeper.Job{ID: jobID, Host: host, Items: []bookkeeper.Item{{ID: itemID(0), Target: "/batch/x"}}}
+		ledger := bookkeeper.Ledger{Client: gateway.client}
 		head := bookkeeper.Head{Owner: gateway.batcher.Owner, Host: host, Total: 1, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
 
-		_, outcome, err := bookkeeper.Ledger{Client: gateway.client}.Create(context.Background(), job, head)
-		require.NoError(t, err)
-		require.Equal(t, bookkeeper.OK, outcome)
+		for number := range jobs {
+			job := bookkeeper.Job{ID: fmt.Sprintf("job-%d", number), Host: host, Items: []bookkeeper.Item{{ID: itemID(number), Target: "/batch/x"}}}
+			_, outcome, err := ledger.Create(context.Background(), job, head)
+			require.NoError(t, err)
+			require.Equal(t, bookkeeper.OK, outcome)
+		}
 
 		time.Sleep(10 * time.Second)
-		require.Equal(t, 1, fleet.listed(jobID))
+
+		for number := range jobs {
+			require.Equal(t, 1, fleet.listed(fmt.Sprintf("job-%d", number)))
+		}
 	})
 }
