Give up a silent stream only where another server can go on

A slow, sound stream was cut for nothing. Ruled out: the planned stop (the streams ended 1.5 s into a grace of 8 s). Change: before it gives up, a call asks whether another server may take it. Figures: TestSlowStreamIsNotCutWithoutAnotherServer ends as Refused without the change.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -100,6 +100,18 @@
 	}
 }
 
+// Silence of a slow, sound server ends no answer where no other server can go on.
+func TestSlowStreamIsNotCutWithoutAnotherServer(t *testing.T) {
+	newFleet(t, 1, func(fleet *fleet) {
+		fleet.all(emulator.EventFaults{Slow: 8})
+
+		result, got, id := fleet.when(context.Background(), route(matcher.Stream, true, 3))
+		require.Equal(t, forwarder.Answered, result.Kind, result.Reason)
+		require.Equal(t, whole(20), got.body.String())
+		require.Equal(t, 1, fleet.started(id))
+	})
+}
+
 // A stream that goes on elsewhere has no pause that its route forbids.
 func TestStreamGoesOnInTime(t *testing.T) {
 	newFleet(t, 3, func(fleet *fleet) {
--- a/forwarder/journey.go
+++ b/forwarder/journey.go
@@ -154,9 +154,17 @@
 	return journey.whole(grant, reply.Answer, last)
 }
 
-// mayGiveUp tells whether an attempt that is silent may be made elsewhere. In
-// an overload many are, and repeating them would add to it.
+// mayGiveUp tells whether an attempt that is silent may be made elsewhere: there is
+// another server, and few others do so. In an overload many are silent, and repeating
+// them would add to it.
 func (journey *journey) mayGiveUp() bool {
+	work := journey.work()
+	work.Exclude = append(slices.Clone(work.Exclude), journey.server)
+
+	if !journey.forwarder.Placer.Elsewhere(work) {
+		return false
+	}
+
 	return journey.forwarder.budgets.Get(journey.call.Service).Spend()
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -242,6 +242,14 @@
 	return placer.wait(ctx, entry, decision)
 }
 
+// Elsewhere tells whether some server may take the work, now or later.
+func (placer *Placer) Elsewhere(work Work) bool {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	return placer.chooser(work).any(placer.service(work.Service).servers)
+}
+
 // wait waits for the grant of queued work, at most its patience.
 func (placer *Placer) wait(ctx context.Context, entry *waiting, decision Decision) Decision {
 	patience := time.NewTimer(entry.work.Patience)
