--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"limpetrail/allotter"
 	"limpetrail/bookkeeper"
 	"limpetrail/placer"
 )
@@ -23,14 +22,11 @@
 func (batcher *Batcher) dispatch(ctx context.Context) {
 	for ctx.Err() == nil {
 		room := batcher.Placer.Room()
-		batcher.Placer.SetBacklogs(batcher.backlogs(time.Now()))
 
 		for batcher.startOne(ctx) {
 			continue
 		}
 
-		batcher.Placer.SetBacklogs(batcher.backlogs(time.Now()))
-
 		select {
 		case <-room:
 		case <-batcher.wake:
@@ -48,40 +44,6 @@
 	}
 }
 
-// backlogs returns the items that wait for places here, by service. The items of a
-// job go where the first of them goes.
-func (batcher *Batcher) backlogs(now time.Time) map[string]allotter.Backlog {
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
-
-	found := map[string]allotter.Backlog{}
-
-	for _, owned := range batcher.owned {
-		if len(owned.waiting) == 0 {
-			continue
-		}
-
-		route := batcher.routeOf(owned, owned.waiting[0])
-		if route == nil {
-			continue
-		}
-
-		backlog := found[route.service]
-
-		for _, item := range owned.waiting {
-			if batcher.sequenced(owned, item).Fits(now) {
-				backlog.Timely++
-			} else {
-				backlog.Late++
-			}
-		}
-
-		found[route.service] = backlog
-	}
-
-	return found
-}
-
 func (batcher *Batcher) hasWork() bool {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -9,7 +9,6 @@
 
 	"github.com/juju/errors"
 
-	"limpetrail/allotter"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -42,8 +41,6 @@
 	Incarnation int64
 	Number      int64
 	Loads       map[string]placer.Load
-	// Backlogs are the batch work that waits at the entry, by service.
-	Backlogs map[string]allotter.Backlog `json:",omitempty"`
 	// Departures are the listed servers that said that they leave.
 	Departures []placer.Departure `json:",omitempty"`
 	// Marks are the newest changes that the entry saw below prefixes of the
@@ -139,8 +136,7 @@
 	for ctx.Err() == nil {
 		changed := gossiper.Placer.Changed()
 		report.Number++
-		own := gossiper.Placer.Report()
-		report.Loads, report.Backlogs = own.Loads, own.Backlogs
+		report.Loads = gossiper.Placer.Own()
 		report.Departures = gossiper.Placer.Departures()
 
 		if gossiper.Marks != nil {
@@ -227,7 +223,7 @@
 			gossiper.Notice(report.Marks)
 		}
 
-		gossiper.Placer.Hear(report.Instance, placer.Report{DataCentre: report.DataCentre, Loads: report.Loads, Backlogs: report.Backlogs})
+		gossiper.Placer.Hear(report.Instance, report.DataCentre, report.Loads)
 		gossiper.Placer.Depart(report.Departures, "report of "+report.Instance)
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"limpetrail/allotter"
 	"limpetrail/kernel"
 )
 
@@ -27,9 +26,7 @@
 	// was last listed.
 	departures map[Departure]time.Time
 	// reports holds the fresh reports of other entries by name.
-	reports map[string]heard
-	// backlogs are the batch work that waits at this entry, by service.
-	backlogs map[string]allotter.Backlog
+	reports map[string]report
 	// listed holds the data centres of the other entries that the platform lists,
 	// by name; blind tells that some of them are not heard.
 	listed map[string]string
@@ -54,6 +51,13 @@
 	usualAt time.Time
 }
 
+// report is what another entry runs, by server ID.
+type report struct {
+	dataCentre string
+	loads      map[string]Load
+	at         time.Time
+}
+
 // NewPlacer returns a placer that knows no servers.
 func NewPlacer(common kernel.Common) *Placer {
 	return &Placer{
@@ -61,8 +65,7 @@
 		servers:    map[string]*state{},
 		services:   map[string]*service{},
 		departures: map[Departure]time.Time{},
-		reports:    map[string]heard{},
-		backlogs:   map[string]allotter.Backlog{},
+		reports:    map[string]report{},
 		changed:    make(chan struct{}),
 		room:       make(chan struct{}),
 	}
@@ -126,6 +129,27 @@
 	placer.settle()
 }
 
+// Hear takes in what another entry runs. Entries that are heard share the
+// servers, whatever the platform's store says of them.
+func (placer *Placer) Hear(peer, dataCentre string, loads map[string]Load) {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	before, known := placer.reports[peer]
+	heard := report{dataCentre: dataCentre, loads: loads, at: time.Now()}
+
+	placer.discharge(before)
+	placer.charge(heard)
+	placer.reports[peer] = heard
+
+	if !known {
+		placer.Log.WithFields(logrus.Fields{"Peer": peer, "DataCentre": dataCentre}).Info("Another entry is heard.")
+		placer.settleHomes()
+	}
+
+	placer.settle()
+}
+
 // Heard returns how many other entries are heard.
 func (placer *Placer) Heard() int {
 	placer.mutex.Lock()
@@ -141,10 +165,6 @@
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	return placer.own()
-}
-
-func (placer *Placer) own() map[string]Load {
 	loads := map[string]Load{}
 
 	for id, server := range placer.servers {
@@ -290,10 +310,8 @@
 
 	chooser := placer.chooser(work)
 
-	claimants := placer.claimants(work.Service)
-
 	server := best(service.servers, func(server *state) (float64, bool) {
-		room := placer.batchRoom(server, claimants, chooser.now)
+		room := batchRoom(server, placer.blind, chooser.now)
 
 		return -float64(room), chooser.candidate(server) && room > 0
 	})
--- a/placer/server.go
+++ b/placer/server.go
@@ -34,8 +34,8 @@
 	own Load
 	// others is the sum of what the reports that are kept say, at all times.
 	others Load
-	// home tells that the online work of this entry prefers the server, unheard
-	// that the work of an entry does of which nothing is heard.
+	// home tells that this entry may fill the server with batch work, unheard
+	// that an entry does of which nothing is heard.
 	home    bool
 	unheard bool
 	// grants are the batch runs of this entry, which can yield.
--- a/placer/settle.go
+++ b/placer/settle.go
@@ -71,8 +71,8 @@
 // charge adds a report to what others run. Only the servers that it names are
 // touched: with many entries reports come hundreds of times a second, and there
 // are thousands of servers.
-func (placer *Placer) charge(report heard) {
-	for id, load := range report.Loads {
+func (placer *Placer) charge(report report) {
+	for id, load := range report.loads {
 		if server := placer.servers[id]; server != nil {
 			server.others.Online += load.Online
 			server.others.Batch += load.Batch
@@ -81,8 +81,8 @@
 }
 
 // discharge takes a report out of what others run.
-func (placer *Placer) discharge(report heard) {
-	for id, load := range report.Loads {
+func (placer *Placer) discharge(report report) {
+	for id, load := range report.loads {
 		if server := placer.servers[id]; server != nil {
 			server.others.Online -= load.Online
 			server.others.Batch -= load.Batch
@@ -95,7 +95,7 @@
 	sum := Load{}
 
 	for _, report := range placer.reports {
-		load := report.Loads[id]
+		load := report.loads[id]
 		sum.Online += load.Online
 		sum.Batch += load.Batch
 	}
@@ -128,7 +128,7 @@
 	}
 
 	for entry, report := range placer.reports {
-		entries[entry] = report.DataCentre
+		entries[entry] = report.dataCentre
 	}
 
 	return entries
--- a/placer/yield.go
+++ b/placer/yield.go
@@ -1,14 +1,10 @@
 package placer
 
-import (
-	"time"
-
-	"limpetrail/allotter"
-)
+import "time"
 
 const (
 	// homeReserve is left free by batch work at a server that this entry may
-	// fill (see allotter), for the next online request.
+	// fill, for the next online request.
 	homeReserve = 1
 	// strangerReserve is left free at servers that others fill, and at all while
 	// an entry is not heard: its callers may come to any server.
@@ -39,20 +35,17 @@
 	return places > 0 && float64(online) > mostOnline*float64(places)
 }
 
-// batchRoom returns how many batch runs may start at a server: in the troughs
+// batchRoom tells whether batch work may start at a server: in the troughs
 // between the peaks of callers, up to the reserve. A server that an entry fills
-// which is not heard has no room, since nobody here knows what runs there. The
-// mutex is held.
-func (placer *Placer) batchRoom(server *state, claimants []allotter.Claimant, now time.Time) int {
-	free := server.free()
-
+// which is not heard has no room, since nobody here knows what runs there.
+func batchRoom(server *state, blind bool, now time.Time) int {
 	switch {
-	case server.unheard || free <= homeReserve || now.Sub(server.yielded) < yieldPause:
+	case server.unheard || now.Sub(server.yielded) < yieldPause:
 		return 0
-	case !placer.blind && allotter.Filler(server.ID, server.DataCentre, claimants) == placer.Instance:
-		return free - homeReserve
+	case server.home && !blind:
+		return server.free() - homeReserve
 	default:
-		return free - strangerReserve
+		return server.free() - strangerReserve
 	}
 }
 
@@ -83,7 +76,8 @@
 	return a.Progress() < b.Progress()
 }
 
-// homeOf returns the entry that a server is the home of: each server has one among the entries of its data centre, or of all where it has none. Entries
+// homeOf returns the entry that fills a server with batch work: each server has
+// one among the entries of its data centre, or of all where it has none. Entries
 // are given with their data centres.
 func homeOf(server *state, entries map[string]string) string {
 	near := false
