Work on held jobs at once, hand jobs over, heed silence

Heads, members and turns all need the store. Change: the gateway that accepted a job begins its items as soon as custodians hold it, keeps what is done, and lists it once the head names it; the custodian names it there. A gateway that stops hands its jobs with their output to another one (conveyer), which goes on at once and claims the head when it can. Reports of load name the process: one that is silent for 1.6 s while most others are heard, or whose instance reports under another start, leaves its jobs without the turns and lags that lists of members need. Whoever runs an item, one process lists it: the one that the head names. Found meanwhile, by TestNothingIsListedUnderTheHeadOfAnother: a head that names another owner reaches the record before the work on the job is dropped, and results were listed under that head's revision. Both owners could list one item. proposals and partial output now need a head that names this process. Ruled out: results on custodians' disks. A gateway that dies loses what it made of held jobs; they are run again. Tests: six fail without the change (held jobs run meanwhile, handovers with and without the store and with lost answers, the foreign head, a silent owner).

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -16,6 +16,7 @@
 
 	"limpetrail/batcher"
 	"limpetrail/bookkeeper"
+	"limpetrail/conveyer"
 	"limpetrail/custodian"
 	"limpetrail/exchanger"
 	"limpetrail/follower"
@@ -91,6 +92,7 @@
 	Handler       *platform.Handler
 	Limiter       *limiter.Limiter
 	Inquirer      *inquirer.Inquirer
+	Conveyer      *conveyer.Conveyer
 
 	// Reread returns the settings as the file has them now.
 	Reread func() (loader.Gateway, error)
@@ -339,6 +341,7 @@
 	gateway.Placer.SetListed(entries)
 	gateway.Batcher.SetMembers(live, gateway.copies[registrar.Prefix].Reached())
 	gateway.Inquirer.SetMembers(owners)
+	gateway.Conveyer.SetMembers(owners)
 	gateway.Registrar.Notice(members)
 }
 
@@ -392,6 +395,7 @@
 	gateway.Meter.Register(mux)
 	mux.HandleFunc("GET "+PathStatus, gateway.status)
 	mux.Handle("POST "+inquirer.Path, inquirer.NewServer(gateway.Common, gateway.Batcher.Librarian))
+	mux.Handle("POST "+conveyer.Path, conveyer.NewServer(gateway.Common, gateway.Batcher.Adopt))
 	mux.Handle("POST "+relayer.Path, relayer.NewServer(gateway.Common, gateway.Client.Direct(), gateway.copied))
 
 	return mux
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/batcher"
+	"limpetrail/conveyer"
 	"limpetrail/custodian"
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
@@ -99,8 +100,11 @@
 	return exchanger.NewExchanger(common, exchanger.WithLimits(settings.Answers))
 }
 
-func newGossiper(common kernel.Common, places *placer.Placer, settings loader.Gateway) *gossiper.Gossiper {
-	return gossiper.NewGossiper(common, places, settings.Listen.Peers)
+func newGossiper(common kernel.Common, places *placer.Placer, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
+	made := gossiper.NewGossiper(common, places, settings.Listen.Peers)
+	made.Process = member.Process()
+
+	return made
 }
 
 // newMember describes this process, under an incarnation that no earlier one
@@ -120,8 +124,13 @@
 	return inquirer.NewInquirer(common, relay.Client)
 }
 
-func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, listing *registrar.Registrar, owners *inquirer.Inquirer, settings loader.Gateway) *batcher.Batcher {
-	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), listing.Certain, settings.Jobs, batcher.WithInquirer(owners))
+// newConveyer shares the connections to other gateways.
+func newConveyer(common kernel.Common, relay *relayer.Relay) *conveyer.Conveyer {
+	return conveyer.NewConveyer(common, relay.Client)
+}
+
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor batcher.Depositor, member registrar.Member, listing *registrar.Registrar, owners *inquirer.Inquirer, hands *conveyer.Conveyer, reports *gossiper.Gossiper, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.Process(), listing.Certain, settings.Jobs, batcher.WithInquirer(owners), batcher.WithConveyer(hands), batcher.WithSilence(reports.Silent))
 }
 
 func newGatewayHandler(common kernel.Common, configuration *matcher.Current, calls *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
--- a/app/wire.go
+++ b/app/wire.go
@@ -113,14 +113,14 @@
 		newMember,
 		registrar.NewRegistrar,
 		newExchanger,
-		newInquirer,
+		newInquirer, newConveyer,
 		platform.NewBackend,
 		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
 		forwarder.NewForwarder,
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Batcher", "Handler", "Limiter", "Inquirer"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer"),
 	))
 }
 
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -154,15 +154,16 @@
 	}
 	current := matcher.NewCurrent(common)
 	placerPlacer := placer.NewPlacer(common)
-	gossiper := newGossiper(common, placerPlacer, settings)
 	member := newMember(settings)
+	gossiper := newGossiper(common, placerPlacer, member, settings)
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
 	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
 	exchanger := newExchanger(common, settings)
 	platformBackend := platform.NewBackend(exchanger)
 	inquirer := newInquirer(common, relay)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, inquirer, settings)
+	conveyer := newConveyer(common, relay)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, current, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
 	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, current, forwarderForwarder, jobHandler)
@@ -186,6 +187,7 @@
 		Handler:       platformHandler,
 		Limiter:       limiterLimiter,
 		Inquirer:      inquirer,
+		Conveyer:      conveyer,
 	}
 	return gateway, nil
 }
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -31,6 +31,11 @@
 	Certain func() bool
 	// Depositor is nil where jobs are refused while the service is away.
 	Depositor Depositor
+	// Conveyer is nil where other processes cannot be handed jobs.
+	Conveyer Conveyer
+	// Silent tells whether a process is certainly gone or frozen, by what is heard
+	// of it without the service. It may be false of one that is.
+	Silent func(process string) bool
 	// Librarian holds what is known of all jobs.
 	Librarian *librarian.Librarian
 
@@ -84,6 +89,11 @@
 	return func(batcher *Batcher) { batcher.Librarian.Inquirer = inquirer }
 }
 
+// WithSilence sets what tells that a process is silent.
+func WithSilence(silent func(process string) bool) Option {
+	return func(batcher *Batcher) { batcher.Silent = silent }
+}
+
 // NewBatcher returns a batcher that owns no job.
 func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.Current, depositor Depositor, owner string, certain func() bool, settings Settings, options ...Option) *Batcher {
 	made := &Batcher{
@@ -95,6 +105,7 @@
 		Configuration: configuration,
 		Depositor:     depositor,
 		Certain:       certain,
+		Silent:        func(string) bool { return false },
 		ledger:        bookkeeper.Ledger{Client: client},
 		pace:          sequencer.NewPace(),
 		members:       map[string]bool{},
@@ -116,7 +127,7 @@
 
 // Submit accepts a job, once however often it comes.
 func (batcher *Batcher) Submit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome {
-	if batcher.Librarian.Knows(job.ID) {
+	if batcher.Librarian.Knows(job.ID) || batcher.holds(job.ID) {
 		return bookkeeper.OK
 	}
 
@@ -125,21 +136,30 @@
 		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp,
 	}
 
+	// Whoever brings a held job into the service names the process that works on it.
+	job.Owner = batcher.Owner
+
 	created, outcome, err := batcher.accept(ctx, job, head)
 	batcher.Log.WithFields(logrus.Fields{
 		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome.String(), "Owner": created.Owner, "Error": err,
 	}).Info("Job was submitted.")
 
-	if outcome != bookkeeper.OK || created.Revision == 0 {
+	if outcome != bookkeeper.OK {
 		return outcome
 	}
 
+	if created.Revision == 0 {
+		batcher.hold(job)
+
+		return bookkeeper.OK
+	}
+
 	record := batcher.Librarian.Record(job.ID)
 	record.SetHead(created)
 
 	if created.Owner == batcher.Owner && created.Open() {
 		record.Offer(job.Items)
-		batcher.own(record, job, created, nil)
+		batcher.own(record, job, nil)
 	}
 
 	return bookkeeper.OK
@@ -159,7 +179,7 @@
 
 	owned := batcher.owned[id]
 
-	return owned != nil && owned.proposed == nil && batcher.registered && batcher.Certain()
+	return owned != nil && owned.claimed && owned.proposed == nil && batcher.registered && batcher.Certain()
 }
 
 // Body returns the body of an item.
@@ -222,29 +242,8 @@
 }
 
 // own starts the work on a job whose head names this process.
-func (batcher *Batcher) own(record *librarian.Record, job bookkeeper.Job, head bookkeeper.Version, partials map[string]bookkeeper.Partial) {
-	tasks := tasksOf(record.Unlisted(), partials)
-
-	ctx, cancel := context.WithCancel(context.Background())
-	owned := &work{record: record, job: job, context: ctx, cancel: cancel, waiting: tasks, unfinished: map[string]*task{}}
-
-	for _, task := range tasks {
-		owned.unfinished[task.item.ID] = task
-	}
-
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
-
-	if batcher.owned[job.ID] != nil || batcher.leaving || record.Head().Revision != head.Revision {
-		cancel()
-
-		return
-	}
-
-	batcher.owned[job.ID] = owned
-
-	poke(batcher.wake)
-	poke(batcher.listing)
+func (batcher *Batcher) own(record *librarian.Record, job bookkeeper.Job, partials map[string]bookkeeper.Partial) {
+	batcher.begin(record, job, &Handover{Partials: partials}, true)
 }
 
 // disown stops the work on a job.
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -102,6 +102,11 @@
 			break
 		}
 
+		// The head is known before the work on the job is dropped for it.
+		if !owned.claimed || !batcher.named(owned.record) {
+			continue
+		}
+
 		owned.rebase()
 		owned.gather(maxCommit - size)
 
--- a/batcher/duty.go
+++ b/batcher/duty.go
@@ -35,6 +35,9 @@
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 
+	batcher.leave()
+	batcher.handOver(last)
+
 	for batcher.list(last) {
 		continue
 	}
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -65,6 +65,10 @@
 	pause time.Duration
 	// silent tells that gateways do not reach each other.
 	silent atomic.Bool
+	// unheard holds the processes that the reports of load show to be gone.
+	unheard sync.Map
+	// losing tells that handovers arrive and their answers do not.
+	losing atomic.Bool
 }
 
 func newFleet(t *testing.T, gateways, servers int, story func(fleet *fleet)) {
@@ -126,6 +130,8 @@
 	view := fleet.catalog.View()
 	settings := keeper.DefaultSettings()
 	settings.CallTimeout = time.Second
+	// Gateways look for the service as often.
+	settings.FirstProbe, settings.LastProbe = 200*time.Millisecond, time.Second
 	client := keeper.NewCatalogClient(common, view, settings)
 	places := placer.NewPlacer(common)
 	listed := []placer.Server{}
@@ -140,7 +146,7 @@
 	member := registrar.Member{Name: name, Incarnation: fmt.Sprint(fleet.starts)}
 	listing := registrar.NewRegistrar(common, client, member)
 	connections := exchanger.NewExchanger(common, exchanger.WithDial(fleet.network.DialContext))
-	jobs := batcher.NewBatcher(common, client, places, emulator.NewEventBackend(connections), fleet.document, nil, member.Process(), listing.Certain, batcher.DefaultSettings(), batcher.WithInquirer(fleet))
+	jobs := batcher.NewBatcher(common, client, places, emulator.NewEventBackend(connections), fleet.document, nil, member.Process(), listing.Certain, batcher.DefaultSettings(), batcher.WithInquirer(fleet), batcher.WithConveyer(fleet), batcher.WithSilence(fleet.isSilent))
 
 	ctx, cancel := context.WithCancel(context.Background())
 	made := &gateway{name: name, catalog: view, client: client, batcher: jobs, placer: places, stop: cancel, stopped: make(chan struct{})}
@@ -162,7 +168,7 @@
 
 		jobs.SetMembers(live, followsMembers.Reached())
 		listing.Notice(members)
-	}, paused)
+	}, paused, follower.WithHold())
 
 	for _, followed := range []*follower.Follower{
 		followsMembers, follower.NewFollower(common, client, bookkeeper.PrefixHeads, jobs.SetHeads, paused),
@@ -310,6 +316,30 @@
 	return librarian.Reading{}, false
 }
 
+// Convey implements batcher.Conveyer.
+func (fleet *fleet) Convey(_ context.Context, process string, handover batcher.Handover) bool {
+	for _, gateway := range fleet.started {
+		if gateway.batcher.Owner == process && !gateway.dead.Load() && !fleet.silent.Load() {
+			return gateway.batcher.Adopt(handover) && !fleet.losing.Load()
+		}
+	}
+
+	return false
+}
+
+func (fleet *fleet) isSilent(process string) bool {
+	_, unheard := fleet.unheard.Load(process)
+
+	return unheard
+}
+
+// everywhere switches the service for all gateways.
+func (fleet *fleet) everywhere(switches emulator.Switches) {
+	for _, gateway := range fleet.gateways {
+		gateway.catalog.Faults.Set(switches)
+	}
+}
+
 // runs is how often an item began, over all servers.
 func (fleet *fleet) runs(id string) int {
 	total := 0
--- a/batcher/partial.go
+++ b/batcher/partial.go
@@ -82,7 +82,7 @@
 
 	for id, owned := range batcher.owned {
 		partials, progress := owned.partials()
-		if progress <= owned.saved {
+		if !owned.claimed || !batcher.named(owned.record) || progress <= owned.saved {
 			continue
 		}
 
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -161,6 +161,10 @@
 		return
 	}
 
+	if owned.listed[item.item.ID] {
+		return
+	}
+
 	owned.waiting = append(owned.waiting, item)
 	poke(batcher.wake)
 }
@@ -332,16 +336,12 @@
 		batcher.Log.WithFields(logrus.Fields{"JobID": owned.job.ID, "RequestID": item.item.ID, "Reason": reason}).Warn("Item is given up.")
 	}
 
-	for index, waiting := range owned.waiting {
-		if waiting == item {
-			owned.waiting = append(owned.waiting[:index], owned.waiting[index+1:]...)
+	owned.forget(item)
 
-			break
-		}
+	if owned.listed[item.item.ID] {
+		return
 	}
 
-	delete(owned.unfinished, item.item.ID)
-
 	owned.finished = append(owned.finished, result)
 
 	poke(batcher.listing)
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -48,7 +50,7 @@
 	defer batcher.mutex.Unlock()
 
 	for id, head := range heads {
-		if owned := batcher.owned[id]; owned != nil && head.Revision >= owned.record.Head().Revision && (head.Owner != batcher.Owner || !head.Open()) {
+		if owned := batcher.owned[id]; owned != nil && batcher.contradicts(owned, head) {
 			batcher.drop(id, "Its head changed.")
 		}
 	}
@@ -70,6 +72,8 @@
 			go batcher.take(ctx, id)
 		}
 
+		batcher.claimAll(ctx)
+
 		select {
 		case <-time.After(overseeInterval):
 		case <-ctx.Done():
@@ -87,10 +91,10 @@
 		return nil
 	}
 
-	found := []string{}
+	found, live := []string{}, batcher.live()
 
 	for id, head := range batcher.Librarian.Heads() {
-		if !batcher.orphan(id, head) {
+		if !batcher.orphan(id, head, live) {
 			delete(batcher.orphaned, id)
 			delete(batcher.overtaken, id)
 
@@ -105,7 +109,7 @@
 
 		// One that another process took is seen in the heads soon.
 		taken := batcher.overtaken[id] == head.Revision
-		if time.Since(since) >= batcher.orphanWait(id, head) && !batcher.taking[id] && !taken {
+		if time.Since(since) >= batcher.orphanWait(id, head, live) && !batcher.taking[id] && !taken {
 			batcher.taking[id] = true
 			found = append(found, id)
 		}
@@ -117,13 +121,13 @@
 // orphanWait is how long this process leaves a job without an owner to others: the
 // load of all processes that start at once, with hundreds of such jobs. One that names
 // this process may be about to start here.
-func (batcher *Batcher) orphanWait(id string, head bookkeeper.Version) time.Duration {
+func (batcher *Batcher) orphanWait(id string, head bookkeeper.Version, live map[string]bool) time.Duration {
 	if head.Owner == batcher.Owner {
 		return orphanTime
 	}
 
-	wait := time.Duration(rank(id, batcher.Owner, batcher.members)) * orphanTime
-	if head.Owner != "" && batcher.membersAt < head.Revision {
+	wait := time.Duration(rank(id, batcher.Owner, live)) * orphanTime
+	if head.Owner != "" && batcher.membersAt < head.Revision && !batcher.Silent(head.Owner) {
 		// The owner may be too new for the list.
 		wait += listLag
 	}
@@ -132,12 +136,26 @@
 }
 
 // orphan tells whether nobody works on a job that is open.
-func (batcher *Batcher) orphan(id string, head bookkeeper.Version) bool {
+func (batcher *Batcher) orphan(id string, head bookkeeper.Version, live map[string]bool) bool {
 	if !head.Open() || batcher.owned[id] != nil {
 		return false
 	}
 
-	return head.Owner == batcher.Owner || !batcher.members[head.Owner]
+	return head.Owner == batcher.Owner || !live[head.Owner]
+}
+
+// live returns the members that are not known to be gone, this one among them. The
+// mutex is held.
+func (batcher *Batcher) live() map[string]bool {
+	found := map[string]bool{batcher.Owner: true}
+
+	for member := range batcher.members {
+		if !batcher.Silent(member) {
+			found[member] = true
+		}
+	}
+
+	return found
 }
 
 // rank is how many members come before one in taking over a job, the same for all
@@ -230,33 +248,43 @@
 	batcher.own(record, bookkeeper.Job{
 		ID: record.ID, Host: head.Host, Items: items,
 		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp,
-	}, head, partials)
+	}, partials)
 
 	batcher.Log.WithFields(logrus.Fields{"JobID": record.ID, "Revision": head.Revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
 
 	return nil
 }
 
-// release gives the jobs of a process that stops to the others.
-func (batcher *Batcher) release(ctx context.Context) {
+// leave keeps new work away from a process that stops.
+func (batcher *Batcher) leave() {
 	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
 	batcher.leaving = true
-	owned := []*librarian.Record{}
+}
 
-	for id, work := range batcher.owned {
-		owned = append(owned, work.record)
-		batcher.drop(id, "The process stops.")
+// release gives the jobs that nobody took to the others, by heads without an owner.
+func (batcher *Batcher) release(ctx context.Context) {
+	batcher.mutex.Lock()
+	stopped := slices.Collect(maps.Values(batcher.owned))
+
+	for _, owned := range stopped {
+		batcher.drop(owned.job.ID, "The process stops.")
 	}
 
 	batcher.mutex.Unlock()
 
-	for _, record := range owned {
-		before := record.Head()
+	for _, owned := range stopped {
+		if !owned.claimed {
+			continue
+		}
+
+		before := owned.record.Head()
 		head := before.Head
 		head.Owner = ""
 
-		if _, _, err := batcher.ledger.Replace(ctx, record.ID, before, head); err != nil {
-			batcher.Log.WithField("JobID", record.ID).WithError(err).Warn("Job waits for the end of this member's lease.")
+		if _, _, err := batcher.ledger.Replace(ctx, owned.job.ID, before, head); err != nil {
+			batcher.Log.WithField("JobID", owned.job.ID).WithError(err).Warn("Job waits for the end of this member's lease.")
 		}
 	}
 }
--- a/batcher/work.go
+++ b/batcher/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,13 @@
 	// context ends when the job is ended or has another owner.
 	context context.Context //nolint:containedctx // It is the life of the ownership.
 	cancel  context.CancelFunc
+	// claimed work lists its results: the head names this process. Other work waits
+	// for that, and claiming tells that it is being brought about.
+	claimed, claiming bool
+	// from is the owner that handed the job over, or empty.
+	from string
+	// listed holds the items that earlier owners had listed when the job was claimed.
+	listed map[string]bool
 	// waiting holds items that want a place.
 	waiting []*task
 	// unfinished holds all items without a result, waiting or running, by ID.
@@ -34,6 +42,40 @@
 	proposed *bookkeeper.Segment
 }
 
+// newWork returns the work on the items of a job that are not listed. It goes on where
+// a handover ends; nil for none.
+func newWork(record *librarian.Record, job bookkeeper.Job, handover *Handover) *work {
+	if handover == nil {
+		handover = &Handover{}
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	made := &work{
+		record: record, job: job, context: ctx, cancel: cancel, from: handover.From,
+		unfinished: map[string]*task{}, finished: unlisted(handover.Finished, record.Listed()),
+	}
+
+	done := map[string]bool{}
+	for _, result := range made.finished {
+		done[result.ID] = true
+	}
+
+	for _, task := range tasksOf(record.Unlisted(), handover.Partials) {
+		if !done[task.item.ID] {
+			made.waiting = append(made.waiting, task)
+			made.unfinished[task.item.ID] = task
+		}
+	}
+
+	return made
+}
+
+// forget takes an item out that needs no result any more.
+func (work *work) forget(forgotten *task) {
+	delete(work.unfinished, forgotten.item.ID)
+	work.waiting = slices.DeleteFunc(work.waiting, func(other *task) bool { return other == forgotten })
+}
+
 // task is an item on its way. One goroutine at a time works on it; others read
 // its output.
 type task struct {
--- a/bookkeeper/job.go
+++ b/bookkeeper/job.go
@@ -26,6 +26,8 @@
 	Due time.Time
 	// GiveUp is from when items may be given up.
 	GiveUp time.Time
+	// Owner is the process that works on the job while the service is away, or empty.
+	Owner string `json:",omitempty"`
 }
 
 // maxID bounds an ID, which becomes part of a key of at most 200 bytes.
--- a/bookkeeper/ledger.go
+++ b/bookkeeper/ledger.go
@@ -214,9 +214,10 @@
 	return fmt.Sprintf("%s%0*d", prefix, decimals, number)
 }
 
-// Restore creates a job for a custodian, without an owner, unless it exists.
+// Restore creates a job for a custodian, unless it exists. It is owned by the process
+// that accepted it.
 func Restore(ctx context.Context, client *keeper.CatalogClient, job Job) Outcome {
-	head := Head{Host: job.Host, Total: len(job.Items), Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp}
+	head := Head{Owner: job.Owner, Host: job.Host, Total: len(job.Items), Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp}
 	_, outcome, _ := Ledger{Client: client}.Create(ctx, job, head)
 
 	return outcome
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -37,6 +37,8 @@
 type Report struct {
 	Instance   string
 	DataCentre string
+	// Process names this start of the entry, as the list of members does.
+	Process string
 	// Incarnation and Number order the reports of an entry.
 	Incarnation int64
 	Number      int64
@@ -65,13 +67,15 @@
 	// are set before Run; nil for none.
 	Marks  func() map[string]keeper.Revision
 	Notice func(marks map[string]keeper.Revision)
+	// Process names this start of the entry in its reports.
+	Process string
 
 	mutex sync.Mutex
 	// peers are the addresses of other entries. They stay while an entry is
 	// missing from the list of members: it may only have lost the service.
 	peers map[string]*peer
-	// heard holds the newest report of each entry.
-	heard map[string]Report
+	// heard holds the newest report of each entry, and when it came.
+	heard map[string]hearing
 }
 
 // NewGossiper returns a gossiper that knows no other entries.
@@ -81,7 +85,7 @@
 		Placer:  places,
 		Address: address,
 		peers:   map[string]*peer{},
-		heard:   map[string]Report{},
+		heard:   map[string]hearing{},
 	}
 }
 
@@ -131,7 +135,7 @@
 }
 
 func (gossiper *Gossiper) send(ctx context.Context, socket *net.UDPConn) {
-	report := Report{Instance: gossiper.Instance, DataCentre: gossiper.DataCentre, Incarnation: time.Now().UnixNano()}
+	report := Report{Instance: gossiper.Instance, DataCentre: gossiper.DataCentre, Process: gossiper.Process, Incarnation: time.Now().UnixNano()}
 
 	for ctx.Err() == nil {
 		changed := gossiper.Placer.Changed()
@@ -210,10 +214,10 @@
 
 	before := gossiper.heard[report.Instance]
 	known := gossiper.peers[report.Instance] != nil
-	late := report.Incarnation < before.Incarnation || report.Incarnation == before.Incarnation && report.Number <= before.Number
+	late := before.after(report)
 
 	if known && !late {
-		gossiper.heard[report.Instance] = Report{Incarnation: report.Incarnation, Number: report.Number}
+		gossiper.heard[report.Instance] = before.next(report)
 	}
 
 	gossiper.mutex.Unlock()
