--- a/forwarder/account.go
+++ b/forwarder/account.go
@@ -13,7 +13,7 @@
 
 // logShare of the calls that ended in time are logged; all others are. The
 // line says how many it stands for.
-const logShare = 16
+const logShare = 32
 
 // account counts how calls ended and logs them.
 type account struct {
