Bound what handovers take of a planned stop

The state of a job was read for its handover without the lock that claims hold. Change: handovers get half of the time, a process that took no job is not asked again, and the lock is held. Test: TestFrozenPeersDoNotKeepJobs fails without it.

--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -69,6 +69,8 @@
 	unheard sync.Map
 	// losing tells that handovers arrive and their answers do not.
 	losing atomic.Bool
+	// hanging tells that handovers neither arrive nor fail.
+	hanging atomic.Bool
 }
 
 func newFleet(t *testing.T, gateways, servers int, story func(fleet *fleet)) {
@@ -317,7 +319,13 @@
 }
 
 // Convey implements batcher.Conveyer.
-func (fleet *fleet) Convey(_ context.Context, process string, handover batcher.Handover) bool {
+func (fleet *fleet) Convey(ctx context.Context, process string, handover batcher.Handover) bool {
+	if fleet.hanging.Load() {
+		<-ctx.Done()
+
+		return false
+	}
+
 	for _, gateway := range fleet.started {
 		if gateway.batcher.Owner == process && !gateway.dead.Load() && !fleet.silent.Load() {
 			return gateway.batcher.Adopt(handover) && !fleet.losing.Load()
--- a/batcher/handover.go
+++ b/batcher/handover.go
@@ -17,6 +17,9 @@
 	// handTimeout bounds one handover: a job of some megabytes passes between data
 	// centres within it.
 	handTimeout = 400 * time.Millisecond
+	// handTime is the part of the time at a planned stop for all handovers; the rest is
+	// for the service.
+	handTime = releaseTimeout / 2
 	// mostHands bounds the processes that are asked to take a job. The next one may
 	// be about to stop, too.
 	mostHands = 3
@@ -84,17 +87,25 @@
 		return cmp.Or(a.job.Due.Compare(b.job.Due), cmp.Compare(a.job.ID, b.job.ID))
 	})
 
+	ctx, cancel := context.WithTimeout(ctx, handTime)
+	defer cancel()
+
+	// Processes that took no job are not asked again.
+	unwilling := map[string]bool{}
+
 	for _, owned := range stopped {
-		if batcher.handOne(ctx, owned) {
+		if batcher.handOne(ctx, owned, unwilling) {
 			batcher.disown(owned.job.ID, "It was handed over.")
 		}
 	}
 }
 
-func (batcher *Batcher) handOne(ctx context.Context, owned *work) bool {
+func (batcher *Batcher) handOne(ctx context.Context, owned *work, unwilling map[string]bool) bool {
+	batcher.mutex.Lock()
 	handover := owned.handover(batcher.Owner)
+	batcher.mutex.Unlock()
 
-	for _, process := range batcher.successors(owned.job.ID) {
+	for _, process := range batcher.successors(owned.job.ID, unwilling) {
 		bounded, cancel := context.WithTimeout(ctx, handTimeout)
 		taken := batcher.Conveyer.Convey(bounded, process, handover)
 
@@ -105,6 +116,8 @@
 		if taken {
 			return true
 		}
+
+		unwilling[process] = true
 	}
 
 	return false
@@ -112,24 +125,20 @@
 
 // successors returns the processes that are asked to take a job, in the order in
 // which they would take it over.
-func (batcher *Batcher) successors(id string) []string {
+func (batcher *Batcher) successors(id string, unwilling map[string]bool) []string {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
 	live := batcher.live()
-	delete(live, batcher.Owner)
-
-	found := []string{}
-	for member := range live {
-		found = append(found, member)
-	}
+	maps.DeleteFunc(live, func(member string, _ bool) bool { return member == batcher.Owner || unwilling[member] })
 
+	found := slices.Collect(maps.Keys(live))
 	slices.SortFunc(found, func(a, b string) int { return cmp.Compare(rank(id, a, live), rank(id, b, live)) })
 
 	return found[:min(mostHands, len(found))]
 }
 
-// handover is a job as it is. Nothing works on it any more.
+// handover is a job as it is. Nothing works on it any more. The batcher's mutex is held.
 func (work *work) handover(from string) Handover {
 	partials, _ := work.partials()
 	finished := slices.Clone(work.finished)
--- a/batcher/unclaimed_test.go
+++ b/batcher/unclaimed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -249,6 +250,29 @@
 	}
 }
 
+// The load: a process with many jobs stops while the others are frozen. It still gives
+// its jobs back through the service.
+func TestFrozenPeersDoNotKeepJobs(t *testing.T) {
+	const jobs = 8
+
+	newFleet(t, 4, 4, func(fleet *fleet) {
+		for number := range jobs {
+			require.Equal(t, bookkeeper.OK, fleet.submitsJob(0, fmt.Sprintf("job-%d", number), 40))
+		}
+
+		fleet.hanging.Store(true)
+		fleet.everywhere(emulator.Switches{Delay: 4 * time.Millisecond})
+		fleet.gateways[0].stop()
+		<-fleet.gateways[0].stopped
+
+		for number := range jobs {
+			head, err := bookkeeper.Ledger{Client: fleet.gateways[1].client}.Head(context.Background(), fmt.Sprintf("job-%d", number))
+			require.NoError(t, err)
+			require.NotEqual(t, fleet.gateways[0].batcher.Owner, head.Owner, "job %d", number)
+		}
+	})
+}
+
 // A handover that no process could have made is turned away.
 func TestHandoversAreChecked(t *testing.T) {
 	item := bookkeeper.Item{ID: "a", Target: "/x"}
