Log the prompt parts of requests under which a backend server ends

A run that breaks off before its first event (or its whole answer) is logged with its parts, its age and whether the server's port refuses connections. The placer hears Unreachable instead of Broken for a server that has ended: the next request need not find out by itself. Decisions are otherwise as before.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -23,6 +23,7 @@
 	"limpetrail/meter"
 	"limpetrail/placer"
 	"limpetrail/platform"
+	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 )
@@ -131,8 +132,8 @@
 	return conveyer.NewConveyer(common, relay.Client)
 }
 
-func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.CurrentDocument, depositor batcher.Depositor, member registrar.Member, registration *registrar.Registrar, inquiries *inquirer.Inquirer, handovers *conveyer.Conveyer, reports *gossiper.Gossiper, settings loader.Gateway) *batcher.Batcher {
-	return batcher.NewBatcher(common, client, places, backend, configuration, depositor, member.ProcessID(), registration.RegistrationValid, settings.Jobs, batcher.WithInquirer(inquiries), batcher.WithConveyer(handovers), batcher.WithSilenceCheck(reports.IsSilent))
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, configuration *matcher.CurrentDocument, depositor batcher.Depositor, member registrar.Member, registration *registrar.Registrar, inquiries *inquirer.Inquirer, handovers *conveyer.Conveyer, reports *gossiper.Gossiper, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, quarantine, configuration, depositor, member.ProcessID(), registration.RegistrationValid, settings.Jobs, batcher.WithInquirer(inquiries), batcher.WithConveyer(handovers), batcher.WithSilenceCheck(reports.IsSilent))
 }
 
 func newGatewayHandler(common kernel.Common, configuration *matcher.CurrentDocument, forwards *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
--- a/app/wire.go
+++ b/app/wire.go
@@ -22,6 +22,7 @@
 	"limpetrail/platform"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
+	"limpetrail/quarantiner"
 	"limpetrail/puller"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
@@ -116,6 +117,8 @@
 		newInquirer, newConveyer,
 		platform.NewBackend,
 		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
+		wire.Bind(new(quarantiner.Liveness), new(*platform.Backend)),
+		quarantiner.NewQuarantiner,
 		forwarder.NewForwarder,
 		newBatcher,
 		platform.NewJobHandler,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -21,6 +21,7 @@
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/puller"
+	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 	"limpetrail/scheduler"
@@ -161,10 +162,11 @@
 	depositor := newDepositor(common, settings)
 	exchanger := newExchanger(common, settings)
 	platformBackend := platform.NewBackend(exchanger)
+	quarantinerQuarantiner := quarantiner.NewQuarantiner(common, platformBackend)
 	inquirer := newInquirer(common, relay)
 	conveyer := newConveyer(common, relay)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
-	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantinerQuarantiner, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
+	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend, quarantinerQuarantiner)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, currentDocument, forwarderForwarder, jobHandler)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -15,6 +15,7 @@
 	"limpetrail/librarian"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 	"limpetrail/sequencer"
 )
 
@@ -26,6 +27,7 @@
 	ProcessID     string
 	Placer        *placer.Placer
 	Backend       forwarder.Backend
+	Quarantiner   *quarantiner.Quarantiner
 	Configuration *matcher.CurrentDocument
 	// RegistrationValid tells whether all other processes still see this one as registered.
 	RegistrationValid func() bool
@@ -98,13 +100,14 @@
 }
 
 // NewBatcher returns a batcher without jobs.
-func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, configuration *matcher.CurrentDocument, depositor Depositor, processID string, registrationValid func() bool, settings Settings, options ...Option) *Batcher {
+func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, configuration *matcher.CurrentDocument, depositor Depositor, processID string, registrationValid func() bool, settings Settings, options ...Option) *Batcher {
 	batcher := &Batcher{
 		Common:            common.ForPart("batcher"),
 		Settings:          settings,
 		ProcessID:         processID,
 		Placer:            places,
 		Backend:           backend,
+		Quarantiner:       quarantine,
 		Configuration:     configuration,
 		Depositor:         depositor,
 		RegistrationValid: registrationValid,
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -23,6 +23,7 @@
 	"limpetrail/librarian"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 )
 
@@ -150,7 +151,8 @@
 	member := registrar.Member{Name: name, Incarnation: fmt.Sprint(fleet.startCount)}
 	memberRegistrar := registrar.NewRegistrar(common, client, member)
 	connections := exchanger.NewExchanger(common, exchanger.WithDial(fleet.network.DialContext))
-	jobBatcher := batcher.NewBatcher(common, client, places, emulator.NewEventBackend(connections), fleet.configuration, nil, member.ProcessID(), memberRegistrar.RegistrationValid, batcher.DefaultSettings(), batcher.WithInquirer(fleet), batcher.WithConveyer(fleet), batcher.WithSilenceCheck(fleet.isSilent))
+	backend := emulator.NewEventBackend(connections)
+	jobBatcher := batcher.NewBatcher(common, client, places, backend, quarantiner.NewQuarantiner(common, backend), fleet.configuration, nil, member.ProcessID(), memberRegistrar.RegistrationValid, batcher.DefaultSettings(), batcher.WithInquirer(fleet), batcher.WithConveyer(fleet), batcher.WithSilenceCheck(fleet.isSilent))
 
 	ctx, cancel := context.WithCancel(context.Background())
 	newGateway := &gateway{name: name, catalog: catalogClient, client: client, batcher: jobBatcher, placer: places, stop: cancel, stopped: make(chan struct{})}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -16,6 +16,7 @@
 	"limpetrail/forwarder"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 	"limpetrail/retrier"
 )
 
@@ -206,12 +207,13 @@
 	}
 
 	started := time.Now()
+	run := batcher.Quarantiner.Start(quarantiner.Request{ID: call.ID, Service: call.Service, Parts: batcher.Backend.SharedParts(call.Header)}, grant.Server)
 
 	reply, err := batcher.Backend.Send(ctx, grant.Server, call, forwarder.Attempt{
 		Remaining: time.Until(active.job.GiveUp), FirstByteDeadline: started.Add(firstEventTimeout), LastEventID: pending.lastEvent, Withdrawn: grant.Withdrawn, Repeatable: true,
 	})
 	if err != nil {
-		return batcher.observeFailure(ctx, grant, err)
+		return batcher.observeFailure(ctx, grant, run, err)
 	}
 
 	if reply.Leaving {
@@ -240,7 +242,7 @@
 	case http.StatusOK:
 		grant.Observe(placer.Answered, time.Since(started))
 
-		return batcher.readEvents(ctx, pending, grant, reply.Answer)
+		return batcher.readEvents(ctx, pending, grant, run, reply.Answer)
 	case http.StatusUnprocessableEntity:
 		return impossible, "The backend server reported that the item cannot be processed."
 	case http.StatusInternalServerError:
@@ -252,7 +254,7 @@
 
 // observeFailure reports an error of an exchange to the placer, unless the attempt was
 // cancelled or the server withdrawn. The attempt counts as interrupted.
-func (batcher *Batcher) observeFailure(ctx context.Context, grant *placer.Grant, err error) (attemptOutcome, string) {
+func (batcher *Batcher) observeFailure(ctx context.Context, grant *placer.Grant, run *quarantiner.Run, err error) (attemptOutcome, string) {
 	failure := exchanger.FailureError{}
 
 	switch {
@@ -264,14 +266,17 @@
 	case failure.Kind == exchanger.Unanswered:
 		grant.Observe(placer.Silent, 0)
 	default:
-		grant.Observe(placer.Broken, 0)
+		grant.Observe(run.BreakOff(ctx, err.Error()), 0)
 	}
 
 	return interrupted, err.Error()
 }
 
+// endedEarly is the reason of a stream that ended without an error and is not complete.
+const endedEarly = "The stream ended within an event, or without one."
+
 // readEvents reads the events of an answer and appends them to the item's output.
-func (batcher *Batcher) readEvents(ctx context.Context, pending *task, grant *placer.Grant, answer *exchanger.Answer) (attemptOutcome, string) {
+func (batcher *Batcher) readEvents(ctx context.Context, pending *task, grant *placer.Grant, run *quarantiner.Run, answer *exchanger.Answer) (attemptOutcome, string) {
 	events := answer.EventParser()
 	buffer := make([]byte, readSize)
 	// lastEventAt is when the last complete event arrived. Bytes of an incomplete event
@@ -280,12 +285,12 @@
 
 	for {
 		if timeout := answer.AwaitData(lastEventAt.Add(eventTimeout)); timeout != nil {
-			return batcher.observeFailure(ctx, grant, timeout)
+			return batcher.observeFailure(ctx, grant, run, timeout)
 		}
 
 		count, err := answer.ReadPart(buffer, lastEventAt.Add(eventTimeout+eventCompletionTimeout))
 		if invalid := appendEvents(pending, events, buffer[:count]); invalid != nil {
-			grant.Observe(placer.Broken, 0)
+			grant.Observe(run.BreakOff(ctx, invalid.Error()), 0)
 
 			return interrupted, invalid.Error()
 		}
@@ -294,6 +299,8 @@
 
 		if pending.eventCount > eventsBefore {
 			lastEventAt, eventsBefore = time.Now(), pending.eventCount
+
+			run.Begin()
 		}
 
 		switch {
@@ -302,11 +309,11 @@
 
 			return completed, ""
 		case errors.Is(err, io.EOF):
-			grant.Observe(placer.Broken, 0)
+			grant.Observe(run.BreakOff(ctx, endedEarly), 0)
 
-			return interrupted, "The stream ended within an event, or without one."
+			return interrupted, endedEarly
 		case err != nil:
-			return batcher.observeFailure(ctx, grant, err)
+			return batcher.observeFailure(ctx, grant, run, err)
 		}
 	}
 }
--- a/emulator/event_backend.go
+++ b/emulator/event_backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -30,6 +31,7 @@
 	header := http.Header{}
 	header.Set(headers.RequestID, call.ID)
 	header.Set(headers.ExpectedServer, server.ID)
+	header.Set(headers.PromptParts, call.Header.Get(headers.PromptParts))
 
 	if attempt.LastEventID >= 0 {
 		header.Set("Last-Event-Id", strconv.Itoa(attempt.LastEventID))
@@ -59,3 +61,15 @@
 
 	return reply, nil
 }
+
+// SharedParts implements forwarder.Backend: all parts but the last are shared.
+func (backend *EventBackend) SharedParts(header http.Header) []string {
+	parts := strings.Split(header.Get(DefaultEventHeaders().PromptParts), ",")
+
+	return parts[:len(parts)-1]
+}
+
+// HasEnded implements forwarder.Backend.
+func (backend *EventBackend) HasEnded(ctx context.Context, server placer.Server) bool {
+	return backend.Exchanger.Refuses(ctx, server.Address)
+}
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -23,6 +23,9 @@
 	Stamp string
 	// Leaving is 1 in all answers of a server that is leaving.
 	Leaving string
+	// PromptParts lists the parts of the prompt, separated by commas; what follows a colon
+	// in a part is ignored.
+	PromptParts string
 	// Deadline holds how many milliseconds the caller waits; empty for a protocol
 	// without such a header.
 	Deadline string
@@ -80,7 +83,7 @@
 
 // DefaultEventHeaders returns header names for tests without the platform's protocol.
 func DefaultEventHeaders() EventHeaders {
-	return EventHeaders{RequestID: "Request-Id", ExpectedServer: "Expect-Server", NotRun: "Not-Run", ServerID: "Server-Id", Stamp: "Stamp", Leaving: "Leaving"}
+	return EventHeaders{RequestID: "Request-Id", ExpectedServer: "Expect-Server", NotRun: "Not-Run", ServerID: "Server-Id", Stamp: "Stamp", Leaving: "Leaving", PromptParts: "Prompt-Parts"}
 }
 
 // PlatformEventHeaders returns the header names of the platform's protocol.
@@ -88,7 +91,7 @@
 	return EventHeaders{
 		RequestID: "X-Limpetrail-Attempt-Id", ExpectedServer: "X-Limpetrail-Expect-Instance", NotRun: "X-Limpetrail-Not-Executed",
 		ServerID: "X-Limpetrail-Instance-Id", Stamp: "X-Limpetrail-Response-Stamp", Deadline: "X-Limpetrail-Deadline-Ms",
-		Leaving: "Server-Leaving",
+		Leaving: "Server-Leaving", PromptParts: "X-Limpetrail-Prompt-Prefix",
 	}
 }
 
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,7 +54,7 @@
 
 	listener, found := network.listeners[address]
 	if !found {
-		return nil, errors.Errorf("connection to %s refused", address)
+		return nil, errors.Annotatef(syscall.ECONNREFUSED, "connecting to %s", address)
 	}
 
 	dialEnd, acceptEnd := net.Pipe()
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"limpetrail/exchanger"
@@ -58,4 +59,10 @@
 // type exchanger.FailureError.
 type Backend interface {
 	Send(ctx context.Context, server placer.Server, call *Call, attempt Attempt) (Reply, error)
+	// SharedParts returns the IDs of the parts of a call's prompt that other calls may
+	// share, in their order.
+	SharedParts(header http.Header) []string
+	// HasEnded reports whether the server's process has certainly ended: nothing listens
+	// at its address.
+	HasEnded(ctx context.Context, server placer.Server) bool
 }
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -21,14 +22,16 @@
 
 // forwardWhole passes on an answer that is not an event stream. An answer that breaks
 // off within the first maxBufferedBytes may be retried.
-func (delivery *delivery) forwardWhole(grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
+func (delivery *delivery) forwardWhole(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	if err != nil {
-		grant.Observe(placer.Broken, 0)
+		grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
 
 		return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
 	}
 
+	delivery.run.Begin()
+
 	length := answer.Length
 	if length < 0 && len(body) < maxBufferedBytes {
 		length = int64(len(body))
@@ -92,7 +95,7 @@
 
 // forwardStream passes on events as they arrive, only complete ones and each once, so
 // that another server can continue after the last.
-func (delivery *delivery) forwardStream(grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
+func (delivery *delivery) forwardStream(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
 	if !delivery.headSent {
 		delivery.sendHead(answer, -1)
 	}
@@ -105,16 +108,17 @@
 
 	for {
 		if waitErr := delivery.awaitPart(answer, lastEventAt, lastAttempt); waitErr != nil {
-			return delivery.handleStreamError(grant, waitErr, lastAttempt)
+			return delivery.handleStreamError(ctx, grant, waitErr, lastAttempt)
 		}
 
 		count, err := answer.ReadPart(buffer, delivery.call.Deadline)
 		if forwardErr := delivery.forwardEvents(parser, buffer[:count]); forwardErr != nil {
-			return delivery.handleForwardError(grant, forwardErr, lastAttempt)
+			return delivery.handleForwardError(ctx, grant, forwardErr, lastAttempt)
 		}
 
 		if delivery.eventCount > countBefore {
 			lastEventAt, countBefore = time.Now(), delivery.eventCount
+			delivery.run.Begin()
 		}
 
 		switch {
@@ -123,11 +127,11 @@
 
 			return Result{Outcome: Answered}, true
 		case errors.Is(err, io.EOF):
-			grant.Observe(placer.Broken, 0)
+			grant.Observe(delivery.run.BreakOff(ctx, endedWithinEvent), 0)
 
-			return delivery.retryOrEnd(grant, "The stream ended within an event.", lastAttempt)
+			return delivery.retryOrEnd(grant, endedWithinEvent, lastAttempt)
 		case err != nil:
-			return delivery.handleStreamError(grant, err, lastAttempt)
+			return delivery.handleStreamError(ctx, grant, err, lastAttempt)
 		}
 	}
 }
@@ -146,6 +150,9 @@
 	return answer.AwaitData(delivery.call.Deadline)
 }
 
+// endedWithinEvent is the reason of a stream whose last event is incomplete.
+const endedWithinEvent = "The stream ended within an event."
+
 // errCallerDisconnected is the cause when the caller's connection no longer accepts data.
 var errCallerDisconnected = errors.New("the caller disconnected")
 
@@ -199,18 +206,18 @@
 
 // handleForwardError ends or retries a call after a part of a stream that could not be
 // passed on.
-func (delivery *delivery) handleForwardError(grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
+func (delivery *delivery) handleForwardError(ctx context.Context, grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
 	if errors.Is(err, errCallerDisconnected) {
 		return Result{Outcome: Cancelled, Reason: err.Error()}, true
 	}
 
-	grant.Observe(placer.Broken, 0)
+	grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
 
 	return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
 }
 
 // handleStreamError ends or retries a call after its stream broke off or fell silent.
-func (delivery *delivery) handleStreamError(grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
+func (delivery *delivery) handleStreamError(ctx context.Context, grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
 	failure := exchanger.FailureError{}
 	if errors.As(err, &failure) && failure.Kind == exchanger.Cancelled {
 		return Result{Outcome: Cancelled, Reason: failure.Error()}, true
@@ -219,7 +226,7 @@
 	if failure.Kind == exchanger.Unanswered {
 		grant.Observe(placer.Silent, 0)
 	} else {
-		grant.Observe(placer.Broken, 0)
+		grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
 	}
 
 	return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -11,6 +11,7 @@
 	"limpetrail/exchanger"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 )
 
 // delivery is the state of one call over all of its attempts.
@@ -23,6 +24,9 @@
 	// arrived.
 	spentBefore time.Duration
 
+	// parts holds the parts of the prompt that other calls may share.
+	parts []string
+
 	// triedServers holds the IDs of the servers that are not tried again.
 	triedServers []string
 	// attempts is how many servers may have run the call.
@@ -40,6 +44,8 @@
 	timeToFirstByte time.Duration
 	queueTime       time.Duration
 	serverID        string
+	// run is the attempt that was made last.
+	run *quarantiner.Run
 }
 
 // tryNext gets a place for the call and makes one attempt. It returns false if another
@@ -79,6 +85,10 @@
 	return work
 }
 
+func (delivery *delivery) quarantineRequest() quarantiner.Request {
+	return quarantiner.Request{ID: delivery.call.ID, Service: delivery.call.Service, Parts: delivery.parts}
+}
+
 // resultWithoutPlace returns the result of a call that got no place. The call has not
 // run unless an earlier attempt may have.
 func (delivery *delivery) resultWithoutPlace(ctx context.Context, decision placer.Decision) Result {
@@ -106,6 +116,7 @@
 func (delivery *delivery) attempt(ctx context.Context, grant *placer.Grant) (Result, bool) {
 	startedAt := time.Now()
 	lastAttempt := delivery.isLastAttempt()
+	delivery.run = delivery.forwarder.Quarantiner.Start(delivery.quarantineRequest(), grant.Server)
 	attempt := Attempt{
 		Remaining: time.Until(delivery.call.Deadline), FirstByteDeadline: delivery.call.Deadline, LastEventID: delivery.lastEventID,
 		Withdrawn: grant.Withdrawn, Repeatable: delivery.call.Route.Repeatable(),
@@ -118,7 +129,7 @@
 
 	reply, err := delivery.forwarder.Backend.Send(ctx, grant.Server, delivery.call, attempt)
 	if err != nil {
-		return delivery.handleFailure(grant, err, lastAttempt)
+		return delivery.handleFailure(ctx, grant, err, lastAttempt)
 	}
 
 	if reply.Leaving {
@@ -152,14 +163,14 @@
 	}
 
 	if delivery.isEventStream(reply.Answer) {
-		return delivery.forwardStream(grant, reply.Answer, lastAttempt)
+		return delivery.forwardStream(ctx, grant, reply.Answer, lastAttempt)
 	}
 
 	if delivery.headSent {
 		return delivery.retryOrEnd(grant, "The answer does not continue the stream.", lastAttempt)
 	}
 
-	return delivery.forwardWhole(grant, reply.Answer, lastAttempt)
+	return delivery.forwardWhole(ctx, grant, reply.Answer, lastAttempt)
 }
 
 // mayRetryElsewhere reports whether a silent attempt may be abandoned and retried:
@@ -184,7 +195,7 @@
 }
 
 // handleFailure ends or retries a call after an attempt that got no answer.
-func (delivery *delivery) handleFailure(grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
+func (delivery *delivery) handleFailure(ctx context.Context, grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
 	failure := exchanger.FailureError{}
 	if !errors.As(err, &failure) {
 		failure = exchanger.FailureError{Kind: exchanger.Interrupted, Cause: err}
@@ -208,7 +219,7 @@
 	default:
 		delivery.attempts++
 
-		grant.Observe(placer.Broken, 0)
+		grant.Observe(delivery.run.BreakOff(ctx, failure.Error()), 0)
 	}
 
 	return delivery.retryOrEnd(grant, failure.Error(), lastAttempt)
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -19,6 +19,7 @@
 	"limpetrail/kernel"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 )
 
 const serviceName = "briefing"
@@ -71,7 +72,8 @@
 	fleet.placer.UpdateServers(serverList)
 
 	httpExchanger := exchanger.NewExchanger(common, exchanger.WithDial(fleet.network.DialContext))
-	fleet.forwarder = forwarder.NewForwarder(common, fleet.placer, emulator.NewEventBackend(httpExchanger))
+	backend := emulator.NewEventBackend(httpExchanger)
+	fleet.forwarder = forwarder.NewForwarder(common, fleet.placer, backend, quarantiner.NewQuarantiner(common, backend))
 
 	run(fleet)
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -8,14 +8,16 @@
 
 	"limpetrail/kernel"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 	"limpetrail/retrier"
 )
 
 // Forwarder sends calls to backend servers and passes the answers back.
 type Forwarder struct {
 	kernel.Common
-	Placer  *placer.Placer
-	Backend Backend
+	Placer      *placer.Placer
+	Backend     Backend
+	Quarantiner *quarantiner.Quarantiner
 
 	// budgets limit the retries of attempts that a silent server did not answer in
 	// time, by service.
@@ -36,15 +38,16 @@
 )
 
 // NewForwarder returns a forwarder that gets places from the placer.
-func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend) *Forwarder {
+func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend, quarantine *quarantiner.Quarantiner) *Forwarder {
 	common = common.ForPart("forwarder")
 
 	return &Forwarder{
 		Common:    common,
 		outcomes:  newOutcomeRecorder(common),
 		spentTime: newSpentEstimator(),
-		Placer:    requestPlacer,
-		Backend:   backend,
+		Placer:      requestPlacer,
+		Backend:     backend,
+		Quarantiner: quarantine,
 		budgets:   retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
 	}
 }
@@ -64,6 +67,7 @@
 		startedAt:   startedAt,
 		spentBefore: forwarder.spentTime.estimate(call.Route.Name, call.Deadline.Sub(startedAt), startedAt),
 		lastEventID: call.LastEventID,
+		parts:       forwarder.Backend.SharedParts(call.Header),
 	}
 
 	for {
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -21,6 +21,7 @@
 	"limpetrail/librarian"
 	"limpetrail/matcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 )
 
 const (
@@ -68,7 +69,7 @@
 			server.ServeHTTP(writer, request)
 		})
 		backend := emulator.NewEventBackend(exchanger.NewExchanger(common, exchanger.WithDial(fixture.network.DialContext)))
-		fixture.owner = batcher.NewBatcher(common, client, places, backend, document, nil, ownerID, func() bool { return fixture.authoritative }, batcher.DefaultSettings())
+		fixture.owner = batcher.NewBatcher(common, client, places, backend, quarantiner.NewQuarantiner(common, backend), document, nil, ownerID, func() bool { return fixture.authoritative }, batcher.DefaultSettings())
 		fixture.owner.SetMembers(map[string]bool{ownerID: true}, 1)
 
 		servers, stops := sync.WaitGroup{}, []func() error{}
--- /dev/null
+++ b/quarantiner/request.go
@@ -0,0 +1,9 @@
+package quarantiner
+
+// Request is what is known of a request before it is sent.
+type Request struct {
+	ID      string
+	Service string
+	// Parts holds the IDs of the prompt's parts that other requests may share, in order.
+	Parts []string
+}
