Reproduce: one prompt part ends one backend server after the other (red)

The stand-in for backend servers gains the fault: a server that begins to answer a request with a deadly part sends the head of an answer and ends; its port refuses connections and all its runs break.

--- a/deployer/caller.go
+++ b/deployer/caller.go
@@ -29,6 +29,9 @@
 	Address string
 	// KeepAlive allows a connection to be reused for further requests.
 	KeepAlive bool
+	// Parts are the prompt parts that requests share with others, separated by commas. The
+	// ID of a request is its own part.
+	Parts string
 }
 
 // NewCaller returns a caller of one gateway that opens a new connection for each request.
@@ -48,6 +51,11 @@
 	request.Close = !caller.KeepAlive
 	headers := emulator.PlatformEventHeaders()
 	request.Header.Set(headers.RequestID, id)
+
+	if caller.Parts != "" {
+		request.Header.Set(headers.PromptParts, caller.Parts+","+id)
+	}
+
 	request.Header.Set(headers.Deadline, strconv.FormatInt(CallerTimeout.Milliseconds(), 10))
 
 	response, err := caller.Client.Do(request)
@@ -110,7 +118,7 @@
 		items = append(items, ItemID(id, number))
 	}
 
-	body, err := emulator.PlatformJob(prefix, items)
+	body, err := emulator.PlatformJob(prefix, items, caller.Parts)
 	if err != nil {
 		return 0
 	}
--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +44,9 @@
 	Gateways map[string]*Process
 	Holders  map[string]*Process
 
+	// incarnations counts the starts of each backend server.
+	incarnations [serverCount]atomic.Int64
+
 	storeAddress string
 	gatewaySeeds []string
 }
@@ -62,6 +66,7 @@
 		server := emulator.NewEventServer(fmt.Sprintf("i-%d", index), emulator.PlatformEventHeaders())
 		server.EventCount = Events
 		link := deployment.StartLink(deployment.startHTTPServer(server))
+		server.Crash = func() { go deployment.restartServer(index) }
 		deployment.Servers = append(deployment.Servers, server)
 		deployment.ServerLinks = append(deployment.ServerLinks, link)
 
@@ -87,7 +92,19 @@
 
 func (deployment *Deployment) writeServerEntry(index int, state string) {
 	server := deployment.Servers[index]
-	deployment.Store.Catalog.Put(emulator.PlatformServerEntry(server.ID, deployment.ServerLinks[index].Address, state, index+1))
+	incarnation := int(deployment.incarnations[index].Load())*serverCount + index + 1
+	deployment.Store.Catalog.Put(emulator.PlatformServerEntry(server.ID, deployment.ServerLinks[index].Address, state, incarnation))
+}
+
+// serverDowntime is how long a backend server that crashed is away.
+const serverDowntime = time.Second
+
+// restartServer ends the process of a backend server and starts it again.
+func (deployment *Deployment) restartServer(index int) {
+	if deployment.ServerLinks[index].Crash(deployment.T.Context(), serverDowntime) {
+		deployment.incarnations[index].Add(1)
+		deployment.MarkServerReady(index)
+	}
 }
 
 // WriteConfiguration writes a version of the operators' configuration to the store.
--- a/deployer/link.go
+++ b/deployer/link.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"limpetrail/kernel"
 )
 
 // linkBufferBytes is the size of the buffer of each direction.
@@ -34,6 +36,9 @@
 	mutex           sync.Mutex
 	faults          LinkFaults
 	openConnections map[*net.TCPConn]bool
+	listener        net.Listener
+	// down is set while nothing listens, so that connections are refused.
+	down bool
 }
 
 // NewLink starts a link that runs until the context ends.
@@ -43,10 +48,10 @@
 		return nil, errors.Annotate(err, "starting a link")
 	}
 
-	link := &Link{Address: listener.Addr().String(), Target: target, openConnections: map[*net.TCPConn]bool{}}
+	link := &Link{Address: listener.Addr().String(), Target: target, openConnections: map[*net.TCPConn]bool{}, listener: listener}
 
 	context.AfterFunc(ctx, func() {
-		listener.Close()
+		link.stopListening()
 		link.ResetConnections()
 	})
 
@@ -63,6 +68,57 @@
 	link.faults = faults
 }
 
+// Crash resets all connections and refuses new ones for a while, as when the target's
+// process ends and is started again. It returns when the link listens again, and false if
+// it is down already or the context ends.
+func (link *Link) Crash(ctx context.Context, downtime time.Duration) bool {
+	if !link.stopListening() {
+		return false
+	}
+
+	link.ResetConnections()
+
+	if !kernel.Pause(ctx, downtime) {
+		return false
+	}
+
+	for {
+		// Another process may use the port for a moment.
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", link.Address)
+		if err == nil {
+			link.mutex.Lock()
+			link.listener, link.down = listener, false
+			link.mutex.Unlock()
+
+			go link.accept(ctx, listener)
+
+			return true
+		}
+
+		if !kernel.Pause(ctx, relistenPause) {
+			return false
+		}
+	}
+}
+
+// relistenPause is the pause between attempts to listen at an address that is in use.
+const relistenPause = 20 * time.Millisecond
+
+// stopListening closes the listener. It returns false if that is done already.
+func (link *Link) stopListening() bool {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+
+	if link.down {
+		return false
+	}
+
+	link.down = true
+	link.listener.Close()
+
+	return true
+}
+
 // ResetConnections closes all open connections with a TCP reset.
 func (link *Link) ResetConnections() {
 	link.mutex.Lock()
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -5,7 +5,9 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -55,6 +57,12 @@
 	SlowFactor int
 }
 
+// DeadlyRun is the run of a request whose prompt holds a deadly part.
+type DeadlyRun struct {
+	RequestID string
+	At        time.Time
+}
+
 // EventServer emulates a backend server that answers with events, or with a plain body
 // if EventCount is 0. It runs up to Places requests at once and queues the others.
 type EventServer struct {
@@ -69,6 +77,8 @@
 	FirstEventDelay time.Duration
 	EventInterval   time.Duration
 	EventCount      int
+	// Crash ends the server's process; nil to only break the connection.
+	Crash func()
 
 	mutex    sync.Mutex
 	faults   EventFaults
@@ -78,6 +88,8 @@
 	// resumedAfter holds the event after which each run of a request started, by ID.
 	resumedAfter map[string][]int
 	maxInFlight  int
+	deadlyParts  []string
+	deadlyRuns   []DeadlyRun
 	usedPlaces   chan struct{}
 }
 
@@ -117,6 +129,15 @@
 	server.faults = faults
 }
 
+// SetDeadlyParts sets the prompt parts that end the server's process when it begins to
+// answer a request that holds one of them.
+func (server *EventServer) SetDeadlyParts(parts ...string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+
+	server.deadlyParts = parts
+}
+
 func (server *EventServer) isLeaving() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
@@ -219,6 +240,10 @@
 
 	writer.Header().Set(server.Headers.Stamp, server.ID)
 
+	if server.isDeadly(request) {
+		server.crash(writer, request, faults)
+	}
+
 	if faults.FailStatus != 0 {
 		writer.WriteHeader(faults.FailStatus)
 
@@ -235,6 +260,45 @@
 	server.writeEvents(writer, request, faults, after)
 }
 
+// DeadlyRuns returns the runs of requests with a deadly part.
+func (server *EventServer) DeadlyRuns() []DeadlyRun {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+
+	return slices.Clone(server.deadlyRuns)
+}
+
+func (server *EventServer) isDeadly(request *http.Request) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+
+	for entry := range strings.SplitSeq(request.Header.Get(server.Headers.PromptParts), ",") {
+		part, _, _ := strings.Cut(entry, ":")
+		if slices.Contains(server.deadlyParts, part) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// crash sends the head of an answer and ends the process where the first event is due.
+func (server *EventServer) crash(writer http.ResponseWriter, request *http.Request, faults EventFaults) {
+	server.mutex.Lock()
+	server.deadlyRuns = append(server.deadlyRuns, DeadlyRun{RequestID: request.Header.Get(server.Headers.RequestID), At: time.Now()})
+	server.mutex.Unlock()
+
+	writer.Header().Set("Content-Type", "text/event-stream")
+
+	_ = http.NewResponseController(writer).Flush()
+
+	if pauseFor(request, server.slowedDuration(faults, server.FirstEventDelay)) && server.Crash != nil {
+		server.Crash()
+	}
+
+	panic(http.ErrAbortHandler)
+}
+
 func (server *EventServer) writeEvents(writer http.ResponseWriter, request *http.Request, faults EventFaults, after int) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -19,6 +19,8 @@
 	listeners   map[string]*networkListener
 	connections []*networkConnection
 	dialCounts  map[string]int
+	// downUntil holds, by address, until when connections are refused.
+	downUntil map[string]time.Time
 }
 
 var (
@@ -31,7 +33,7 @@
 
 // NewNetwork returns a network without listeners.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*networkListener{}, dialCounts: map[string]int{}}
+	return &Network{listeners: map[string]*networkListener{}, dialCounts: map[string]int{}, downUntil: map[string]time.Time{}}
 }
 
 // Listen listens at the address until the listener is closed.
@@ -53,7 +55,7 @@
 	network.dialCounts[address]++
 
 	listener, found := network.listeners[address]
-	if !found {
+	if !found || time.Now().Before(network.downUntil[address]) {
 		return nil, errors.Annotatef(syscall.ECONNREFUSED, "connecting to %s", address)
 	}
 
@@ -99,6 +101,16 @@
 	}
 }
 
+// Crash closes the open connections to the address and refuses new ones for a while, as
+// when a process ends and is started again.
+func (network *Network) Crash(address string, downtime time.Duration) {
+	network.mutex.Lock()
+	network.downUntil[address] = time.Now().Add(downtime)
+	network.mutex.Unlock()
+
+	network.CloseConnections(address)
+}
+
 // Close closes every connection.
 func (network *Network) Close() {
 	network.mutex.Lock()
--- a/emulator/platform_protocol.go
+++ b/emulator/platform_protocol.go
@@ -47,12 +47,17 @@
 }
 
 // PlatformJob returns the body of a job whose items have these IDs and use the route of
-// the prefix.
-func PlatformJob(prefix string, ids []string) ([]byte, error) {
+// the prefix. Their prompts have the parts, separated by commas, before one of their own.
+func PlatformJob(prefix string, ids []string, parts string) ([]byte, error) {
 	items := []map[string]any{}
 	for _, id := range ids {
+		headers := map[string]string{"X-One": "1"}
+		if parts != "" {
+			headers[PlatformEventHeaders().PromptParts] = parts + "," + id
+		}
+
 		items = append(items, map[string]any{
-			"id": id, "path": prefix + "x", "headers": map[string]string{"X-One": "1"}, "body": base64.StdEncoding.EncodeToString([]byte("body")),
+			"id": id, "path": prefix + "x", "headers": headers, "body": base64.StdEncoding.EncodeToString([]byte("body")),
 		})
 	}
 
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -22,7 +22,11 @@
 	"limpetrail/quarantiner"
 )
 
-const serviceName = "briefing"
+const (
+	serviceName = "briefing"
+	// serverDowntime is how long a server that crashed is away.
+	serverDowntime = 3 * time.Second
+)
 
 // fleet is one forwarder and a few event servers on an in-memory network.
 type fleet struct {
@@ -60,6 +64,7 @@
 
 	for index := range count {
 		server := emulator.NewEventServer(fmt.Sprintf("server-%d", index+1), emulator.DefaultEventHeaders())
+		server.Crash = func() { fleet.network.Crash(server.ID, serverDowntime) }
 		fleet.servers = append(fleet.servers, server)
 		serverList = append(serverList, placer.Server{ID: server.ID, Address: server.ID, Service: serviceName, Places: server.Places})
 		listener := fleet.network.Listen(server.ID)
@@ -140,10 +145,19 @@
 // forward forwards a new call on the route. It returns the result, the answer and the
 // call's ID.
 func (fleet *fleet) forward(ctx context.Context, route *matcher.Route) (forwarder.Result, *recordedAnswer, string) {
+	return fleet.forwardPrompt(ctx, route, "")
+}
+
+// forwardPrompt forwards a new call whose prompt has the given shared parts, separated by
+// commas, before a part of its own.
+func (fleet *fleet) forwardPrompt(ctx context.Context, route *matcher.Route, parts string) (forwarder.Result, *recordedAnswer, string) {
 	id := fmt.Sprintf("call-%d", fleet.callCount.Add(1))
 	answer := &recordedAnswer{}
+	header := http.Header{}
+	header.Set(emulator.DefaultEventHeaders().PromptParts, strings.TrimPrefix(parts+","+id, ","))
+
 	call := &forwarder.Call{
-		ID: id, Method: http.MethodPost, Target: "/a//b/../c?d=%2F", Host: "host", Header: http.Header{}, Body: []byte("body"),
+		ID: id, Method: http.MethodPost, Target: "/a//b/../c?d=%2F", Host: "host", Header: header, Body: []byte("body"),
 		Route: route, Service: serviceName, Deadline: time.Now().Add(route.Timeout), LastEventID: -1,
 	}
 
@@ -166,6 +180,17 @@
 	}
 }
 
+// checkSuspects clears suspect servers that run, until the context ends.
+func (fleet *fleet) checkSuspects(ctx context.Context) {
+	for kernel.Pause(ctx, 400*time.Millisecond) {
+		for _, server := range fleet.placer.SuspectServers() {
+			if !fleet.forwarder.Backend.HasEnded(ctx, server) {
+				fleet.placer.RecordPassedCheck(server)
+			}
+		}
+	}
+}
+
 // stopServer stops a server: connections to it are refused.
 func (fleet *fleet) stopServer(index int) {
 	require.NoError(fleet.t, fleet.httpServers[index].Close())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -42,13 +42,13 @@
 	common = common.ForPart("forwarder")
 
 	return &Forwarder{
-		Common:    common,
-		outcomes:  newOutcomeRecorder(common),
-		spentTime: newSpentEstimator(),
+		Common:      common,
+		outcomes:    newOutcomeRecorder(common),
+		spentTime:   newSpentEstimator(),
 		Placer:      requestPlacer,
 		Backend:     backend,
 		Quarantiner: quarantine,
-		budgets:   retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
+		budgets:     retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
 	}
 }
 
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -26,7 +26,7 @@
 // newCaller returns a caller that reuses its connections: a load balancer chooses a
 // gateway for each new connection only.
 func (soak *Soak) newCaller() deployer.Caller {
-	return deployer.Caller{
+	caller := deployer.Caller{
 		Address: "balancer", KeepAlive: true,
 		Client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
@@ -34,6 +34,12 @@
 			},
 		}},
 	}
+
+	if soak.hasDeadlyPart() {
+		caller.Parts = sharedParts
+	}
+
+	return caller
 }
 
 // sendRequests requests event streams until the context ends. Requests in flight are
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -67,6 +67,7 @@
 func (soak *Soak) check(ctx context.Context) []string {
 	violations := soak.checkRecovery(ctx)
 	violations = append(violations, soak.checkJobs(ctx)...)
+	violations = append(violations, soak.checkDeadlyRuns()...)
 
 	return append(violations, soak.checkRuns()...)
 }
@@ -97,7 +98,10 @@
 			id := fmt.Sprintf("last-%d-%d", number, attempts)
 			soak.history.RecordRequest(id, false)
 
-			return deployer.NewCaller(process).RequestStream(ctx, "/stream/x", id).Body == deployer.CompleteStream()
+			caller := deployer.NewCaller(process)
+			caller.Parts = soak.newCaller().Parts
+
+			return caller.RequestStream(ctx, "/stream/x", id).Body == deployer.CompleteStream()
 		}) {
 			violations = append(violations, fmt.Sprintf("RECOVER: %s does not serve a complete stream", process.Name))
 		}
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -82,8 +82,12 @@
 func (soak *Soak) lockGateway() (int, func()) {
 	number := soak.random.intN(gatewayCount)
 	soak.gatewayLocks[number].Lock()
+	ended := soak.disturbances[number].begin()
 
-	return number, soak.gatewayLocks[number].Unlock
+	return number, func() {
+		ended()
+		soak.gatewayLocks[number].Unlock()
+	}
 }
 
 // lockHolder does the same as lockGateway for a random holder.
@@ -182,6 +186,7 @@
 	for number := range gatewayCount {
 		soak.gatewayLocks[number].Lock()
 		defer soak.gatewayLocks[number].Unlock()
+		defer soak.disturbances[number].begin()()
 	}
 
 	for number := range holderCount {
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -25,13 +25,16 @@
 	// jobResults holds the results of each job by position, as last read.
 	jobResults map[string]map[int]deployer.Result
 	violations []string
-	complete   int
+	// deadlyGateways holds the gateway to which each request with the deadly part was sent.
+	deadlyGateways map[string]int
+	complete       int
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History {
 	return &History{
 		sent: map[string]bool{}, unanswered: map[string]string{}, acceptedItems: map[string]int{}, jobResults: map[string]map[int]deployer.Result{},
+		deadlyGateways: map[string]int{},
 	}
 }
 
@@ -63,6 +66,14 @@
 	}
 }
 
+// RecordDeadlyRequest records the gateway to which a request with the deadly part is sent.
+func (history *History) RecordDeadlyRequest(id string, gateway int) {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+
+	history.deadlyGateways[id] = gateway
+}
+
 // RecordAnswer records the answer to a request for an event stream. It records a
 // violation if an incomplete answer doesn't end in an error, or if its events aren't
 // the first ones of the stream in order.
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -20,6 +20,8 @@
 	// submitters submit jobs.
 	callerCount    = 10
 	submitterCount = 2
+	// deadlyCallerCount callers send requests with the deadly part.
+	deadlyCallerCount = 2
 	// recoveryPause is how long the load continues after the last fault, before the
 	// final checks.
 	recoveryPause = 3 * time.Second
@@ -47,6 +49,8 @@
 	holderLocks [holderCount]sync.Mutex
 	// plannedStopLock allows one planned stop at a time.
 	plannedStopLock sync.Mutex
+	// disturbances records the faults of each gateway's processes.
+	disturbances [gatewayCount]disturbance
 	// processLock guards the maps of the current processes.
 	processLock sync.Mutex
 }
@@ -78,6 +82,12 @@
 	}
 	soak.version.Store(3)
 
+	if soak.hasDeadlyPart() {
+		for _, server := range soak.Servers {
+			server.SetDeadlyParts(deadlyPart)
+		}
+	}
+
 	for number := range gatewayCount {
 		soak.StartGateway(gatewayName(number))
 		soak.rotation.Store(number, true)
@@ -128,6 +138,14 @@
 		workers.Go(func() { soak.sendRequests(loadCtx, number) })
 	}
 
+	if soak.hasDeadlyPart() {
+		for number := range deadlyCallerCount {
+			workers.Go(func() { soak.sendDeadlyRequests(loadCtx, number) })
+		}
+
+		workers.Go(func() { soak.submitDeadlyJob(loadCtx) })
+	}
+
 	for number := range submitterCount {
 		workers.Go(func() { soak.submitJobs(loadCtx, number) })
 	}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -19,6 +19,9 @@
 // seedsVariable is the environment variable with other seeds to run, as FIRST-LAST.
 const seedsVariable = "LIMPETRAIL_SOAK_SEEDS"
 
+// firstDeadlySeed is the first seed whose load has a deadly prompt part.
+const firstDeadlySeed = 300
+
 // faultDuration is how long each run injects faults.
 const faultDuration = 12 * time.Second
 
@@ -35,7 +38,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -56,7 +59,24 @@
 // Faults of the processes, of their network links and of the platform must not lead to
 // a violation that callers or backend servers can see.
 func TestNoViolationsUnderInjectedFaults(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed < firstDeadlySeed })
+}
+
+// A prompt part that ends the backend servers which begin to answer it must be kept away
+// from them after a few, whatever other faults there are.
+func TestDeadlyPromptPartUnderInjectedFaults(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed >= firstDeadlySeed })
+}
+
+// play runs the selected seeds.
+func play(t *testing.T, selected func(seed uint64) bool) {
+	t.Helper()
+
 	for _, seed := range seeds(t) {
+		if !selected(seed) {
+			continue
+		}
+
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 
