Keep requests away from backend servers whose prompt part ends them

Cause: what an entry learns of a request ends with the request. That a server broke off was held against the server only, so the next request with the same prompt part was placed like any other, at each entry anew; online attempts were repeated up to the route's limit, and items of jobs without one, as an interrupted attempt counts for nothing. Ruled out: load (each of 164 servers ended under a request with the one part).

Change: package quarantiner. A strike is a server whose port refuses connections right after it broke off before the first event; a broken connection alone is none. Strikes count against the shared parts of the prompt; an answer that begins anywhere refutes them. Two independent strikes (sent after the server before had ended) quarantine a part that was not answered before, four one that was; of parts that come together the deepest one is blamed. Load reports carry findings, identified by server starts, so neither the key-value service nor clocks are needed. A quarantined request is refused at once with the time of the next trial; trials are made by one entry at a time after 30 s, doubling. Items are kept until their job's time ends; the first run of a new part goes ahead of the others, and once no new requests come the kept ones are tried one at a time.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -27,6 +27,7 @@
 	"limpetrail/meter"
 	"limpetrail/placer"
 	"limpetrail/platform"
+	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 )
@@ -88,6 +89,7 @@
 	Depositor     *custodian.Depositor
 	Exchanger     *exchanger.Exchanger
 	Backend       *platform.Backend
+	Quarantiner   *quarantiner.Quarantiner
 	Batcher       *batcher.Batcher
 	Handler       *platform.Handler
 	Limiter       *limiter.Limiter
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -104,9 +104,15 @@
 	return exchanger.NewExchanger(common, exchanger.WithLimits(settings.Answers))
 }
 
-func newGossiper(common kernel.Common, places *placer.Placer, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
+// newQuarantiner takes turns with the entries that report their load.
+func newQuarantiner(common kernel.Common, backend quarantiner.Liveness, places *placer.Placer) *quarantiner.Quarantiner {
+	return quarantiner.NewQuarantiner(common, backend, quarantiner.WithPeers(places.ReportingPeerNames))
+}
+
+func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
 	created := gossiper.NewGossiper(common, places, settings.Listen.Peers)
 	created.Process = member.ProcessID()
+	created.Findings, created.ApplyFindings = quarantine.Findings, quarantine.ApplyFindings
 
 	return created
 }
--- a/app/status.go
+++ b/app/status.go
@@ -6,6 +6,7 @@
 
 	"limpetrail/batcher"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 )
 
 // PathStatus is the path of a gateway's status.
@@ -23,6 +24,8 @@
 	Leaving    bool
 	Servers    []placer.ServerStatus
 	Jobs       []batcher.JobStatus
+	// Suspects are the prompt parts under which backend servers ended.
+	Suspects []quarantiner.Status
 }
 
 func (gateway *Gateway) serveStatus(writer http.ResponseWriter, _ *http.Request) {
@@ -33,6 +36,7 @@
 		Leaving:    gateway.leaving.Load(),
 		Servers:    gateway.Placer.Status(),
 		Jobs:       gateway.Batcher.Status(),
+		Suspects:   gateway.Quarantiner.Status(),
 	}
 	if document := gateway.Configuration.Document(); document != nil {
 		current.Version = document.Version
--- a/app/wire.go
+++ b/app/wire.go
@@ -22,8 +22,8 @@
 	"limpetrail/platform"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
-	"limpetrail/quarantiner"
 	"limpetrail/puller"
+	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 	"limpetrail/scheduler"
@@ -118,12 +118,12 @@
 		platform.NewBackend,
 		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
 		wire.Bind(new(quarantiner.Liveness), new(*platform.Backend)),
-		quarantiner.NewQuarantiner,
+		newQuarantiner,
 		forwarder.NewForwarder,
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer"),
 	))
 }
 
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -21,7 +21,6 @@
 	"limpetrail/presenter"
 	"limpetrail/publisher"
 	"limpetrail/puller"
-	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 	"limpetrail/scheduler"
@@ -155,18 +154,18 @@
 	}
 	currentDocument := matcher.NewCurrentDocument(common)
 	placerPlacer := placer.NewPlacer(common)
+	exchanger := newExchanger(common, settings)
+	platformBackend := platform.NewBackend(exchanger)
+	quarantiner := newQuarantiner(common, platformBackend, placerPlacer)
 	member := newMember(settings)
-	gossiper := newGossiper(common, placerPlacer, member, settings)
+	gossiper := newGossiper(common, placerPlacer, quarantiner, member, settings)
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
 	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
-	exchanger := newExchanger(common, settings)
-	platformBackend := platform.NewBackend(exchanger)
-	quarantinerQuarantiner := quarantiner.NewQuarantiner(common, platformBackend)
 	inquirer := newInquirer(common, relay)
 	conveyer := newConveyer(common, relay)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantinerQuarantiner, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
-	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend, quarantinerQuarantiner)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantiner, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
+	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend, quarantiner)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, currentDocument, forwarderForwarder, jobHandler)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
@@ -185,6 +184,7 @@
 		Depositor:     depositor,
 		Exchanger:     exchanger,
 		Backend:       platformBackend,
+		Quarantiner:   quarantiner,
 		Batcher:       batcher,
 		Handler:       platformHandler,
 		Limiter:       limiterLimiter,
--- a/batcher/active_job.go
+++ b/batcher/active_job.go
@@ -97,6 +97,13 @@
 	// avoidServer is the backend server to exclude from the next attempt, as the last
 	// one failed or was interrupted there.
 	avoidServer string
+	// serverEnds counts the backend servers that ended before they began to answer the item.
+	serverEnds int
+	// checked is true once a part of the prompt was found to be quarantined.
+	checked bool
+	// quarantinedPart is the part of the prompt for which the item may not run; empty if it
+	// may.
+	quarantinedPart string
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
 }
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -80,6 +80,10 @@
 		return true
 	}
 
+	if !batcher.mayRun(active, chosen, route) {
+		return true
+	}
+
 	work := placer.Work{RequestID: chosen.item.ID, Service: route.service, Due: active.job.Due}
 	if !batcher.sequencerItem(active, chosen).CanMeetDeadline(now) {
 		// The item will be late anyway, so it is preempted first.
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -86,6 +86,7 @@
 		for index := range servers {
 			server := emulator.NewEventServer(fmt.Sprintf("server-%d", index+1), emulator.DefaultEventHeaders())
 			server.EventCount = eventsPerItem
+			server.Crash = func() { fleet.network.Crash(server.ID, 3*time.Second) }
 			fleet.servers = append(fleet.servers, server)
 			listener := fleet.network.Listen(server.ID)
 			httpServer := &http.Server{Handler: server, ReadHeaderTimeout: time.Hour}
--- /dev/null
+++ b/batcher/quarantine.go
@@ -0,0 +1,100 @@
+package batcher
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/bookkeeper"
+	"limpetrail/quarantiner"
+	"limpetrail/retrier"
+)
+
+const (
+	// quarantineRecheck is how often it is checked whether an item with a quarantined part
+	// may run again.
+	quarantineRecheck = 2 * time.Second
+	// freeServerEnds is how many backend servers may end under an item before its attempts
+	// are serverEndPause and more apart. One may have ended by itself.
+	freeServerEnds    = 2
+	serverEndPause    = 30 * time.Second
+	maxServerEndPause = 10 * time.Minute
+)
+
+func (batcher *Batcher) quarantineRequest(pending *task, target *destination) quarantiner.Request {
+	return quarantiner.Request{ID: pending.item.ID, Service: target.service, Parts: batcher.Backend.SharedParts(headerOf(pending.item)), Patient: true, Waiting: pending.checked || pending.serverEnds > 0}
+}
+
+// mayRun reports whether an item may be sent now. One with a quarantined part is kept until
+// its job's time ends: until then the job promises a result. The mutex must be held.
+func (batcher *Batcher) mayRun(active *activeJob, pending *task, target *destination) bool {
+	if (pending.quarantinedPart != "" || pending.serverEnds > 0) && time.Now().After(active.job.GiveUp) {
+		batcher.recordResult(active, pending, bookkeeper.GivenUp, "The give-up time of the job has passed, and the item ends backend servers.")
+
+		return false
+	}
+
+	block, blocked := batcher.Quarantiner.Check(batcher.quarantineRequest(pending, target))
+	if blocked {
+		batcher.postpone(active, pending, block)
+
+		return false
+	}
+
+	if pending.quarantinedPart != "" {
+		batcher.Log.WithFields(logrus.Fields{"JobID": active.job.ID, "RequestID": pending.item.ID, "PromptPart": pending.quarantinedPart}).Info("Item may run again.")
+		pending.quarantinedPart = ""
+	}
+
+	return true
+}
+
+// holdItem queues an item again that got a place but may not run.
+func (batcher *Batcher) holdItem(active *activeJob, pending *task, block quarantiner.Block) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	active.running--
+
+	if active.context.Err() != nil || active.committedBefore[pending.item.ID] {
+		return
+	}
+
+	batcher.postpone(active, pending, block)
+	active.waiting = append(active.waiting, pending)
+	signal(batcher.dispatchSignal)
+}
+
+// postpone sets when it is checked again whether an item may run. The mutex must be held.
+func (batcher *Batcher) postpone(active *activeJob, pending *task, block quarantiner.Block) {
+	pending.checked = pending.checked || block.Quarantined
+	pending.notBefore = earliest(time.Now().Add(min(block.RetryAfter, quarantineRecheck)), active.job.GiveUp)
+
+	if block.Quarantined && pending.quarantinedPart != block.Part {
+		pending.quarantinedPart = block.Part
+		batcher.Log.WithFields(logrus.Fields{"JobID": active.job.ID, "RequestID": pending.item.ID, "PromptPart": block.Part, "RetryAfter": block.RetryAfter}).Info("Item is kept away from backend servers: a part of its prompt is quarantined.")
+	}
+}
+
+func earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+
+	return other
+}
+
+// recordServerEnd counts a backend server that ended before it began to answer the item,
+// and delays further attempts after several.
+func (task *task) recordServerEnd(giveUp time.Time) {
+	task.serverEnds++
+
+	if task.serverEnds >= freeServerEnds {
+		pause := serverEndPause
+		for range task.serverEnds - freeServerEnds {
+			pause = min(2*pause, maxServerEndPause)
+		}
+
+		task.notBefore = earliest(time.Now().Add(retrier.AddJitter(pause)), giveUp)
+	}
+}
--- /dev/null
+++ b/batcher/quarantine_test.go
@@ -0,0 +1,125 @@
+package batcher_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"limpetrail/bookkeeper"
+	"limpetrail/emulator"
+)
+
+// submitPrompts submits a job whose items have these prompt parts, separated by commas,
+// before one of their own.
+func (fleet *fleet) submitPrompts(prompts []string) {
+	job := bookkeeper.Job{ID: jobID, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
+
+	for number, parts := range prompts {
+		header := map[string]string{emulator.DefaultEventHeaders().PromptParts: strings.TrimPrefix(parts+","+itemID(number), ",")}
+		job.Items = append(job.Items, bookkeeper.Item{ID: itemID(number), Target: "/batch/x", Header: header, Body: []byte("body")})
+	}
+
+	require.Equal(fleet.t, bookkeeper.OK, fleet.gateways[0].batcher.Submit(context.Background(), job))
+}
+
+// deadlyRuns returns how often items with a deadly part reached servers.
+func (fleet *fleet) deadlyRuns() int {
+	count := 0
+	for _, server := range fleet.servers {
+		count += len(server.DeadlyRuns())
+	}
+
+	return count
+}
+
+// states returns the states of all results by item.
+func (fleet *fleet) states() map[string]bookkeeper.State {
+	results, _ := fleet.readAll(0)
+	states := map[string]bookkeeper.State{}
+
+	for _, result := range results {
+		states[result.ID] = result.State
+	}
+
+	return states
+}
+
+// An item whose prompt ends the servers that begin to answer it is interrupted each time,
+// which no limit counts. It is kept until its job's time ends, the other items complete, and
+// few servers end by it.
+func TestItemsThatEndServersAreSentAgainWithoutEnd(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		deadlyPart string
+		prompts    []string
+		deadly     []int
+	}{
+		"a shared part": {"x", []string{"a", "a,x", "a", "a,x", "a", "a", "a,x", "a"}, []int{1, 3, 6}},
+		"the own part":  {itemID(2), []string{"a", "a", "a", "a"}, []int{2}},
+		"no other part": {itemID(2), []string{"", "", "", ""}, []int{2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			states, early, late := map[string]bookkeeper.State{}, 0, 0
+
+			var result bookkeeper.State
+
+			newFleet(t, 2, 8, func(fleet *fleet) {
+				for _, server := range fleet.servers {
+					server.SetDeadlyParts(scenario.deadlyPart)
+				}
+
+				fleet.submitPrompts(scenario.prompts)
+				time.Sleep(8 * time.Second)
+
+				early, states = fleet.deadlyRuns(), fleet.states()
+
+				time.Sleep(time.Minute)
+
+				late, result = fleet.deadlyRuns(), fleet.states()[itemID(scenario.deadly[0])]
+			})
+
+			require.LessOrEqual(t, early, 5)
+			require.LessOrEqual(t, late-early, 8, "later ones are tried one at a time")
+			require.Equal(t, bookkeeper.GivenUp, result)
+
+			for number := range scenario.prompts {
+				if _, listed := states[itemID(number)]; !listed {
+					require.Contains(t, scenario.deadly, number)
+				}
+			}
+
+			require.Len(t, states, len(scenario.prompts)-len(scenario.deadly), "no item is given up early")
+		})
+	}
+}
+
+// Items that were kept away run as soon as the part is sound again.
+func TestKeptItemsRunOnceTheirPartIsSound(t *testing.T) {
+	states, runs := map[string]bookkeeper.State{}, 0
+
+	newFleet(t, 2, 8, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			server.SetDeadlyParts("x")
+		}
+
+		fleet.submitPrompts([]string{"a", "a,x", "a,x", "a,x", "a,x", "a,x"})
+		time.Sleep(5 * time.Second)
+
+		for _, server := range fleet.servers {
+			server.SetDeadlyParts()
+		}
+
+		time.Sleep(35 * time.Second)
+
+		states, runs = fleet.states(), fleet.deadlyRuns()
+	})
+
+	require.LessOrEqual(t, runs, 6)
+	require.Len(t, states, 6)
+
+	for _, state := range states {
+		require.Equal(t, bookkeeper.Completed, state)
+	}
+}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -100,8 +100,18 @@
 	grant.SetProgress(pending.eventCount)
 
 	eventsBefore, started := pending.eventCount, time.Now()
-	outcome, reason := batcher.sendItem(attempt, active, pending, target, grant)
 
+	run, block, blocked := batcher.Quarantiner.Start(batcher.quarantineRequest(pending, target), grant.Server)
+	if blocked {
+		grant.Release()
+		batcher.holdItem(active, pending, block)
+
+		return
+	}
+
+	outcome, reason := batcher.sendItem(attempt, active, pending, target, grant, run)
+
+	run.Close()
 	grant.Release()
 	batcher.runTimeEstimator.RecordAttempt(pending.eventCount-eventsBefore, time.Since(started))
 
@@ -109,11 +119,11 @@
 		batcher.runTimeEstimator.RecordCompletedItem(pending.eventCount)
 	}
 
-	batcher.finishAttempt(active, pending, target, outcome, reason, grant, pending.eventCount-eventsBefore)
+	batcher.finishAttempt(active, pending, target, outcome, reason, grant, run, pending.eventCount-eventsBefore)
 }
 
 // finishAttempt records the result of an item, or queues the item for its next attempt.
-func (batcher *Batcher) finishAttempt(active *activeJob, pending *task, target *destination, outcome attemptOutcome, reason string, grant *placer.Grant, newEvents int) {
+func (batcher *Batcher) finishAttempt(active *activeJob, pending *task, target *destination, outcome attemptOutcome, reason string, grant *placer.Grant, run *quarantiner.Run, newEvents int) {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
@@ -156,6 +166,10 @@
 				pending.notBefore = time.Now().Add(backoff(pending.interruptions))
 			}
 		}
+
+		if run.ServerEnded() {
+			pending.recordServerEnd(active.job.GiveUp)
+		}
 	}
 
 	if time.Now().After(active.job.GiveUp) {
@@ -193,21 +207,24 @@
 	return retrier.Backoff{Base: backoffBase, MaxPause: backoffLimit}.Pause(failures - 1)
 }
 
-// sendItem sends an item to a backend server and reads the events of the answer.
-func (batcher *Batcher) sendItem(ctx context.Context, active *activeJob, pending *task, target *destination, grant *placer.Grant) (attemptOutcome, string) {
+func headerOf(item bookkeeper.Item) http.Header {
 	header := http.Header{}
-	for name, value := range pending.item.Header {
+	for name, value := range item.Header {
 		header.Set(name, value)
 	}
 
+	return header
+}
+
+// sendItem sends an item to a backend server and reads the events of the answer.
+func (batcher *Batcher) sendItem(ctx context.Context, active *activeJob, pending *task, target *destination, grant *placer.Grant, run *quarantiner.Run) (attemptOutcome, string) {
 	call := &forwarder.Call{
 		ID: pending.item.ID, Method: http.MethodPost, Target: pending.item.Target, Host: active.job.Host,
-		Header: exchanger.EndToEndHeaders(header), Body: pending.item.Body, Route: target.route, Service: target.service,
+		Header: exchanger.EndToEndHeaders(headerOf(pending.item)), Body: pending.item.Body, Route: target.route, Service: target.service,
 		Deadline: active.job.GiveUp, LastEventID: pending.lastEvent,
 	}
 
 	started := time.Now()
-	run := batcher.Quarantiner.Start(quarantiner.Request{ID: call.ID, Service: call.Service, Parts: batcher.Backend.SharedParts(call.Header)}, grant.Server)
 
 	reply, err := batcher.Backend.Send(ctx, grant.Server, call, forwarder.Attempt{
 		Remaining: time.Until(active.job.GiveUp), FirstByteDeadline: started.Add(firstEventTimeout), LastEventID: pending.lastEvent, Withdrawn: grant.Withdrawn, Repeatable: true,
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -30,7 +30,9 @@
 		return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
 	}
 
-	delivery.run.Begin()
+	if answer.Status < http.StatusMultipleChoices {
+		delivery.run.Begin()
+	}
 
 	length := answer.Length
 	if length < 0 && len(body) < maxBufferedBytes {
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -51,6 +51,10 @@
 // tryNext gets a place for the call and makes one attempt. It returns false if another
 // attempt is to follow.
 func (delivery *delivery) tryNext(ctx context.Context) (Result, bool) {
+	if block, blocked := delivery.forwarder.Quarantiner.Check(delivery.quarantineRequest()); blocked {
+		return delivery.resultOfBlock(block), true
+	}
+
 	decision := delivery.forwarder.Placer.Place(ctx, delivery.placementRequest())
 	delivery.queueTime += decision.Waited
 
@@ -60,7 +64,15 @@
 
 	defer decision.Grant.Release()
 
-	delivery.serverID = decision.Grant.Server.ID
+	// The call may have waited for its place, or another part was found deadly meanwhile.
+	run, block, blocked := delivery.forwarder.Quarantiner.Start(delivery.quarantineRequest(), decision.Grant.Server)
+	if blocked {
+		return delivery.resultOfBlock(block), true
+	}
+
+	defer run.Close()
+
+	delivery.run, delivery.serverID = run, decision.Grant.Server.ID
 
 	return delivery.attempt(ctx, decision.Grant)
 }
@@ -89,6 +101,25 @@
 	return quarantiner.Request{ID: delivery.call.ID, Service: delivery.call.Service, Parts: delivery.parts}
 }
 
+// resultOfBlock returns the result of a call that must not be sent, as a part of its prompt
+// ends backend servers.
+func (delivery *delivery) resultOfBlock(block quarantiner.Block) Result {
+	delivery.forwarder.log(delivery.call, logrus.Fields{
+		"PromptPart": block.Part, "RetryAfter": block.RetryAfter, "Sent": delivery.attempts,
+	}).Info("Request is kept away from backend servers: a part of its prompt is quarantined.")
+
+	const reason = "A part of the prompt ends backend servers."
+
+	switch {
+	case delivery.headSent:
+		return Result{Outcome: Broken, Reason: reason}
+	case delivery.attempts > 0:
+		return Result{Outcome: Failed, Reason: reason}
+	default:
+		return Result{Outcome: Refused, RetryAfter: block.RetryAfter, Reason: reason}
+	}
+}
+
 // resultWithoutPlace returns the result of a call that got no place. The call has not
 // run unless an earlier attempt may have.
 func (delivery *delivery) resultWithoutPlace(ctx context.Context, decision placer.Decision) Result {
@@ -116,7 +147,6 @@
 func (delivery *delivery) attempt(ctx context.Context, grant *placer.Grant) (Result, bool) {
 	startedAt := time.Now()
 	lastAttempt := delivery.isLastAttempt()
-	delivery.run = delivery.forwarder.Quarantiner.Start(delivery.quarantineRequest(), grant.Server)
 	attempt := Attempt{
 		Remaining: time.Until(delivery.call.Deadline), FirstByteDeadline: delivery.call.Deadline, LastEventID: delivery.lastEventID,
 		Withdrawn: grant.Withdrawn, Repeatable: delivery.call.Route.Repeatable(),
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -12,6 +12,7 @@
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// Marks holds the newest revision that the entry saw below each prefix of the
 	// key-value service.
 	Marks map[string]keeper.Revision `json:",omitempty"`
+	// Findings are what the entry knows of prompt parts that end backend servers.
+	Findings []quarantiner.Finding `json:",omitempty"`
 }
 
 // peer is the address of another entry.
@@ -67,6 +70,10 @@
 	// those of peers' reports. They are set before Run; nil for none.
 	NewestRevisions    func() map[string]keeper.Revision
 	ApplyPeerRevisions func(marks map[string]keeper.Revision)
+	// Findings returns the findings of this entry's reports, and ApplyFindings receives those
+	// of peers' reports. They are set before Run; nil for none.
+	Findings      func() []quarantiner.Finding
+	ApplyFindings func(peer string, findings []quarantiner.Finding)
 	// Process identifies this start of the entry in its reports.
 	Process string
 
@@ -148,6 +155,10 @@
 			report.Marks = gossiper.NewestRevisions()
 		}
 
+		if gossiper.Findings != nil {
+			report.Findings = gossiper.Findings()
+		}
+
 		gossiper.broadcast(socket, report)
 
 		kernel.Pause(ctx, gossiper.reportInterval())
@@ -233,6 +244,10 @@
 			gossiper.ApplyPeerRevisions(report.Marks)
 		}
 
+		if gossiper.ApplyFindings != nil {
+			gossiper.ApplyFindings(report.Instance, report.Findings)
+		}
+
 		gossiper.Placer.ApplyReport(report.Instance, report.DataCentre, report.Loads)
 		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,6 +149,16 @@
 	return len(placer.reports)
 }
 
+// ReportingPeerNames returns the names of the other entries with a fresh report.
+func (placer *Placer) ReportingPeerNames() []string {
+	placer.mutex.Lock()
+	defer placer.mutex.Unlock()
+
+	placer.pruneReports()
+
+	return slices.Collect(maps.Keys(placer.reports))
+}
+
 // OwnLoads returns the load of this entry by server ID.
 func (placer *Placer) OwnLoads() map[string]Load {
 	placer.mutex.Lock()
--- /dev/null
+++ b/quarantiner/finding.go
@@ -0,0 +1,272 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// recentFinding is how long a change is part of all findings; a few reports in a row may
+	// be lost.
+	recentFinding = 3 * time.Second
+	// allFindingsInterval is how often quarantined parts are among the findings that have
+	// not changed, for entries that have started since.
+	allFindingsInterval = time.Second
+	// maxFindings and maxFindingStrikes bound the findings of one report.
+	maxFindings       = 16
+	maxFindingStrikes = 6
+	// maxFindingRefuted bounds the refuted strikes in a finding.
+	maxFindingRefuted = 6
+	// trialHeardTime is how long a trial of another entry is heard of after a report of it.
+	trialHeardTime = 1500 * time.Millisecond
+	// maxNameBytes bounds the names in findings that are received.
+	maxNameBytes = 128
+	// maxDepth bounds the depth in findings that are received.
+	maxDepth = 1 << 10
+	// maxFailedTrials is far beyond the longest period.
+	maxFailedTrials = 1 << 10
+)
+
+// Finding is what an entry knows of a part, as it tells others. Servers and their starts
+// identify strikes, so no clocks of two instances are compared.
+type Finding struct {
+	Subject
+
+	Depth        int             `json:",omitempty"`
+	Strikes      []FindingStrike `json:",omitempty"`
+	Refuted      []Incarnation   `json:",omitempty"`
+	FailedTrials int             `json:",omitempty"`
+	// Proven is true if servers have answered requests with the part before.
+	Proven bool `json:",omitempty"`
+	// Asked is true if a request with the part came to the entry AskedAge ago, and Trying
+	// while it tries the part again.
+	Asked    bool          `json:",omitempty"`
+	AskedAge time.Duration `json:",omitempty"`
+	Trying   bool          `json:",omitempty"`
+}
+
+// FindingStrike is a strike; its times are ages at the time of the report.
+type FindingStrike struct {
+	Incarnation
+
+	RequestID string
+	SentAge   time.Duration
+	EndedAge  time.Duration
+}
+
+// Findings returns what the other entries should be told now: changes for a while and,
+// from time to time, a few of the quarantined parts in turn.
+func (quarantiner *Quarantiner) Findings() []Finding {
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+
+	now := time.Now()
+	selected := []*suspect{}
+	unchanged := []*suspect{}
+
+	for _, known := range quarantiner.suspects {
+		if now.Sub(known.changedAt) <= recentFinding {
+			selected = append(selected, known)
+		} else if quarantiner.isQuarantined(known) {
+			unchanged = append(unchanged, known)
+		}
+	}
+
+	slices.SortFunc(selected, func(one, other *suspect) int { return other.changedAt.Compare(one.changedAt) })
+	selected = selected[:min(len(selected), maxFindings)]
+
+	if len(unchanged) > 0 && now.Sub(quarantiner.findingsAt) >= allFindingsInterval {
+		quarantiner.findingsAt = now
+
+		slices.SortFunc(unchanged, compareSubjects)
+
+		for range min(len(unchanged), maxFindings-len(selected)) {
+			quarantiner.findingsCursor = (quarantiner.findingsCursor + 1) % len(unchanged)
+			selected = append(selected, unchanged[quarantiner.findingsCursor])
+		}
+	}
+
+	findings := make([]Finding, 0, len(selected))
+	for _, known := range selected {
+		findings = append(findings, known.finding(now))
+	}
+
+	return findings
+}
+
+func compareSubjects(one, other *suspect) int {
+	return cmp.Or(cmp.Compare(one.subject.Service, other.subject.Service), cmp.Compare(one.subject.Part, other.subject.Part))
+}
+
+func (suspect *suspect) finding(now time.Time) Finding {
+	finding := Finding{
+		Subject: suspect.subject, Depth: suspect.depth, FailedTrials: suspect.failedTrials, Proven: suspect.proven,
+		Asked: !suspect.askedAt.IsZero(), Trying: now.Before(suspect.trialEndsAt),
+		Refuted: slices.Clone(suspect.refuted[max(0, len(suspect.refuted)-maxFindingRefuted):]),
+	}
+
+	if finding.Asked {
+		finding.AskedAge = now.Sub(suspect.askedAt)
+	}
+
+	for _, known := range suspect.strikes[max(0, len(suspect.strikes)-maxFindingStrikes):] {
+		finding.Strikes = append(finding.Strikes, FindingStrike{
+			Incarnation: known.server, RequestID: known.requestID, SentAge: now.Sub(known.sentAt), EndedAge: now.Sub(known.endedAt),
+		})
+	}
+
+	return finding
+}
+
+// ApplyFindings adds the findings of another entry. Invalid ones are ignored.
+func (quarantiner *Quarantiner) ApplyFindings(peer string, findings []Finding) {
+	if len(findings) == 0 {
+		return
+	}
+
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+
+	now, news := time.Now(), []Finding{}
+
+	for _, finding := range findings[:min(len(findings), maxFindings)] {
+		if !finding.valid() {
+			continue
+		}
+
+		quarantiner.hear(finding, now)
+
+		if quarantiner.isNews(finding) {
+			news = append(news, finding)
+		}
+	}
+
+	if len(news) == 0 {
+		return
+	}
+
+	quarantiner.update("report of "+peer, func() {
+		for _, finding := range news {
+			quarantiner.apply(finding, now)
+		}
+	})
+}
+
+// hear records what a finding says of the requests of another entry. It is not told on, as
+// ages grow inexact on the way. The mutex must be held.
+func (quarantiner *Quarantiner) hear(finding Finding, now time.Time) {
+	known := quarantiner.suspects[finding.Subject]
+	if known == nil {
+		return
+	}
+
+	if askedAt := now.Add(-finding.AskedAge); finding.Asked && askedAt.After(known.peerAskedAt) {
+		known.peerAskedAt = askedAt
+	}
+
+	if finding.Trying {
+		known.peerTrialEndsAt = now.Add(trialHeardTime)
+	}
+}
+
+// isNews reports whether a finding would change the evidence. The mutex must be held.
+func (quarantiner *Quarantiner) isNews(finding Finding) bool {
+	known := quarantiner.suspects[finding.Subject]
+	if known == nil {
+		return len(finding.Strikes) > 0 || len(finding.Refuted) > 0
+	}
+
+	if len(known.strikes) > 0 && (finding.FailedTrials > known.failedTrials || finding.Proven && !known.proven) {
+		return true
+	}
+
+	return slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return !slices.Contains(known.refuted, server) }) ||
+		slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool {
+			return !known.strikeBy(struck.Incarnation) && !slices.Contains(known.refuted, struck.Incarnation)
+		})
+}
+
+// apply merges a finding into the evidence. The mutex must be held.
+func (quarantiner *Quarantiner) apply(finding Finding, now time.Time) {
+	known := quarantiner.suspectFor(finding.Subject, now)
+	quarantiner.hear(finding, now)
+
+	known.depth = max(known.depth, finding.Depth)
+	known.proven = known.proven || finding.Proven
+	known.refute(finding.Refuted, now)
+
+	for _, struck := range finding.Strikes {
+		known.addStrike(strike{
+			server: struck.Incarnation, requestID: struck.RequestID, sentAt: now.Add(-struck.SentAge), endedAt: now.Add(-struck.EndedAge),
+		}, now)
+	}
+
+	if len(known.strikes) > 0 {
+		known.failedTrials = max(known.failedTrials, finding.FailedTrials)
+	}
+}
+
+// valid reports whether a finding can be the report of an entry.
+func (finding Finding) valid() bool {
+	bounded := finding.Part != "" && len(finding.Part) <= maxNameBytes && len(finding.Service) <= maxNameBytes &&
+		len(finding.Refuted) <= maxRefuted && len(finding.Strikes) <= maxStrikes &&
+		isBetween(finding.Depth, 0, maxDepth) && isBetween(finding.FailedTrials, 0, maxFailedTrials) && finding.AskedAge >= 0
+
+	return bounded && !slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool { return !struck.valid() }) &&
+		!slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return len(server.Server) > maxNameBytes })
+}
+
+// valid reports whether a strike can be the report of an entry: requests are sent before
+// their servers end.
+func (struck FindingStrike) valid() bool {
+	return len(struck.Server) <= maxNameBytes && len(struck.RequestID) <= maxNameBytes &&
+		isBetween(struck.EndedAge, 0, struck.SentAge) && struck.SentAge <= quarantineMemory
+}
+
+func isBetween[T cmp.Ordered](value, least, most T) bool {
+	return least <= value && value <= most
+}
+
+// Status is the state of a suspected part, for operators.
+type Status struct {
+	Subject
+
+	Quarantined  bool
+	Strikes      int
+	FailedTrials int
+	// Servers are those that ended, and Requests the requests that they had not begun to
+	// answer.
+	Servers  []Incarnation
+	Requests []string
+	// Release is how long requests with the part are kept away from servers.
+	Release time.Duration
+}
+
+// Status returns the parts with strikes.
+func (quarantiner *Quarantiner) Status() []Status {
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+
+	statuses := []Status{}
+
+	for _, known := range slices.SortedFunc(maps.Values(quarantiner.suspects), compareSubjects) {
+		if len(known.strikes) == 0 {
+			continue
+		}
+
+		status := Status{Subject: known.subject, Quarantined: quarantiner.isQuarantined(known), Strikes: len(known.strikes), FailedTrials: known.failedTrials, Servers: known.servers()}
+		for _, struck := range known.strikes {
+			status.Requests = append(status.Requests, struck.requestID)
+		}
+
+		if status.Quarantined {
+			status.Release = max(0, time.Until(quarantiner.turn(known, time.Now())))
+		}
+
+		statuses = append(statuses, status)
+	}
+
+	return statuses
+}
--- a/quarantiner/request.go
+++ b/quarantiner/request.go
@@ -6,4 +6,8 @@
 	Service string
 	// Parts holds the IDs of the prompt's parts that other requests may share, in order.
 	Parts []string
+	// Patient requests can wait until another one has shown that servers answer their parts.
+	Patient bool
+	// Waiting requests were blocked before and wait for a trial; they are no new ones.
+	Waiting bool
 }
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,13 +17,31 @@
 	request     Request
 	server      placer.Server
 	sentAt      time.Time
+	// tried are the quarantined parts that the run tries again.
+	tried []*suspect
+	// first are the parts that were not answered before, until the run has an outcome.
+	first []Subject
 	// begun is true once the server's first event, or its whole answer, has arrived.
 	begun bool
+	// serverEnded is true if the server's process ended before it began to answer.
+	serverEnded bool
 }
 
-// Begin records that the server has begun to answer, or has answered as a whole.
+// ServerEnded reports whether the server's process ended before it began to answer.
+func (run *Run) ServerEnded() bool {
+	return run.serverEnded
+}
+
+// Begin records that the server has begun to answer, or has answered as a whole, with
+// success: a request that fails may not have come to the point at which it ends servers. The parts
+// of the prompt have ended none of the servers that they are suspected of.
 func (run *Run) Begin() {
+	if run.begun {
+		return
+	}
+
 	run.begun = true
+	run.quarantiner.refute(run)
 }
 
 // BreakOff records that the answer broke off, and returns what that shows of the server. A
@@ -32,16 +52,129 @@
 		return placer.Broken
 	}
 
+	now := time.Now()
 	ended := run.quarantiner.Liveness.HasEnded(ctx, run.server)
 
 	run.quarantiner.Log.WithFields(logrus.Fields{
-		"RequestID": run.request.ID, "Service": run.request.Service, "Parts": run.request.Parts, "BackendServer": run.server.ID,
-		"Ended": ended, "Age": time.Since(run.sentAt), "Reason": reason,
+		"RequestID": run.request.ID, "Service": run.request.Service, "PromptParts": run.request.Parts, "BackendServer": run.server.ID,
+		"Ended": ended, "Age": now.Sub(run.sentAt), "Reason": reason,
 	}).Info("Backend server broke off before it began to answer.")
 
-	if ended {
-		return placer.Unreachable
+	if !ended {
+		return placer.Broken
+	}
+
+	run.serverEnded = true
+	run.quarantiner.recordStrike(run.request, strike{server: incarnationOf(run.server), requestID: run.request.ID, sentAt: run.sentAt, endedAt: now, trial: len(run.tried) > 0})
+
+	return placer.Unreachable
+}
+
+// Close ends the run. A trial without an outcome leaves its turn to the next request.
+func (run *Run) Close() {
+	if len(run.tried) == 0 && len(run.first) == 0 {
+		return
+	}
+
+	run.quarantiner.mutex.Lock()
+	defer run.quarantiner.mutex.Unlock()
+
+	for _, suspect := range run.tried {
+		suspect.trialEndsAt = time.Time{}
+	}
+
+	run.tried = nil
+	run.quarantiner.endFirstRuns(run)
+}
+
+// endFirstRuns no longer counts a run as the first one of parts. The mutex must be held.
+func (quarantiner *Quarantiner) endFirstRuns(run *Run) {
+	for _, subject := range run.first {
+		quarantiner.firstRuns[subject]--
+		if quarantiner.firstRuns[subject] <= 0 {
+			delete(quarantiner.firstRuns, subject)
+		}
+	}
+
+	run.first = nil
+}
+
+// refute records that a server began to answer a request.
+func (quarantiner *Quarantiner) refute(run *Run) {
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+
+	quarantiner.endFirstRuns(run)
+
+	for _, part := range run.request.Parts {
+		subject := Subject{Service: run.request.Service, Part: part}
+		quarantiner.recordAnswered(subject)
+
+		known := quarantiner.suspects[subject]
+		if known == nil || len(known.strikes) == 0 {
+			continue
+		}
+
+		quarantiner.update("answer to "+run.request.ID, func() { known.refute(known.servers(), time.Now()) })
+	}
+}
+
+// recordAnswered records that a part was answered. It keeps the newer half when there are
+// too many parts. The mutex must be held.
+func (quarantiner *Quarantiner) recordAnswered(subject Subject) {
+	quarantiner.answered[subject] = time.Now()
+
+	if len(quarantiner.answered) <= maxAnswered {
+		return
+	}
+
+	times := slices.SortedFunc(maps.Values(quarantiner.answered), time.Time.Compare)
+	median := times[len(times)/2]
+	maps.DeleteFunc(quarantiner.answered, func(_ Subject, answeredAt time.Time) bool { return !answeredAt.After(median) })
+}
+
+// recordStrike records a strike against the parts of a request. If one of them was
+// quarantined already, that one is the cause.
+func (quarantiner *Quarantiner) recordStrike(request Request, added strike) {
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+
+	quarantiner.strikes.Inc(1)
+
+	known := quarantiner.quarantinedParts(request)
+
+	quarantiner.update("end of "+added.server.Server, func() {
+		for depth, part := range request.Parts {
+			subject := Subject{Service: request.Service, Part: part}
+			if len(known) > 0 && !known[subject] {
+				continue
+			}
+
+			struck := quarantiner.suspectFor(subject, added.endedAt)
+			struck.depth = max(struck.depth, depth)
+
+			if added.trial {
+				struck.failedTrials = min(struck.failedTrials+1, maxFailedTrials)
+			} else {
+				struck.askedAt = added.endedAt
+			}
+
+			struck.addStrike(added, added.endedAt)
+		}
+	})
+}
+
+// quarantinedParts returns the parts of a request that are quarantined. The mutex must be
+// held.
+func (quarantiner *Quarantiner) quarantinedParts(request Request) map[Subject]bool {
+	parts := map[Subject]bool{}
+
+	for _, part := range request.Parts {
+		subject := Subject{Service: request.Service, Part: part}
+		if known := quarantiner.suspects[subject]; known != nil && quarantiner.isQuarantined(known) {
+			parts[subject] = true
+		}
 	}
 
-	return placer.Broken
+	return parts
 }
--- /dev/null
+++ b/quarantiner/strike.go
@@ -0,0 +1,43 @@
+package quarantiner
+
+import (
+	"time"
+
+	"limpetrail/placer"
+)
+
+// Incarnation identifies one start of a backend server.
+type Incarnation struct {
+	Server string
+	Start  int64 `json:",omitempty"`
+}
+
+// strike is the end of a backend server's process before it began to answer a request.
+type strike struct {
+	server    Incarnation
+	requestID string
+	// sentAt is when the request was sent, and endedAt when the server had ended.
+	sentAt, endedAt time.Time
+	// trial is true if the request tried a quarantined part again.
+	trial bool
+}
+
+func incarnationOf(server placer.Server) Incarnation {
+	return Incarnation{Server: server.ID, Start: server.Incarnation}
+}
+
+// countIndependent counts strikes that are in the order in which the servers ended. Runs
+// that were under way when a server ended count together with it: what ended that server,
+// say a fault of its rack, may have ended theirs.
+func countIndependent(strikes []strike) int {
+	count, lastEnd := 0, time.Time{}
+
+	for _, strike := range strikes {
+		if !strike.sentAt.Before(lastEnd) {
+			count++
+			lastEnd = strike.endedAt
+		}
+	}
+
+	return count
+}
--- /dev/null
+++ b/quarantiner/suspect.go
@@ -0,0 +1,167 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// convictionStrikes is how many independent strikes quarantine a part. Servers also end
+	// by themselves, and a request may be at one of them by chance.
+	convictionStrikes = 2
+	// provenConvictionStrikes applies to a part that servers have answered before. It is
+	// rather a bystander: in the prompts of two deadly parts, say, which both follow it.
+	provenConvictionStrikes = 4
+	// maxStrikes and maxRefuted bound what is kept of a part, the newest first.
+	maxStrikes = 16
+	maxRefuted = 32
+	// firstPeriod is how long a part is first kept away from servers. Each trial that ends
+	// another server doubles it, up to maxPeriod.
+	firstPeriod = 30 * time.Second
+	maxPeriod   = 10 * time.Minute
+	// quietTime is how long no new request with a part must have come before those that
+	// wait are tried one after the other. Each may end a server, quietPeriod apart, so that
+	// one server at a time is away. After quietTrials failed trials the period doubles.
+	quietTime   = 10 * time.Second
+	quietPeriod = 8 * time.Second
+	quietTrials = 8
+)
+
+// Subject is a part of prompts at one service. Services differ in their engines, so that a
+// part may end the servers of one of them only.
+type Subject struct {
+	Service string
+	Part    string
+}
+
+// suspect is a part of prompts and the evidence against it.
+type suspect struct {
+	subject Subject
+	// depth is the largest index that the part had in a prompt of its strikes. Parts at
+	// lower indexes are shared by more requests.
+	depth int
+	// strikes are in the order in which the servers ended, one for each incarnation. None
+	// of them is refuted.
+	strikes []strike
+	// refuted are the servers whose end the part has not caused, as another server began to
+	// answer a request with the part later.
+	refuted []Incarnation
+	// proven is true if servers have answered requests with the part before.
+	proven bool
+	// failedTrials counts the trials that ended a server since the part was last sound.
+	failedTrials int
+	// trialEndsAt is when a running trial is given up, and peerTrialEndsAt when one of
+	// another entry is no longer heard of; zero if there is none.
+	trialEndsAt, peerTrialEndsAt time.Time
+	// askedAt is when a request with the part last came to this entry, and peerAskedAt when
+	// one came to another.
+	askedAt, peerAskedAt time.Time
+	// changedAt is when strikes or refuted changed last.
+	changedAt time.Time
+	// convicted is the verdict on the evidence of the quarantiner's revision judgedAt.
+	convicted bool
+	judgedAt  int
+}
+
+func (suspect *suspect) strikeBy(server Incarnation) bool {
+	return slices.ContainsFunc(suspect.strikes, func(known strike) bool { return known.server == server })
+}
+
+// addStrike adds a strike, unless it is known or refuted.
+func (suspect *suspect) addStrike(added strike, now time.Time) {
+	if suspect.strikeBy(added.server) || slices.Contains(suspect.refuted, added.server) {
+		return
+	}
+
+	suspect.strikes = append(suspect.strikes, added)
+	slices.SortStableFunc(suspect.strikes, func(one, other strike) int { return one.endedAt.Compare(other.endedAt) })
+	suspect.strikes = suspect.strikes[max(0, len(suspect.strikes)-maxStrikes):]
+	suspect.changedAt = now
+}
+
+// refute drops the strikes by the servers, now and for the future.
+func (suspect *suspect) refute(servers []Incarnation, now time.Time) {
+	added := false
+
+	for _, server := range servers {
+		if !slices.Contains(suspect.refuted, server) {
+			suspect.refuted = append(suspect.refuted, server)
+			added = true
+		}
+	}
+
+	if !added {
+		return
+	}
+
+	suspect.refuted = suspect.refuted[max(0, len(suspect.refuted)-maxRefuted):]
+	suspect.proven = true
+	suspect.strikes = slices.DeleteFunc(suspect.strikes, func(known strike) bool { return slices.Contains(suspect.refuted, known.server) })
+	suspect.changedAt = now
+
+	if len(suspect.strikes) == 0 {
+		suspect.failedTrials, suspect.trialEndsAt = 0, time.Time{}
+	}
+}
+
+// servers returns the servers of the strikes.
+func (suspect *suspect) servers() []Incarnation {
+	servers := make([]Incarnation, 0, len(suspect.strikes))
+	for _, known := range suspect.strikes {
+		servers = append(servers, known.server)
+	}
+
+	return servers
+}
+
+// releaseAt returns when the part may be tried again. There is a strike.
+func (suspect *suspect) releaseAt(now time.Time) time.Time {
+	period, doublings := firstPeriod, suspect.failedTrials
+	if suspect.isQuiet(now) {
+		period, doublings = quietPeriod, suspect.failedTrials/quietTrials
+	}
+
+	for range doublings {
+		period = min(2*period, maxPeriod)
+	}
+
+	return suspect.lastStrikeAt().Add(period)
+}
+
+func (suspect *suspect) lastStrikeAt() time.Time {
+	return suspect.strikes[len(suspect.strikes)-1].endedAt
+}
+
+// isQuiet reports whether no new requests with the part come.
+func (suspect *suspect) isQuiet(now time.Time) bool {
+	return now.Sub(suspect.askedAt) >= quietTime && now.Sub(suspect.peerAskedAt) >= quietTime
+}
+
+// trialUnderWay returns until when a trial, here or elsewhere, keeps others waiting.
+func (suspect *suspect) trialUnderWay() time.Time {
+	if suspect.trialEndsAt.After(suspect.peerTrialEndsAt) {
+		return suspect.trialEndsAt
+	}
+
+	return suspect.peerTrialEndsAt
+}
+
+// neededStrikes is how many independent strikes convict the part if no other one explains
+// them.
+func (suspect *suspect) neededStrikes() int {
+	if suspect.proven {
+		return provenConvictionStrikes
+	}
+
+	return convictionStrikes
+}
+
+// explains reports whether the part is the likelier cause of the strikes that it shares with
+// the other: it has enough of its own, and is the more specific one or has more.
+func (suspect *suspect) explains(other *suspect) bool {
+	if suspect == other || suspect.subject.Service != other.subject.Service || countIndependent(suspect.strikes) < suspect.neededStrikes() {
+		return false
+	}
+
+	return suspect.depth > other.depth || suspect.depth == other.depth && len(suspect.strikes) > len(other.strikes)
+}
