Answer a stream that breaks off before its first event

A stream with neither length nor chunks that ended before its first event looked complete.

Cause: the head was passed on when it came, so that the call could only be broken off; and an end without an error at the start of an event was a complete stream.

Change: the head goes with the first event. Until then a failure is answered 502 (504 after the deadline), and a retry may still bring another head. A stream that does not mark its end is complete only after an event. Whether a retry goes first in the queue is as before: it does once a server has sent a head.

Test, red before: TestStreamThatBreaksBeforeItsFirstEventIsAnswered (outcome Broken instead of Failed); framing of streams without a length joins the table of TestOutcomeOfCallsAtFaultyServers.

--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -53,6 +53,9 @@
 	SkipEvent int
 	// Leaving sets the header Leaving in each answer.
 	Leaving bool
+	// Unframed sends answers with neither a length nor chunks, which end with their
+	// connection.
+	Unframed bool
 	// SlowFactor multiplies the delays between events; 0 for normal speed.
 	SlowFactor int
 }
@@ -240,6 +243,11 @@
 
 	writer.Header().Set(server.Headers.Stamp, server.ID)
 
+	if faults.Unframed {
+		// net/http neither sends this header on nor frames the body.
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
+
 	if server.isDeadly(request) {
 		server.crash(writer, request, faults)
 	}
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -96,11 +96,10 @@
 }
 
 // forwardStream passes on events as they arrive, only complete ones and each once, so
-// that another server can continue after the last.
+// that another server can continue after the last. The head goes with the first event: a
+// stream that breaks off before it can still be answered with an error.
 func (delivery *delivery) forwardStream(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
-	if !delivery.headSent {
-		delivery.sendHead(answer, -1)
-	}
+	delivery.streamStarted = true
 
 	parser := answer.EventParser()
 	buffer := make([]byte, readBufferBytes)
@@ -114,7 +113,7 @@
 		}
 
 		count, err := answer.ReadPart(buffer, delivery.call.Deadline)
-		if forwardErr := delivery.forwardEvents(parser, buffer[:count]); forwardErr != nil {
+		if forwardErr := delivery.forwardEvents(answer, parser, buffer[:count]); forwardErr != nil {
 			return delivery.handleForwardError(ctx, grant, forwardErr, lastAttempt)
 		}
 
@@ -124,20 +123,27 @@
 		}
 
 		switch {
-		case errors.Is(err, io.EOF) && parser.AtEventBoundary():
+		case errors.Is(err, io.EOF) && parser.AtEventBoundary() && (answer.Framed || delivery.run.Begun()):
 			grant.Observe(placer.Complete, 0)
+			delivery.sendStreamHead(answer)
 
 			return Result{Outcome: Answered}, true
 		case errors.Is(err, io.EOF):
-			grant.Observe(delivery.run.BreakOff(ctx, endedWithinEvent), 0)
+			grant.Observe(delivery.run.BreakOff(ctx, endedEarly), 0)
 
-			return delivery.retryOrEnd(grant, endedWithinEvent, lastAttempt)
+			return delivery.retryOrEnd(grant, endedEarly, lastAttempt)
 		case err != nil:
 			return delivery.handleStreamError(ctx, grant, err, lastAttempt)
 		}
 	}
 }
 
+func (delivery *delivery) sendStreamHead(answer *exchanger.Answer) {
+	if !delivery.headSent {
+		delivery.sendHead(answer, -1)
+	}
+}
+
 // awaitPart waits for the next part of a stream. It returns an error if no complete
 // event has arrived for the silence limit and the call may be retried elsewhere;
 // otherwise it waits until the call's deadline.
@@ -152,15 +158,15 @@
 	return answer.AwaitData(delivery.call.Deadline)
 }
 
-// endedWithinEvent is the reason of a stream whose last event is incomplete.
-const endedWithinEvent = "The stream ended within an event."
+// endedEarly is the reason of a stream that ended without an error and is not complete.
+const endedEarly = "The stream ended within an event, or without a length and without an event."
 
 // errCallerDisconnected is the cause when the caller's connection no longer accepts data.
 var errCallerDisconnected = errors.New("the caller disconnected")
 
 // forwardEvents adds the bytes read to the parser and passes the events that they
 // complete on to the caller, in order.
-func (delivery *delivery) forwardEvents(parser *exchanger.EventParser, read []byte) error {
+func (delivery *delivery) forwardEvents(answer *exchanger.Answer, parser *exchanger.EventParser, read []byte) error {
 	if err := parser.Write(read); err != nil {
 		return errors.Trace(err)
 	}
@@ -174,6 +180,8 @@
 		delivery.timeToFirstByte = time.Since(delivery.startedAt)
 	}
 
+	delivery.sendStreamHead(answer)
+
 	if err := delivery.sink.Write(ready); err != nil {
 		return errors.Wrap(err, errCallerDisconnected)
 	}
--- a/forwarder/deadly_part_test.go
+++ b/forwarder/deadly_part_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/emulator"
 	"limpetrail/forwarder"
 	"limpetrail/matcher"
 )
@@ -126,3 +127,31 @@
 		})
 	}
 }
+
+// A stream that breaks off before its first event has sent nothing to the caller, who gets
+// an answer instead of a closed connection; so does a stream without a length that ends
+// there, which is no complete one.
+func TestStreamThatBreaksBeforeItsFirstEventIsAnswered(t *testing.T) {
+	for name, faults := range map[string]emulator.EventFaults{
+		"in chunks":        {},
+		"without a length": {Unframed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 2, func(fleet *fleet) {
+				fleet.setFaults(faults)
+
+				for _, server := range fleet.servers {
+					server.SetDeadlyParts(deadlyPart)
+				}
+
+				result, answer, _ := fleet.forwardPrompt(context.Background(), route(matcher.Stream, false, 1), deadlyPart)
+				require.Equal(t, forwarder.Failed, result.Outcome, result.Reason)
+				require.Zero(t, answer.heads)
+
+				result, answer, _ = fleet.forwardPrompt(context.Background(), route(matcher.Stream, false, 1), soundParts)
+				require.Equal(t, forwarder.Answered, result.Outcome, result.Reason)
+				require.Equal(t, eventStream(20), answer.body.String())
+			})
+		})
+	}
+}
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -37,6 +37,8 @@
 	// headSent is true once the head of an answer was passed on. From then on the
 	// answer can only be continued, not replaced.
 	headSent bool
+	// streamStarted is true once a server sent the head of a stream.
+	streamStarted bool
 	// lastEventID is the number of the last event that was passed on, or -1.
 	lastEventID     int
 	status          int
@@ -88,7 +90,7 @@
 		Exclude:   delivery.triedServers,
 	}
 
-	if delivery.headSent {
+	if delivery.streamStarted {
 		// Goes ahead of the calls of all routes: this caller has waited longest, and an
 		// incomplete answer is of no use to it.
 		work.Priority, work.MaxWait = -1, resumeQueueLimit
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -42,6 +42,16 @@
 			resumable: expectation{forwarder.Answered, 2, eventStream(20)},
 			once:      expectation{forwarder.Broken, 1, eventStream(12)},
 		},
+		"streams have no length": {
+			faults:    emulator.EventFaults{Unframed: true},
+			resumable: expectation{forwarder.Answered, 1, eventStream(20)},
+			once:      expectation{forwarder.Answered, 1, eventStream(20)},
+		},
+		"streams without a length break within an event": {
+			faults:    emulator.EventFaults{Unframed: true, BreakAfter: 12, BreakMidEvent: true},
+			resumable: expectation{forwarder.Answered, 2, eventStream(20)},
+			once:      expectation{forwarder.Broken, 1, eventStream(12)},
+		},
 		"streams break before three attempts can finish them": {
 			faults:    emulator.EventFaults{BreakAfter: 5},
 			resumable: expectation{forwarder.Broken, 3, eventStream(15)},
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -27,6 +27,11 @@
 	serverEnded bool
 }
 
+// Begun reports whether the server has begun to answer.
+func (run *Run) Begun() bool {
+	return run.begun
+}
+
 // ServerEnded reports whether the server's process ended before it began to answer.
 func (run *Run) ServerEnded() bool {
 	return run.serverEnded
