Complete no item by an answer without length that ends before its first event

Readers of a job would see an item as completed with part of its text: an attempt broke off after some events, the next answer had neither a length nor chunks and its connection ended before the first event, without an error. The events of the first attempt made it look complete.

Test, red before: TestItemIsNotCompleteByAnAnswerWithoutLengthOrEvent (7 of 20 events).

--- a/batcher/quarantine_test.go
+++ b/batcher/quarantine_test.go
@@ -123,3 +123,39 @@
 		require.Equal(t, bookkeeper.Completed, state)
 	}
 }
+
+// An answer with neither a length nor chunks ends with its connection. One that continues
+// an item and ends before its first event does not complete the item.
+func TestItemIsNotCompleteByAnAnswerWithoutLengthOrEvent(t *testing.T) {
+	results := []bookkeeper.Result{}
+
+	newFleet(t, 1, 4, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			// The server closes the connection and goes on.
+			server.Crash = nil
+			server.SetFaults(emulator.EventFaults{Unframed: true, BreakAfter: 7, BreakMidEvent: true})
+		}
+
+		fleet.submitPrompts([]string{"a"})
+		time.Sleep(100 * time.Millisecond)
+
+		for _, server := range fleet.servers {
+			server.SetFaults(emulator.EventFaults{Unframed: true})
+			server.SetDeadlyParts("a")
+		}
+
+		time.Sleep(2 * time.Second)
+
+		for _, server := range fleet.servers {
+			server.SetDeadlyParts()
+		}
+
+		time.Sleep(45 * time.Second)
+
+		results, _ = fleet.readAll(0)
+	})
+
+	require.Len(t, results, 1)
+	require.Equal(t, bookkeeper.Completed, results[0].State)
+	require.Len(t, strings.Split(results[0].Output, "\n"), eventsPerItem)
+}
