Try a kept item in turn although servers ended under it before

One item held the part; two servers had ended under it, and it waited 30 to 45 s for itself although its part was to be tried after 8 s.

Cause: the pause after several ends is for items whose prompt shows no cause. It applied as well where a part is quarantined, whose trials are paced already.

Change: the pause applies only if no part of the prompt is quarantined.

--- a/batcher/quarantine.go
+++ b/batcher/quarantine.go
@@ -84,17 +84,20 @@
 	return other
 }
 
-// recordServerEnd counts a backend server that ended before it began to answer the item,
-// and delays further attempts after several.
-func (task *task) recordServerEnd(giveUp time.Time) {
-	task.serverEnds++
-
-	if task.serverEnds >= freeServerEnds {
-		pause := serverEndPause
-		for range task.serverEnds - freeServerEnds {
-			pause = min(2*pause, maxServerEndPause)
-		}
-
-		task.notBefore = earliest(time.Now().Add(retrier.AddJitter(pause)), giveUp)
+// recordServerEnd counts a backend server that ended before it began to answer the item.
+// If no part of the prompt is known to be the cause, further attempts are delayed after
+// several. The mutex must be held.
+func (batcher *Batcher) recordServerEnd(active *activeJob, pending *task, target *destination) {
+	pending.serverEnds++
+
+	if _, blocked := batcher.Quarantiner.Check(batcher.quarantineRequest(pending, target)); blocked || pending.serverEnds < freeServerEnds {
+		return
 	}
+
+	pause := serverEndPause
+	for range pending.serverEnds - freeServerEnds {
+		pause = min(2*pause, maxServerEndPause)
+	}
+
+	pending.notBefore = earliest(time.Now().Add(retrier.AddJitter(pause)), active.job.GiveUp)
 }
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -168,7 +168,7 @@
 		}
 
 		if run.ServerEnded() {
-			pending.recordServerEnd(active.job.GiveUp)
+			batcher.recordServerEnd(active, pending, target)
 		}
 	}
 
