Send prompts that end their engines neither again nor to other replicas

The sidecar repeated a run whose engine had ended, as it repeats any broken one.

Change: a sidecar does not repeat a run under which its backend server ended before the first token; it tells the entry (Frame.server_ends, a count, so that each end is one strike). The entry's dispatcher uses the quarantiner with the prefix keys of the prompt as parts: deeper keys are the more specific ones. A call without keys ends two servers at most. Findings ride on requests and answers: sidecars pass on what they were told, so that entries learn of each other without new connections or the key-value service.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -9,6 +9,7 @@
 
 	"limpetrail/classifier"
 	"limpetrail/messenger"
+	"limpetrail/quarantiner"
 	"limpetrail/recorder"
 	"limpetrail/retrier"
 	"limpetrail/router"
@@ -29,6 +30,8 @@
 	// the sidecar checks.
 	incarnation uint64
 	answer      *answerWriter
+	// run is the attempt as the quarantiner sees it.
+	run *quarantiner.Run
 	// offset is the number of delivered events of this attempt, without those
 	// of earlier attempts.
 	offset uint64
@@ -37,8 +40,8 @@
 	brokenConnections int
 }
 
-// run sends the request and reads its answer to the end.
-func (attempt *attempt) run(ctx context.Context) result {
+// send sends the request and reads its answer to the end.
+func (attempt *attempt) send(ctx context.Context) result {
 	conn, err := attempt.connect(ctx)
 	if err != nil {
 		return result{
@@ -135,6 +138,7 @@
 		Plain:           attempt.call.Plain,
 		RemainingMicros: uint64(max(0, time.Until(attempt.call.Deadline)).Microseconds()),
 		Prefix:          attempt.answer.events,
+		Findings:        attempt.Quarantiner.EncodeFindings(),
 	})
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"limpetrail/dialer"
 	"limpetrail/kernel"
 	"limpetrail/messenger"
+	"limpetrail/quarantiner"
 	"limpetrail/recorder"
 	"limpetrail/retrier"
 	"limpetrail/router"
@@ -23,6 +24,8 @@
 	Settings Settings
 	Router   *router.Router
 	Dialer   *dialer.Dialer
+	// Quarantiner keeps prompts that end backend servers away from them.
+	Quarantiner *quarantiner.Quarantiner
 
 	// budgets holds the retry budget of each service.
 	budgets      *retrier.Cache[string, *retrier.Budget]
@@ -44,6 +47,7 @@
 		Settings:     DefaultSettings(),
 		Router:       routes,
 		Dialer:       connections,
+		Quarantiner:  quarantiner.NewQuarantiner(common, nil),
 		incarnations: newIncarnations(),
 	}
 	for _, option := range options {
--- a/dispatcher/routed_call.go
+++ b/dispatcher/routed_call.go
@@ -5,7 +5,11 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"limpetrail/classifier"
+	"limpetrail/placer"
+	"limpetrail/quarantiner"
 	"limpetrail/recorder"
 	"limpetrail/retrier"
 	"limpetrail/router"
@@ -28,6 +32,8 @@
 	// work and so count against the retry limits.
 	attempts         int
 	budgetedAttempts int
+	// serverEnds counts the backend servers that ended before they began to answer.
+	serverEnds int
 	// mayHaveRun is set once an attempt may have run, and stays set whatever the
 	// later ones return.
 	mayHaveRun bool
@@ -41,15 +47,25 @@
 	costFree bool
 	// retrySameReplica means that the same replica may be tried again at once.
 	retrySameReplica bool
+	// serverEnded means that the backend server ended before it began to answer.
+	serverEnded bool
 	// final means that no other attempt may follow.
 	final bool
 	// health is the attempt's result for the router's outlier detection.
 	health router.Result
 }
 
+// maxServerEnds is how many backend servers may end under one call. The first may have ended
+// by itself.
+const maxServerEnds = 2
+
 // run tries one replica after the other until the call is answered or may not be
 // retried.
 func (routed *routedCall) run(ctx context.Context) classifier.Outcome {
+	if block, blocked := routed.Quarantiner.Check(routed.quarantineRequest()); blocked {
+		return routed.blockedOutcome(block)
+	}
+
 	outcome := classifier.NewNotRun("no replica serves "+routed.call.Service+" now", retrier.AddJitter(routed.Settings.RetryAfter))
 
 	for routed.attempts < routed.Settings.Moves {
@@ -106,13 +122,43 @@
 	routed.excluded = append(routed.excluded, replica.Name)
 	routed.mayHaveRun = routed.mayHaveRun || last.Fate == classifier.MayHaveRun
 
+	if last.serverEnded {
+		routed.serverEnds++
+	}
+
 	return last
 }
 
+// quarantineRequest describes the call by the hashes of its prompt's leading blocks. Calls
+// whose prompts begin alike share them, and a deeper one is the more specific.
+func (routed *routedCall) quarantineRequest() quarantiner.Request {
+	parts := make([]string, 0, len(routed.call.PrefixKeys))
+	for _, key := range routed.call.PrefixKeys {
+		parts = append(parts, strconv.FormatUint(key, 16))
+	}
+
+	return quarantiner.Request{ID: routed.call.ID, Service: routed.call.Service, Parts: parts}
+}
+
+func (routed *routedCall) blockedOutcome(block quarantiner.Block) classifier.Outcome {
+	routed.Log.WithFields(logrus.Fields{
+		"RequestID": routed.call.ID, "PromptPart": block.Part, "RetryAfter": block.RetryAfter, "Sent": routed.attempts,
+	}).Info("Request is kept away from backend servers: the beginning of its prompt is quarantined.")
+
+	return classifier.NewNotRun("prompts that begin like this one end backend servers", block.RetryAfter)
+}
+
 // runAttempt makes one attempt at the replica.
 func (routed *routedCall) runAttempt(ctx context.Context, replica router.Replica) result {
+	run, block, blocked := routed.Quarantiner.Start(routed.quarantineRequest(), placer.Server{ID: replica.Name})
+	if blocked {
+		return result{Outcome: routed.blockedOutcome(block), final: true, health: router.ResultRefused}
+	}
+	defer run.Close()
+
 	attempt := &attempt{
 		Dispatcher:    routed.Dispatcher,
+		run:           run,
 		call:          routed.call,
 		replica:       replica,
 		id:            AttemptID(routed.attemptRequestID(), replica.Name),
@@ -120,7 +166,7 @@
 		answer:        routed.answer,
 	}
 
-	return attempt.run(ctx)
+	return attempt.send(ctx)
 }
 
 // attemptRequestID returns an ID that differs for each attempt, since a sidecar
@@ -154,6 +200,10 @@
 		return ""
 	}
 
+	if routed.serverEnds >= maxServerEnds {
+		return "it ended several backend servers"
+	}
+
 	routed.budgetedAttempts++
 	if routed.budgetedAttempts >= routed.Settings.Attempts {
 		return "all attempts failed"
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -96,6 +96,7 @@
 		watchdog.Stop()
 		attempt.Recorder.Clock.Observe(recorder.Stamp(frame.GetClock()))
 		attempt.applyLoad(attempt.replica, frame.GetLoad())
+		attempt.Quarantiner.DecodeFindings(attempt.replica.Name, frame.GetFindings())
 
 		attemptResult, err := attempt.handleFrame(ctx, frame)
 		if attemptResult != nil || err != nil {
@@ -156,6 +157,7 @@
 		}
 
 		attempt.offset++
+		attempt.recordBegin()
 	}
 
 	if frame.GetComplete() {
@@ -243,6 +245,24 @@
 
 		return &revoked, nil
 	default:
-		return &result{Outcome: classifier.NewMayHaveRun(frame.GetReason(), retryAfter), health: router.ResultFailed}, nil
+		attempt.recordServerEnd(frame.GetServerEnds())
+
+		return &result{Outcome: classifier.NewMayHaveRun(frame.GetReason(), retryAfter), health: router.ResultFailed, serverEnded: frame.GetServerEnds() > 0}, nil
+	}
+}
+
+// recordBegin records that the backend server has begun to answer. Attempts that read an
+// earlier answer again have no run.
+func (attempt *attempt) recordBegin() {
+	if attempt.run != nil {
+		attempt.run.Begin()
+	}
+}
+
+// recordServerEnd records that the backend server ended before it began to answer; ends is
+// the sidecar's count of that, or 0 if the server has not ended.
+func (attempt *attempt) recordServerEnd(ends uint64) {
+	if attempt.run != nil && ends > 0 {
+		attempt.run.EndServer(int64(attempt.incarnation ^ ends))
 	}
 }
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -125,7 +125,7 @@
 	defer engine.mutex.Unlock()
 
 	if time.Now().Before(engine.downUntil) {
-		return nil, errors.Trace(errOutage)
+		return nil, errors.NewNotProvisioned(errOutage, "connecting")
 	}
 
 	stream := newEngineStream(ctx, generation)
@@ -145,6 +145,10 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 
+	if time.Now().Before(engine.downUntil) {
+		return errors.NewNotProvisioned(errOutage, "connecting")
+	}
+
 	for _, stream := range engine.streams {
 		if stream.generation.ID == id {
 			stream.cancelled = true
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -28,6 +28,8 @@
 	attemptBroken
 	// attemptUnreached means that no connection to the backend server was made.
 	attemptUnreached
+	// attemptEndedServer means that the backend server ended before it began to answer.
+	attemptEndedServer
 )
 
 // execute runs a request to its end: it acquires a place from the admitter, calls
@@ -78,10 +80,18 @@
 			return
 		}
 
+		if result == attemptEndedServer || result == attemptUnreached && len(run.Events()) == 0 {
+			// The request itself may have ended the server. The entry decides whether to
+			// send it anywhere again.
+			executor.finishServerEnded(run)
+
+			return
+		}
+
 		reached = true
 
 		switch result {
-		case attemptEnded:
+		case attemptEnded, attemptEndedServer:
 			return
 		case attemptPreempted:
 			executor.recordEvent(recorder.KindCancelled, placeRequest.RequestID, "Cause=online work needs the room")
@@ -162,6 +172,15 @@
 	})
 }
 
+// finishServerEnded ends a run under which the backend server ended before it began to
+// answer.
+func (executor *Executor) finishServerEnded(run *Run) {
+	executor.finishRefused(run, messenger.Fate_FATE_MAY_HAVE_RUN, &messenger.Frame{
+		Reason:     "the backend server ended before it began to answer",
+		ServerEnds: executor.serverEnds.recordEnd(),
+	})
+}
+
 // finishRejected ends a run whose request the backend server rejects or whose
 // answer is too long. The status tells it apart from a broken stream.
 func (executor *Executor) finishRejected(run *Run, err error) {
@@ -200,6 +219,8 @@
 		executor.finishRejected(run, err)
 
 		return attemptEnded, nil
+	case errors.Is(err, errEndedServer):
+		return attemptEndedServer, errors.Trace(err)
 	case errors.Is(err, errors.NotProvisioned):
 		return attemptUnreached, errors.Trace(err)
 	default:
@@ -207,6 +228,9 @@
 	}
 }
 
+// errEndedServer is the cause when the backend server ended before it began to answer.
+var errEndedServer = errors.New("the backend server ended before it began to answer")
+
 // watchPreemption cancels the attempt when its place is preempted. A request that
 // is not idempotent keeps running, since it must not start twice.
 func (executor *Executor) watchPreemption(ctx context.Context, cancel func(), run *Run, place admitter.Place) *atomic.Bool {
@@ -254,7 +278,10 @@
 	}
 	defer stream.Close()
 
-	nextIndex := len(generation.Prefix)
+	executor.serverEnds.recordReached()
+
+	first := len(generation.Prefix)
+	nextIndex := first
 
 	for {
 		token, err := stream.Next()
@@ -271,7 +298,9 @@
 		}
 
 		if err != nil {
-			executor.cancelStream(ctx, generation.ID, err)
+			if ended := executor.cancelStream(ctx, generation.ID, err); ended && nextIndex == first {
+				return errors.Annotate(errEndedServer, err.Error())
+			}
 
 			return errors.Trace(err)
 		}
@@ -305,18 +334,22 @@
 }
 
 // cancelStream cancels the generation at the engine, which would continue without
-// a reader otherwise. It does nothing if the engine was never reached.
-func (executor *Executor) cancelStream(ctx context.Context, id string, cause error) {
+// a reader otherwise. It does nothing if the engine was never reached. It reports whether
+// the engine has ended since, so that it takes no connection.
+func (executor *Executor) cancelStream(ctx context.Context, id string, cause error) bool {
 	if errors.Is(cause, errors.NotProvisioned) {
-		return
+		return false
 	}
 
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), executor.Settings.CancelTimeout)
 	defer cancel()
 
-	if err := executor.Engine.Cancel(ctx, id); err != nil {
+	err := executor.Engine.Cancel(ctx, id)
+	if err != nil {
 		executor.Log.WithError(err).WithField("RequestID", id).Warn("The engine did not confirm the cancellation of a request.")
 	}
+
+	return errors.Is(err, errors.NotProvisioned)
 }
 
 // callService calls a plain service. An idempotent call has a timeout of
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -12,6 +12,7 @@
 	"limpetrail/driver"
 	"limpetrail/kernel"
 	"limpetrail/messenger"
+	"limpetrail/quarantiner"
 	"limpetrail/recorder"
 )
 
@@ -24,6 +25,9 @@
 	Incarnation uint64
 	// Engine is nil when the backend server is a plain service.
 	Engine driver.Engine
+	// Quarantiner takes findings from requests and passes them on in answers, so that
+	// entries learn from each other by way of sidecars.
+	Quarantiner *quarantiner.Quarantiner
 	// Service is nil when the backend server is a model engine.
 	Service  driver.Service
 	Admitter admitter.Admitter
@@ -39,6 +43,7 @@
 	// cachedReport is the load report that data frames share for LoadAge.
 	cachedReport   *messenger.LoadReport
 	cachedReportAt time.Time
+	serverEnds     serverEnds
 	// startContext ends LeavingStart after draining started; no run starts at the
 	// backend server after that.
 	startContext context.Context //nolint:containedctx // It bounds the waits of all runs.
@@ -77,6 +82,7 @@
 		Settings:    DefaultSettings(),
 		Incarnation: guard.incarnation,
 		Admitter:    admission,
+		Quarantiner: quarantiner.NewQuarantiner(common, nil),
 		runs:        map[string]*Run{},
 		replayGuard: guard,
 		context:     ctx,
--- a/executor/server.go
+++ b/executor/server.go
@@ -83,6 +83,8 @@
 // Execute runs a request and streams its answer.
 func (server *Server) Execute(request *messenger.ExecuteRequest, stream messenger.DRPCSidecar_ExecuteStream) error {
 	server.observeClock(request.GetClock())
+	server.Executor.Quarantiner.DecodeFindings(request.GetRequestId(), request.GetFindings())
+	request.Findings = nil
 
 	// Only the process's own requests may carry the incarnation instead of an epoch.
 	if request.GetIncarnation() == server.Executor.Incarnation {
@@ -247,12 +249,14 @@
 		PromptTokens:     end.GetPromptTokens(),
 		Incarnation:      server.Executor.Epoch(),
 		Unreached:        end.GetUnreached(),
+		ServerEnds:       end.GetServerEnds(),
 	})
 }
 
 // send sends a frame with the current load.
 func (server *Server) send(stream frameSender, frame *messenger.Frame) error {
 	frame.Load = server.Executor.Load()
+	frame.Findings = server.Executor.Quarantiner.EncodeFindings()
 
 	return server.transmit(stream, frame)
 }
--- a/quarantiner/exchange_test.go
+++ b/quarantiner/exchange_test.go
@@ -251,3 +251,39 @@
 		require.Less(t, len(encoded), 16<<10)
 	})
 }
+
+// Entries that do not reach each other learn by way of sidecars, which pass on with each
+// answer what requests carried to them. The time hardly grows with the fleet.
+func TestFindingsSpreadByWayOfSidecars(t *testing.T) {
+	for _, entries := range []int{4, 200} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// Each entry sends 4.5 requests a second, and has four sidecars.
+				const requestPause = 220 * time.Millisecond
+
+				fleet := newFleet(t, 1, entries, 12)
+				fleet.setDeadly(true)
+
+				sidecars := []*quarantiner.Quarantiner{}
+				for number := range 4 * entries {
+					sidecars = append(sidecars, quarantiner.NewQuarantiner(kernel.NewDiscardCommon(fmt.Sprintf("sidecar-%d", number)), nil))
+				}
+
+				fleet.send(0, 2, "a", "x")
+
+				started := time.Now()
+				for fleet.blockedAt("x") < entries && time.Since(started) < time.Minute {
+					for number, entry := range fleet.entries {
+						sidecar := sidecars[fleet.random.IntN(len(sidecars))]
+						sidecar.DecodeFindings(fmt.Sprint(number), entry.EncodeFindings())
+						entry.DecodeFindings("sidecar", sidecar.EncodeFindings())
+					}
+
+					time.Sleep(requestPause)
+				}
+
+				require.Less(t, time.Since(started), 10*time.Second)
+			})
+		})
+	}
+}
--- a/quarantiner/finding.go
+++ b/quarantiner/finding.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -171,6 +172,40 @@
 	}
 }
 
+// EncodeFindings returns the findings as JSON, nil if there are none, for messages that
+// carry them along.
+func (quarantiner *Quarantiner) EncodeFindings() []byte {
+	findings := quarantiner.Findings()
+	if len(findings) == 0 {
+		return nil
+	}
+
+	encoded, err := json.Marshal(findings)
+	if err != nil {
+		quarantiner.Log.WithError(err).Warn("Findings cannot be encoded; others are not told of them.")
+
+		return nil
+	}
+
+	return encoded
+}
+
+// DecodeFindings adds the findings that a message carried along.
+func (quarantiner *Quarantiner) DecodeFindings(peer string, encoded []byte) {
+	if len(encoded) == 0 {
+		return
+	}
+
+	findings := []Finding{}
+	if err := json.Unmarshal(encoded, &findings); err != nil {
+		quarantiner.Log.WithField("Peer", peer).WithError(err).Warn("Findings of another process cannot be read.")
+
+		return
+	}
+
+	quarantiner.ApplyFindings(peer, findings)
+}
+
 // isNews reports whether a finding would change the evidence. The mutex must be held.
 func (quarantiner *Quarantiner) isNews(finding Finding) bool {
 	known := quarantiner.suspects[finding.Subject]
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -69,12 +69,29 @@
 		return placer.Broken
 	}
 
-	run.serverEnded = true
-	run.quarantiner.recordStrike(run.request, strike{server: incarnationOf(run.server), requestID: run.request.ID, sentAt: run.sentAt, endedAt: now, trial: len(run.tried) > 0})
+	run.recordEnd(now)
 
 	return placer.Unreachable
 }
 
+// EndServer records that the server ended before it began to answer, as who runs beside it
+// says. The start is different for each of the server's.
+func (run *Run) EndServer(start int64) {
+	run.server.Incarnation = start
+
+	run.quarantiner.Log.WithFields(logrus.Fields{
+		"RequestID": run.request.ID, "Service": run.request.Service, "PromptParts": run.request.Parts, "BackendServer": run.server.ID,
+		"Age": time.Since(run.sentAt),
+	}).Info("Backend server ended before it began to answer.")
+
+	run.recordEnd(time.Now())
+}
+
+func (run *Run) recordEnd(now time.Time) {
+	run.serverEnded = true
+	run.quarantiner.recordStrike(run.request, strike{server: incarnationOf(run.server), requestID: run.request.ID, sentAt: run.sentAt, endedAt: now, trial: len(run.tried) > 0})
+}
+
 // Close ends the run. A trial without an outcome leaves its turn to the next request.
 func (run *Run) Close() {
 	if len(run.tried) == 0 && len(run.first) == 0 {
