--- a/commander/status.go
+++ b/commander/status.go
@@ -81,5 +81,16 @@
 			job.Total, job.Listed, job.Running, job.Waiting, job.Unlisted)
 	}
 
+	fmt.Fprintln(table, "\nSUSPECTED PROMPT PART\tSERVICE\tSERVERS ENDED\tFAILED TRIALS\tSTATE")
+
+	for _, suspect := range status.Suspects {
+		state := "watched"
+		if suspect.Quarantined {
+			state = "quarantined, next trial in " + suspect.Release.Round(time.Second).String()
+		}
+
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", suspect.Part, suspect.Service, suspect.Strikes, suspect.FailedTrials, state)
+	}
+
 	return errors.Trace(table.Flush())
 }
--- a/commander/status_test.go
+++ b/commander/status_test.go
@@ -14,6 +14,7 @@
 	"limpetrail/batcher"
 	"limpetrail/observer"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 	"limpetrail/router"
 )
 
@@ -35,8 +36,12 @@
 					{Server: placer.Server{ID: "i-3"}, Suspect: true},
 				},
 				Jobs: []batcher.JobStatus{{ID: "job-1", Total: 10, Listed: 4}},
+				Suspects: []quarantiner.Status{
+					{Subject: quarantiner.Subject{Service: "model", Part: "12ca"}, Quarantined: true, Strikes: 2, Release: 20 * time.Second},
+					{Subject: quarantiner.Subject{Service: "model", Part: "77fe"}, Strikes: 1},
+				},
 			},
-			[]string{"front-1 in b, configuration version 12, registered true, leaving false", "i-1", "42ms", "ready", "i-2", "leaving", "i-3", "suspect", "job-1"},
+			[]string{"front-1 in b, configuration version 12, registered true, leaving false", "i-1", "42ms", "ready", "i-2", "leaving", "i-3", "suspect", "job-1", "12ca", "next trial in 20s", "77fe", "watched"},
 		},
 		"gateway without servers": {app.GatewayStatus{Instance: "front-2", Servers: []placer.ServerStatus{}}, []string{"configuration version 0"}},
 	} {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -13,6 +13,7 @@
 	"limpetrail/gossiper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
+	"limpetrail/quarantiner"
 )
 
 // freePort returns a loopback address that nobody listens at now.
@@ -27,7 +28,7 @@
 	return socket.LocalAddr().String()
 }
 
-func newEntry(t *testing.T, name, address string) (*gossiper.Gossiper, *placer.Placer) {
+func newEntry(t *testing.T, name, address string, changes ...func(*gossiper.Gossiper)) (*gossiper.Gossiper, *placer.Placer) {
 	t.Helper()
 
 	common := kernel.NewDiscardCommon(name)
@@ -35,6 +36,10 @@
 	serverPlacer.UpdateServers([]placer.Server{{ID: "x", Service: "model", Places: 8}})
 
 	subject := gossiper.NewGossiper(common, serverPlacer, address)
+	for _, change := range changes {
+		change(subject)
+	}
+
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 
@@ -168,3 +173,25 @@
 
 	require.Eventually(t, func() bool { return receiver.Status()[0].Leaving }, 5*time.Second, time.Millisecond)
 }
+
+// Reports carry what an entry found out about prompt parts, and from whom it comes.
+func TestFindingsReachPeers(t *testing.T) {
+	addresses := []string{freePort(t), freePort(t)}
+	found := []quarantiner.Finding{{Subject: quarantiner.Subject{Service: "model", Part: "x"}, Depth: 1}}
+	received := make(chan []quarantiner.Finding, 100)
+
+	first, _ := newEntry(t, "a", addresses[0], func(subject *gossiper.Gossiper) {
+		subject.Findings = func() []quarantiner.Finding { return found }
+	})
+	second, _ := newEntry(t, "b", addresses[1], func(subject *gossiper.Gossiper) {
+		subject.ApplyFindings = func(peer string, findings []quarantiner.Finding) {
+			if peer == "a" && len(received) == 0 {
+				received <- findings
+			}
+		}
+	})
+
+	first.SetPeers(map[string]string{"b": addresses[1]})
+	second.SetPeers(map[string]string{"a": addresses[0]})
+	require.Equal(t, found, <-received)
+}
--- a/quarantiner/exchange_test.go
+++ b/quarantiner/exchange_test.go
@@ -147,8 +147,8 @@
 		time.Sleep(2 * time.Second)
 		require.Equal(t, 4, fleet.blockedAt("x"))
 
-		for number := range fleet.entries {
-			fleet.entries[number] = fleet.newEntry(number)
+		for number := range 4 {
+			fleet.restart(number)
 
 			time.Sleep(1200 * time.Millisecond)
 			require.Equal(t, 4, fleet.blockedAt("x"), "entry %d", number)
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -25,22 +25,23 @@
 	downtime = 3 * time.Second
 	// firstEventDelay is how long a server needs to begin an answer.
 	firstEventDelay = 20 * time.Millisecond
-	// reportInterval is the time between two reports of an entry.
-	reportInterval = 100 * time.Millisecond
+	// reportInterval is the time between two reports of an entry, and largeReportInterval
+	// that in a fleet of more than largeFleet entries.
+	reportInterval      = 100 * time.Millisecond
+	largeReportInterval = 400 * time.Millisecond
+	largeFleet          = 100
 )
 
 // fleet is several entries before the same servers, in a synctest bubble. The entries
 // exchange their findings as datagrams, some of which are lost.
 type fleet struct {
-	t       *testing.T
-	random  *rand.Rand
-	entries []*quarantiner.Quarantiner
-	// cutOff entries neither send nor receive reports.
-	cutOff map[int]bool
+	t      *testing.T
+	random *rand.Rand
 	// lossShare is the share of reports that are lost.
 	lossShare float64
 
 	mutex   sync.Mutex
+	entries []*quarantiner.Quarantiner
 	servers []*server
 	// deadly is set while deadlyPart ends servers.
 	deadly bool
@@ -59,7 +60,7 @@
 func newFleet(t *testing.T, seed uint64, entries, servers int) *fleet {
 	t.Helper()
 
-	fleet := &fleet{t: t, random: rand.New(rand.NewPCG(seed, seed)), cutOff: map[int]bool{}}
+	fleet := &fleet{t: t, random: rand.New(rand.NewPCG(seed, seed))}
 
 	for number := range servers {
 		fleet.servers = append(fleet.servers, &server{id: fmt.Sprintf("server-%d", number), incarnation: 1})
@@ -76,8 +77,8 @@
 	return quarantiner.NewQuarantiner(kernel.NewDiscardCommon(fmt.Sprintf("entry-%d", number)), fleet, quarantiner.WithPeers(func() []string {
 		peers := []string{}
 
-		for other := range fleet.entries {
-			if other != number && !fleet.cutOff[other] {
+		for other := range fleet.currentEntries() {
+			if other != number {
 				peers = append(peers, fmt.Sprintf("entry-%d", other))
 			}
 		}
@@ -86,6 +87,23 @@
 	}))
 }
 
+// restart replaces an entry by one that knows nothing.
+func (fleet *fleet) restart(number int) {
+	started := fleet.newEntry(number)
+
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+
+	fleet.entries[number] = started
+}
+
+func (fleet *fleet) currentEntries() []*quarantiner.Quarantiner {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+
+	return slices.Clone(fleet.entries)
+}
+
 // HasEnded implements quarantiner.Liveness.
 func (fleet *fleet) HasEnded(_ context.Context, checked placer.Server) bool {
 	fleet.mutex.Lock()
@@ -136,7 +154,7 @@
 	fleet.mutex.Unlock()
 
 	for range attempts {
-		if block, blocked := fleet.entries[entry].Check(request); blocked {
+		if block, blocked := fleet.currentEntries()[entry].Check(request); blocked {
 			return outcome{blocked: true, retryAfter: block.RetryAfter}
 		}
 
@@ -155,7 +173,7 @@
 
 // run sends a request to a server and reports whether the server began to answer.
 func (fleet *fleet) run(entry int, request quarantiner.Request, chosen *server, identity placer.Server) bool {
-	run, _, blocked := fleet.entries[entry].Start(request, identity)
+	run, _, blocked := fleet.currentEntries()[entry].Start(request, identity)
 	if blocked {
 		return false
 	}
@@ -207,12 +225,13 @@
 
 // exchange sends reports until the context ends.
 func (fleet *fleet) exchange(ctx context.Context) {
-	for kernel.Pause(ctx, reportInterval) {
-		for number, entry := range fleet.entries {
-			if fleet.cutOff[number] {
-				continue
-			}
+	interval := reportInterval
+	if len(fleet.currentEntries()) > largeFleet {
+		interval = largeReportInterval
+	}
 
+	for kernel.Pause(ctx, interval) {
+		for number, entry := range fleet.currentEntries() {
 			encoded, err := json.Marshal(entry.Findings())
 			require.NoError(fleet.t, err)
 
@@ -229,12 +248,12 @@
 		return
 	}
 
-	for number, entry := range fleet.entries {
+	for number, entry := range fleet.currentEntries() {
 		fleet.mutex.Lock()
 		lost := fleet.random.Float64() < fleet.lossShare
 		fleet.mutex.Unlock()
 
-		if number != from && !fleet.cutOff[number] && !lost {
+		if number != from && !lost {
 			entry.ApplyFindings(fmt.Sprintf("entry-%d", from), findings)
 		}
 	}
@@ -244,7 +263,7 @@
 func (fleet *fleet) blockedAt(parts ...string) int {
 	count := 0
 
-	for _, entry := range fleet.entries {
+	for _, entry := range fleet.currentEntries() {
 		if _, blocked := entry.Check(quarantiner.Request{ID: "probe", Service: service, Parts: parts, Waiting: true}); blocked {
 			count++
 		}
