Blame no part that all requests share among hundreds of entries

Cause: reports carry a few strikes of a part only. What entries knew of the deadly part and of the part that all requests share were strikes at different servers, so that the one did not explain the other. Once an entry blocked the shared part, nothing there could refute the strikes, and others did not know the same ones.

Change: a strike names the parts that follow the struck one in its prompt, which explain it also where their own strikes are not known. Entries report when a server last began to answer a request with the part, which refutes strikes before; one that hears of strikes that it has refuted tells so again.

--- a/quarantiner/exchange_test.go
+++ b/quarantiner/exchange_test.go
@@ -183,6 +183,42 @@
 	})
 }
 
+// An entry that heard nothing while a part was found to be sound learns it afterwards, from
+// entries that no longer report it by themselves.
+func TestEntryThatMissedTheAnswerLearnsOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, 1, 4, 12)
+		fleet.setDeadly(true)
+		fleet.send(0, 2, "a", "x")
+
+		background, stop := context.WithCancel(t.Context())
+		defer stop()
+
+		go fleet.exchange(background)
+
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 4, fleet.blockedAt("x"))
+
+		fleet.setLossShare(1)
+		fleet.setDeadly(false)
+		time.Sleep(33 * time.Second)
+		require.True(t, fleet.send(2, 1, "a", "x").begun)
+
+		// Requests keep coming, so the others stay blocked until their own turns.
+		for range 4 {
+			time.Sleep(time.Second)
+			fleet.send(2, 1, "a", "x")
+		}
+
+		fleet.setLossShare(0)
+		time.Sleep(2 * time.Second)
+
+		for number := range 4 {
+			require.Empty(t, fleet.currentEntries()[number].Status(), "entry %d", number)
+		}
+	})
+}
+
 // When a part may be tried again, one entry of many does so.
 func TestOneEntryOfManyTriesAPartAgain(t *testing.T) {
 	for _, entries := range []int{4, 36} {
--- a/quarantiner/finding.go
+++ b/quarantiner/finding.go
@@ -17,9 +17,14 @@
 	allFindingsInterval = time.Second
 	// maxFindings and maxFindingStrikes bound the findings of one report.
 	maxFindings       = 16
-	maxFindingStrikes = 6
+	maxFindingStrikes = 12
+	// maxReportStrikes bounds the strikes of all findings in one report.
+	maxReportStrikes = 48
 	// maxFindingRefuted bounds the refuted strikes in a finding.
 	maxFindingRefuted = 6
+	// answeredMargin is subtracted from the time of an answer that another entry reports: a
+	// report may be that late.
+	answeredMargin = 500 * time.Millisecond
 	// trialHeardTime is how long a trial of another entry is heard of after a report of it.
 	trialHeardTime = 1500 * time.Millisecond
 	// maxNameBytes bounds the names in findings that are received.
@@ -41,6 +46,10 @@
 	FailedTrials int             `json:",omitempty"`
 	// Proven is true if servers have answered requests with the part before.
 	Proven bool `json:",omitempty"`
+	// Answered is true if a server began to answer a request with the part at the entry,
+	// AnsweredAge ago.
+	Answered    bool          `json:",omitempty"`
+	AnsweredAge time.Duration `json:",omitempty"`
 	// Asked is true if a request with the part came to the entry AskedAge ago, and Trying
 	// while it tries the part again.
 	Asked    bool          `json:",omitempty"`
@@ -53,8 +62,10 @@
 	Incarnation
 
 	RequestID string
-	SentAge   time.Duration
-	EndedAge  time.Duration
+	// Deeper are parts that followed the struck one in the prompt.
+	Deeper   []string `json:",omitempty"`
+	SentAge  time.Duration
+	EndedAge time.Duration
 }
 
 // Findings returns what the other entries should be told now: changes for a while and,
@@ -89,9 +100,14 @@
 		}
 	}
 
-	findings := make([]Finding, 0, len(selected))
+	findings, strikes := make([]Finding, 0, len(selected)), 0
+
 	for _, known := range selected {
-		findings = append(findings, known.finding(now))
+		finding := quarantiner.finding(known, now)
+		finding.Strikes = finding.Strikes[:min(len(finding.Strikes), maxReportStrikes-strikes)]
+		strikes += len(finding.Strikes)
+
+		findings = append(findings, finding)
 	}
 
 	return findings
@@ -101,7 +117,8 @@
 	return cmp.Or(cmp.Compare(one.subject.Service, other.subject.Service), cmp.Compare(one.subject.Part, other.subject.Part))
 }
 
-func (suspect *suspect) finding(now time.Time) Finding {
+// finding describes a suspect. The newest strikes come first. The mutex must be held.
+func (quarantiner *Quarantiner) finding(suspect *suspect, now time.Time) Finding {
 	finding := Finding{
 		Subject: suspect.subject, Depth: suspect.depth, FailedTrials: suspect.failedTrials, Proven: suspect.proven,
 		Asked: !suspect.askedAt.IsZero(), Trying: now.Before(suspect.trialEndsAt),
@@ -112,9 +129,17 @@
 		finding.AskedAge = now.Sub(suspect.askedAt)
 	}
 
-	for _, known := range suspect.strikes[max(0, len(suspect.strikes)-maxFindingStrikes):] {
+	if answeredAt, answered := quarantiner.answered[suspect.subject]; answered {
+		finding.Answered, finding.AnsweredAge = true, now.Sub(answeredAt)
+	}
+
+	for _, known := range slices.Backward(suspect.strikes) {
+		if len(finding.Strikes) == maxFindingStrikes {
+			break
+		}
+
 		finding.Strikes = append(finding.Strikes, FindingStrike{
-			Incarnation: known.server, RequestID: known.requestID, SentAge: now.Sub(known.sentAt), EndedAge: now.Sub(known.endedAt),
+			Incarnation: known.server, RequestID: known.requestID, Deeper: known.deeper, SentAge: now.Sub(known.sentAt), EndedAge: now.Sub(known.endedAt),
 		})
 	}
 
@@ -139,7 +164,7 @@
 
 		quarantiner.hear(finding, now)
 
-		if quarantiner.isNews(finding) {
+		if quarantiner.isNews(finding, now) {
 			news = append(news, finding)
 		}
 	}
@@ -170,6 +195,11 @@
 	if finding.Trying {
 		known.peerTrialEndsAt = now.Add(trialHeardTime)
 	}
+
+	// The other entry has missed that these strikes are refuted, so it is told again.
+	if slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool { return slices.Contains(known.refuted, struck.Incarnation) }) {
+		known.changedAt = now
+	}
 }
 
 // EncodeFindings returns the findings as JSON, nil if there are none, for messages that
@@ -207,7 +237,7 @@
 }
 
 // isNews reports whether a finding would change the evidence. The mutex must be held.
-func (quarantiner *Quarantiner) isNews(finding Finding) bool {
+func (quarantiner *Quarantiner) isNews(finding Finding, now time.Time) bool {
 	known := quarantiner.suspects[finding.Subject]
 	if known == nil {
 		return len(finding.Strikes) > 0 || len(finding.Refuted) > 0
@@ -217,7 +247,8 @@
 		return true
 	}
 
-	return slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return !slices.Contains(known.refuted, server) }) ||
+	return len(known.strikesBefore(finding.answeredAt(now))) > 0 ||
+		slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return !slices.Contains(known.refuted, server) }) ||
 		slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool {
 			return !known.strikeBy(struck.Incarnation) && !slices.Contains(known.refuted, struck.Incarnation)
 		})
@@ -231,10 +262,20 @@
 	known.depth = max(known.depth, finding.Depth)
 	known.proven = known.proven || finding.Proven
 	known.refute(finding.Refuted, now)
+	known.refute(known.strikesBefore(finding.answeredAt(now)), now)
+
+	answeredAt := quarantiner.answered[finding.Subject]
 
 	for _, struck := range finding.Strikes {
+		endedAt := now.Add(-struck.EndedAge)
+		if endedAt.Before(answeredAt.Add(-answeredMargin)) {
+			known.refute([]Incarnation{struck.Incarnation}, now)
+
+			continue
+		}
+
 		known.addStrike(strike{
-			server: struck.Incarnation, requestID: struck.RequestID, sentAt: now.Add(-struck.SentAge), endedAt: now.Add(-struck.EndedAge),
+			server: struck.Incarnation, requestID: struck.RequestID, deeper: struck.Deeper, sentAt: now.Add(-struck.SentAge), endedAt: endedAt,
 		}, now)
 	}
 
@@ -243,11 +284,21 @@
 	}
 }
 
+// answeredAt returns when a server had certainly begun to answer a request with the part;
+// zero if that is not known.
+func (finding Finding) answeredAt(now time.Time) time.Time {
+	if !finding.Answered {
+		return time.Time{}
+	}
+
+	return now.Add(-finding.AnsweredAge - answeredMargin)
+}
+
 // valid reports whether a finding can be the report of an entry.
 func (finding Finding) valid() bool {
 	bounded := finding.Part != "" && len(finding.Part) <= maxNameBytes && len(finding.Service) <= maxNameBytes &&
 		len(finding.Refuted) <= maxRefuted && len(finding.Strikes) <= maxStrikes &&
-		isBetween(finding.Depth, 0, maxDepth) && isBetween(finding.FailedTrials, 0, maxFailedTrials) && finding.AskedAge >= 0
+		isBetween(finding.Depth, 0, maxDepth) && isBetween(finding.FailedTrials, 0, maxFailedTrials) && finding.AskedAge >= 0 && finding.AnsweredAge >= 0
 
 	return bounded && !slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool { return !struck.valid() }) &&
 		!slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return len(server.Server) > maxNameBytes })
@@ -256,7 +307,8 @@
 // valid reports whether a strike can be the report of an entry: requests are sent before
 // their servers end.
 func (struck FindingStrike) valid() bool {
-	return len(struck.Server) <= maxNameBytes && len(struck.RequestID) <= maxNameBytes &&
+	return len(struck.Server) <= maxNameBytes && len(struck.RequestID) <= maxNameBytes && len(struck.Deeper) <= maxDeeper &&
+		!slices.ContainsFunc(struck.Deeper, func(part string) bool { return len(part) > maxNameBytes }) &&
 		isBetween(struck.EndedAge, 0, struck.SentAge) && struck.SentAge <= quarantineMemory
 }
 
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -216,6 +216,13 @@
 	fleet.deadly = deadly
 }
 
+func (fleet *fleet) setLossShare(share float64) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+
+	fleet.lossShare = share
+}
+
 func (fleet *fleet) strikes() int {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -278,7 +279,7 @@
 		explained := false
 
 		for _, other := range quarantiner.suspects {
-			if other.strikeBy(candidate.server) && other.explains(judged) {
+			if other.explains(judged) && (slices.Contains(candidate.deeper, other.subject.Part) || other.strikeBy(candidate.server)) {
 				explained, explaining[other] = true, true
 			}
 		}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -48,7 +48,7 @@
 
 // What counts as evidence against a part of a prompt, and against which.
 func TestEvidence(t *testing.T) {
-	breaks := step{parts: []string{"a", "x"}, server: "s3"}
+	breaks := func(server string) step { return step{parts: []string{"a", "x"}, server: server} }
 	elsewhere := ends("s2", "a", "x")
 	elsewhere.service = "other"
 
@@ -65,7 +65,7 @@
 		"the part is sound in between":                 {[]step{ends("s1", "a", "x"), sound("s3", "a", "x"), ends("s2", "a", "x")}, nil},
 		"the part is sound later":                      {[]step{ends("s1", "a", "x"), ends("s2", "a", "x"), together(sound("s3", "a", "x"))}, nil},
 		"only the first part is sound in between":      {[]step{ends("s1", "a", "x"), sound("s3", "a"), ends("s2", "a", "x")}, []string{"x"}},
-		"answers break off, but the servers go on":     {[]step{breaks, breaks, breaks, breaks}, nil},
+		"answers break off, but the servers go on":     {[]step{breaks("s1"), breaks("s2"), breaks("s3"), breaks("s4")}, nil},
 		"servers of two services":                      {[]step{ends("s1", "a", "x"), elsewhere}, nil},
 		"a sound request beside a bad one":             {[]step{ends("s1", "a", "x"), together(ends("s1", "a", "y")), ends("s2", "a", "x")}, []string{"x"}},
 		"a sound request beside bad ones, twice":       {[]step{ends("s1", "a", "x"), together(ends("s1", "a", "y")), ends("s2", "a", "x"), together(ends("s2", "a", "y"))}, []string{"x", "y"}},
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -181,6 +181,7 @@
 				struck.askedAt = added.endedAt
 			}
 
+			added.deeper = slices.Clone(request.Parts[depth+1 : min(len(request.Parts), depth+1+maxDeeper)])
 			struck.addStrike(added, added.endedAt)
 		}
 	})
--- a/quarantiner/strike.go
+++ b/quarantiner/strike.go
@@ -16,12 +16,17 @@
 type strike struct {
 	server    Incarnation
 	requestID string
+	// deeper are the parts that follow the struck one in the prompt of the request.
+	deeper []string
 	// sentAt is when the request was sent, and endedAt when the server had ended.
 	sentAt, endedAt time.Time
 	// trial is true if the request tried a quarantined part again.
 	trial bool
 }
 
+// maxDeeper bounds the parts that a strike names beside its own.
+const maxDeeper = 4
+
 func incarnationOf(server placer.Server) Incarnation {
 	return Incarnation{Server: server.ID, Start: server.Incarnation}
 }
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// strikesBefore returns the servers that ended before the time.
+func (suspect *suspect) strikesBefore(at time.Time) []Incarnation {
+	servers := []Incarnation(nil)
+
+	for _, known := range suspect.strikes {
+		if known.endedAt.Before(at) {
+			servers = append(servers, known.server)
+		}
+	}
+
+	return servers
+}
+
 // servers returns the servers of the strikes.
 func (suspect *suspect) servers() []Incarnation {
 	servers := make([]Incarnation, 0, len(suspect.strikes))
