Take no answer without length as complete that ended with its server

Callers could see a stream or an answer as complete that lacks its end: an answer with neither a length nor chunks ends with its connection, and that of a server which ends is closed like any other. Within an event a stream was seen to be broken off before, between two events not. Items of jobs the same.

Change: where an answer does not mark its end, the server is asked for a connection when it has ended; if its port refuses, the answer is broken off and, where it may be, goes on elsewhere. Answers with a length or in chunks are not concerned.

Tests, red before: TestOutcomeOfCallsAtFaultyServers (servers end between two events), TestWholeAnswerIsNotCompleteWhenItsServerEnds (by mutation), TestItemIsNotCompleteWhenItsServerEnds (7 of 20 events). The stand-in network closes only the ended process's side of connections, as a system does.

--- a/batcher/quarantine_test.go
+++ b/batcher/quarantine_test.go
@@ -159,3 +159,23 @@
 	require.Equal(t, bookkeeper.Completed, results[0].State)
 	require.Len(t, strings.Split(results[0].Output, "\n"), eventsPerItem)
 }
+
+// A stream without a length that ends because its server ended is not complete, although it
+// ends between two events.
+func TestItemIsNotCompleteWhenItsServerEnds(t *testing.T) {
+	results := []bookkeeper.Result{}
+
+	newFleet(t, 1, 4, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			server.SetFaults(emulator.EventFaults{Unframed: true, BreakAfter: 7, EndProcess: true})
+		}
+
+		fleet.submitPrompts([]string{"a"})
+		time.Sleep(20 * time.Second)
+
+		results, _ = fleet.readAll(0)
+	})
+
+	require.Len(t, results, 1)
+	require.Len(t, strings.Split(results[0].Output, "\n"), eventsPerItem)
+}
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -321,7 +321,7 @@
 		}
 
 		switch {
-		case errors.Is(err, io.EOF) && events.AtEventBoundary() && pending.eventCount > 0 && (answer.Framed || run.Begun()):
+		case errors.Is(err, io.EOF) && events.AtEventBoundary() && pending.eventCount > 0 && (answer.Framed || run.EndedByItself(ctx)):
 			grant.Observe(placer.Complete, 0)
 
 			return completed, ""
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -41,6 +41,8 @@
 	BreakAfter int
 	// BreakMidEvent closes the connection in the middle of the next event instead.
 	BreakMidEvent bool
+	// EndProcess ends the server's process there.
+	EndProcess bool
 	// StallAfter stops sending after that many events and keeps the connection open; 0
 	// for never.
 	StallAfter int
@@ -260,6 +262,13 @@
 
 	if server.EventCount == 0 {
 		pauseFor(request, server.slowedDuration(faults, server.FirstEventDelay))
+
+		if faults.EndProcess {
+			fmt.Fprint(writer, "answer")
+			_ = http.NewResponseController(writer).Flush()
+			server.breakOff(writer, faults, 0)
+		}
+
 		fmt.Fprintf(writer, "answer to %s", id) //nolint:gosec // No browser renders this body.
 
 		return
@@ -316,13 +325,7 @@
 	for number := after + 1; number < server.EventCount; number++ {
 		sent := number - after - 1
 		if faults.BreakAfter > 0 && sent == faults.BreakAfter {
-			if faults.BreakMidEvent {
-				fmt.Fprintf(writer, "id: %d\nda", number)
-
-				_ = control.Flush()
-			}
-
-			panic(http.ErrAbortHandler)
+			server.breakOff(writer, faults, number)
 		}
 
 		if faults.StallAfter > 0 && sent == faults.StallAfter {
@@ -344,6 +347,21 @@
 	}
 }
 
+// breakOff ends an answer before the event with the number.
+func (server *EventServer) breakOff(writer http.ResponseWriter, faults EventFaults, number int) {
+	if faults.BreakMidEvent {
+		fmt.Fprintf(writer, "id: %d\nda", number)
+
+		_ = http.NewResponseController(writer).Flush()
+	}
+
+	if faults.EndProcess && server.Crash != nil {
+		server.Crash()
+	}
+
+	panic(http.ErrAbortHandler)
+}
+
 // writeSlowly sends one byte of an event per interval, and never its end, until the
 // caller closes the connection.
 func writeSlowly(writer http.ResponseWriter, request *http.Request, interval time.Duration) {
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -101,14 +101,19 @@
 	}
 }
 
-// Crash closes the open connections to the address and refuses new ones for a while, as
-// when a process ends and is started again.
+// Crash refuses connections to the address for a while, as when a process ends and is started
+// again. The system closes the process's ends of the open ones.
 func (network *Network) Crash(address string, downtime time.Duration) {
 	network.mutex.Lock()
+	defer network.mutex.Unlock()
+
 	network.downUntil[address] = time.Now().Add(downtime)
-	network.mutex.Unlock()
 
-	network.CloseConnections(address)
+	for _, connection := range network.connections {
+		if connection.address == address {
+			connection.acceptEnd.Conn.Close()
+		}
+	}
 }
 
 // Close closes every connection.
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -24,6 +24,10 @@
 // off within the first maxBufferedBytes may be retried.
 func (delivery *delivery) forwardWhole(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	if err == nil && !answer.Framed && len(body) < maxBufferedBytes && delivery.run.ServerGone(ctx) {
+		err = errors.New(endedEarly)
+	}
+
 	if err != nil {
 		grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
 
@@ -51,7 +55,7 @@
 		return Result{Outcome: Answered}, true
 	}
 
-	return delivery.forwardRemainder(grant, answer)
+	return delivery.forwardRemainder(ctx, grant, answer)
 }
 
 // observationOf returns what a complete answer shows about the health of its server.
@@ -65,7 +69,7 @@
 }
 
 // forwardRemainder passes on the part of a long answer that was not buffered.
-func (delivery *delivery) forwardRemainder(grant *placer.Grant, answer *exchanger.Answer) (Result, bool) {
+func (delivery *delivery) forwardRemainder(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer) (Result, bool) {
 	buffer := make([]byte, readBufferBytes)
 
 	for {
@@ -77,6 +81,10 @@
 		}
 
 		switch {
+		case errors.Is(err, io.EOF) && !answer.Framed && delivery.run.ServerGone(ctx):
+			grant.Observe(placer.Unreachable, 0)
+
+			return Result{Outcome: Broken, Reason: endedEarly}, true
 		case errors.Is(err, io.EOF):
 			grant.Observe(observationOf(answer), 0)
 
@@ -123,7 +131,7 @@
 		}
 
 		switch {
-		case errors.Is(err, io.EOF) && parser.AtEventBoundary() && (answer.Framed || delivery.run.Begun()):
+		case errors.Is(err, io.EOF) && parser.AtEventBoundary() && (answer.Framed || delivery.run.EndedByItself(ctx)):
 			grant.Observe(placer.Complete, 0)
 			delivery.sendStreamHead(answer)
 
@@ -158,8 +166,8 @@
 	return answer.AwaitData(delivery.call.Deadline)
 }
 
-// endedEarly is the reason of a stream that ended without an error and is not complete.
-const endedEarly = "The stream ended within an event, or without a length and without an event."
+// endedEarly is the reason of an answer that ended without an error and is not complete.
+const endedEarly = "The answer ended within an event, or has no length and ended with its server or without an event."
 
 // errCallerDisconnected is the cause when the caller's connection no longer accepts data.
 var errCallerDisconnected = errors.New("the caller disconnected")
--- a/forwarder/deadly_part_test.go
+++ b/forwarder/deadly_part_test.go
@@ -155,3 +155,25 @@
 		})
 	}
 }
+
+// An answer without a length that ends because its server ended is not complete.
+func TestWholeAnswerIsNotCompleteWhenItsServerEnds(t *testing.T) {
+	withFleet(t, 3, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			server.EventCount = 0
+			server.SetFaults(emulator.EventFaults{Unframed: true, EndProcess: true})
+		}
+
+		result, answer, _ := fleet.forward(context.Background(), route(matcher.Idempotent, false, 2))
+		require.Equal(t, forwarder.Failed, result.Outcome, result.Reason)
+		require.Equal(t, 2, result.Attempts)
+		require.Zero(t, answer.heads)
+
+		fleet.setFaults(emulator.EventFaults{Unframed: true})
+		time.Sleep(serverDowntime)
+
+		result, answer, id := fleet.forward(context.Background(), route(matcher.Idempotent, false, 3))
+		require.Equal(t, forwarder.Answered, result.Outcome, result.Reason)
+		require.Equal(t, "answer to "+id, answer.body.String())
+	})
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -52,6 +52,11 @@
 			resumable: expectation{forwarder.Answered, 2, eventStream(20)},
 			once:      expectation{forwarder.Broken, 1, eventStream(12)},
 		},
+		"servers end between two events of a stream without a length": {
+			faults:    emulator.EventFaults{Unframed: true, BreakAfter: 12, EndProcess: true},
+			resumable: expectation{forwarder.Answered, 2, eventStream(20)},
+			once:      expectation{forwarder.Broken, 1, eventStream(12)},
+		},
 		"streams break before three attempts can finish them": {
 			faults:    emulator.EventFaults{BreakAfter: 5},
 			resumable: expectation{forwarder.Broken, 3, eventStream(15)},
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -27,9 +27,15 @@
 	serverEnded bool
 }
 
-// Begun reports whether the server has begun to answer.
-func (run *Run) Begun() bool {
-	return run.begun
+// EndedByItself reports whether an answer that does not mark its end, and has ended without
+// an error, is complete: it has begun, and its connection did not end with the server.
+func (run *Run) EndedByItself(ctx context.Context) bool {
+	return run.begun && !run.ServerGone(ctx)
+}
+
+// ServerGone reports whether the server's process has certainly ended.
+func (run *Run) ServerGone(ctx context.Context) bool {
+	return run.quarantiner.Liveness.HasEnded(ctx, run.server)
 }
 
 // ServerEnded reports whether the server's process ended before it began to answer.
