--- a/driver/http_client.go
+++ b/driver/http_client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -51,3 +53,27 @@
 
 	return response, errors.Trace(err)
 }
+
+// refuses reports whether connections to the address are refused, because nothing listens
+// there.
+func refuses(ctx context.Context, client *http.Client, address string) bool {
+	dial := (&net.Dialer{}).DialContext
+	if transport, ok := client.Transport.(*http.Transport); ok && transport.DialContext != nil {
+		dial = transport.DialContext
+	}
+
+	connection, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+
+	connection.Close()
+
+	return false
+}
+
+// isFramed reports whether an answer marks its end, by a length or in chunks. Others end
+// with their connection.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
--- a/driver/http_client_test.go
+++ b/driver/http_client_test.go
@@ -146,3 +146,45 @@
 	require.ErrorIs(t, err, errors.NotProvisioned)
 	require.ErrorContains(t, err, "slash")
 }
+
+// An answer without a length or chunks ends with its connection. It is complete if the
+// service goes on, and not if its process ended.
+func TestAnswerWithoutLengthIsCompleteOnlyIfItsServiceGoesOn(t *testing.T) {
+	for name, ends := range map[string]bool{"the service goes on": false, "the service ends": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := emulator.NewNetwork()
+				backend := &countingService{answer: func(writer http.ResponseWriter, _ int) {
+					writer.Header().Set("Transfer-Encoding", "identity")
+					writeAnswer(writer, 0)
+
+					_ = http.NewResponseController(writer).Flush()
+
+					if ends {
+						network.Crash("backend:1", time.Minute)
+					}
+				}}
+				server := &http.Server{Handler: backend, ReadHeaderTimeout: time.Second}
+
+				listener := network.Listen("backend:1")
+
+				go func() { _ = server.Serve(listener) }()
+
+				defer time.Sleep(time.Minute)
+				defer server.Close()
+				defer network.Close()
+
+				service := driver.NewHTTPService("backend:1")
+				service.Client.Transport.(*http.Transport).DialContext = network.DialContext
+
+				answer, err := service.Call(t.Context(), driver.ServiceCall{RequestID: "order-1", Path: "/orders", Body: []byte("order")})
+				require.Equal(t, ends, err != nil, "%v", err)
+				require.False(t, errors.Is(err, errors.NotProvisioned))
+
+				if !ends {
+					require.Equal(t, "done", string(answer.Body))
+				}
+			})
+		})
+	}
+}
--- a/driver/http_service.go
+++ b/driver/http_service.go
@@ -52,6 +52,10 @@
 		return ServiceAnswer{}, errors.Annotate(err, "reading the service's answer")
 	}
 
+	if !isFramed(response) && refuses(ctx, service.Client, service.Address) {
+		return ServiceAnswer{}, errors.Annotate(io.ErrUnexpectedEOF, "the service ended with an answer that does not mark its end")
+	}
+
 	if len(body) > maxServiceAnswerBytes {
 		return ServiceAnswer{}, errors.NotValidf("answer of more than %d bytes", maxServiceAnswerBytes)
 	}
