Split the quarantiner by what its parts do; one copy of the refusal check

Reading as a newcomer: admission, evidence, verdict, memory, exchange and status of the quarantiner have a file each, types too. The driver uses the exchanger's check for a port that refuses and for answers that mark their end. Tests share their set-up.

--- a/driver/http_client.go
+++ b/driver/http_client.go
@@ -8,9 +8,10 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/juju/errors"
+
+	"limpetrail/exchanger"
 )
 
 // newClient returns a client that sends each request at most once. Every request
@@ -54,26 +55,12 @@
 	return response, errors.Trace(err)
 }
 
-// refuses reports whether connections to the address are refused, because nothing listens
-// there.
+// refuses reports whether connections to the address are refused.
 func refuses(ctx context.Context, client *http.Client, address string) bool {
 	dial := (&net.Dialer{}).DialContext
 	if transport, ok := client.Transport.(*http.Transport); ok && transport.DialContext != nil {
 		dial = transport.DialContext
 	}
 
-	connection, err := dial(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-
-	connection.Close()
-
-	return false
-}
-
-// isFramed reports whether an answer marks its end, by a length or in chunks. Others end
-// with their connection.
-func isFramed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return exchanger.Refuses(ctx, dial, address)
 }
--- a/driver/http_client_test.go
+++ b/driver/http_client_test.go
@@ -36,6 +36,23 @@
 	panic(http.ErrAbortHandler)
 }
 
+// serve serves a service on the network and returns a client of it.
+func serve(network *emulator.Network, backend http.Handler) (*driver.HTTPService, func()) {
+	server := &http.Server{Handler: backend, ReadHeaderTimeout: time.Second}
+	listener := network.Listen("backend:1")
+
+	go func() { _ = server.Serve(listener) }()
+
+	service := driver.NewHTTPService("backend:1")
+	service.Client.Transport.(*http.Transport).DialContext = network.DialContext
+
+	return service, func() {
+		network.Close()
+		server.Close()
+		time.Sleep(time.Minute)
+	}
+}
+
 func TestServiceReceivesEachCallOnce(t *testing.T) {
 	tests := []struct {
 		name string
@@ -101,18 +118,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				network := emulator.NewNetwork()
 				backend := &countingService{answer: test.answer}
-				server := &http.Server{Handler: backend, ReadHeaderTimeout: time.Second}
-
-				listener := network.Listen("backend:1")
 
-				go func() { _ = server.Serve(listener) }()
-
-				defer time.Sleep(time.Minute)
-				defer server.Close()
-				defer network.Close()
-
-				service := driver.NewHTTPService("backend:1")
-				service.Client.Transport.(*http.Transport).DialContext = network.DialContext
+				service, stop := serve(network, backend)
+				defer stop()
 
 				call := driver.ServiceCall{RequestID: "order-1", Path: "/orders", ContentType: "text/plain", Body: []byte(test.body)}
 				for range test.before {
@@ -164,18 +172,8 @@
 						network.Crash("backend:1", time.Minute)
 					}
 				}}
-				server := &http.Server{Handler: backend, ReadHeaderTimeout: time.Second}
-
-				listener := network.Listen("backend:1")
-
-				go func() { _ = server.Serve(listener) }()
-
-				defer time.Sleep(time.Minute)
-				defer server.Close()
-				defer network.Close()
-
-				service := driver.NewHTTPService("backend:1")
-				service.Client.Transport.(*http.Transport).DialContext = network.DialContext
+				service, stop := serve(network, backend)
+				defer stop()
 
 				answer, err := service.Call(t.Context(), driver.ServiceCall{RequestID: "order-1", Path: "/orders", Body: []byte("order")})
 				require.Equal(t, ends, err != nil, "%v", err)
--- a/driver/http_service.go
+++ b/driver/http_service.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"limpetrail/exchanger"
 	"limpetrail/kernel"
 )
 
@@ -52,7 +53,7 @@
 		return ServiceAnswer{}, errors.Annotate(err, "reading the service's answer")
 	}
 
-	if !isFramed(response) && refuses(ctx, service.Client, service.Address) {
+	if !exchanger.IsFramed(response) && refuses(ctx, service.Client, service.Address) {
 		return ServiceAnswer{}, errors.Annotate(io.ErrUnexpectedEOF, "the service ended with an answer that does not mark its end")
 	}
 
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -70,7 +70,7 @@
 	answer.response = response
 	answer.bodyRemaining = response.ContentLength
 	answer.Status, answer.Header, answer.Length = response.StatusCode, response.Header, response.ContentLength
-	answer.Framed = isFramed(response)
+	answer.Framed = IsFramed(response)
 
 	return errors.Trace(conn.SetDeadline(time.Time{}))
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -235,8 +235,8 @@
 	return response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols
 }
 
-// isFramed reports whether an answer has a length or is chunked, so that its end is
+// IsFramed reports whether an answer has a length or is chunked, so that its end is
 // known while the connection stays open.
-func isFramed(response *http.Response) bool {
+func IsFramed(response *http.Response) bool {
 	return response.ContentLength >= 0 || strings.EqualFold(strings.Join(response.TransferEncoding, ""), "chunked")
 }
--- a/exchanger/refusal.go
+++ b/exchanger/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -9,13 +10,11 @@
 
 // Refuses reports whether connections to the address are refused, because nothing listens
 // there. A host that does not answer at all does not refuse.
-func (exchanger *Exchanger) Refuses(ctx context.Context, address string) bool {
-	dialContext, cancel := context.WithTimeout(ctx, connectTimeout)
+func Refuses(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 
-	exchanger.dials.Inc(1)
-
-	connection, err := exchanger.Dial(dialContext, "tcp", address)
+	connection, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -24,3 +23,10 @@
 
 	return false
 }
+
+// Refuses is the function Refuses with the exchanger's connections.
+func (exchanger *Exchanger) Refuses(ctx context.Context, address string) bool {
+	exchanger.dials.Inc(1)
+
+	return Refuses(ctx, exchanger.Dial, address)
+}
--- /dev/null
+++ b/quarantiner/admission.go
@@ -0,0 +1,120 @@
+package quarantiner
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+const (
+	// trialTimeout is how long a trial may keep other requests with the part waiting.
+	trialTimeout = 5 * time.Second
+	// trialStagger is the time between the turns of two entries to try a part again. The
+	// others have heard of a trial by then.
+	trialStagger = 500 * time.Millisecond
+	// firstRunPause is when a request that waits for the first run of a part is looked at
+	// again; servers begin to answer within about that time.
+	firstRunPause = 100 * time.Millisecond
+)
+
+// recordAsked records that a request with quarantined parts came. The mutex must be held.
+func (quarantiner *Quarantiner) recordAsked(request Request, now time.Time) {
+	if request.Waiting {
+		return
+	}
+
+	for _, part := range request.Parts {
+		suspect := quarantiner.suspects[Subject{Service: request.Service, Part: part}]
+		if suspect != nil {
+			suspect.askedAt = now
+		}
+	}
+}
+
+// check returns the block of a request or, if it may be sent, the quarantined parts that it
+// tries again. The mutex must be held.
+func (quarantiner *Quarantiner) check(request Request, now time.Time) (Block, []*suspect, bool) {
+	if block, blocked := quarantiner.checkFirstRuns(request, now); blocked {
+		return block, nil, true
+	}
+
+	longest, tried := Block{}, []*suspect(nil)
+
+	for _, part := range request.Parts {
+		suspect := quarantiner.suspects[Subject{Service: request.Service, Part: part}]
+		if suspect == nil || !quarantiner.isQuarantined(suspect) {
+			continue
+		}
+
+		wait := max(quarantiner.turn(suspect, now).Sub(now), suspect.trialUnderWay().Sub(now))
+		if wait <= 0 {
+			tried = append(tried, suspect)
+
+			continue
+		}
+
+		if wait > longest.RetryAfter {
+			longest = Block{Part: part, Quarantined: true, RetryAfter: wait}
+		}
+	}
+
+	if longest.Part != "" {
+		quarantiner.refusals.Inc(1)
+
+		return longest, nil, true
+	}
+
+	return Block{}, tried, false
+}
+
+// checkFirstRuns blocks a patient request while another one is the first to run one of its
+// parts, so that a deadly part ends one server and not one for each request of a job. The
+// mutex must be held.
+func (quarantiner *Quarantiner) checkFirstRuns(request Request, now time.Time) (Block, bool) {
+	if !request.Patient {
+		return Block{}, false
+	}
+
+	for _, part := range request.Parts {
+		subject := Subject{Service: request.Service, Part: part}
+		if quarantiner.firstRuns[subject] > 0 && !quarantiner.isProven(subject, now) {
+			return Block{Part: part, RetryAfter: firstRunPause}, true
+		}
+	}
+
+	return Block{}, false
+}
+
+// endFirstRuns no longer counts a run as the first one of parts. The mutex must be held.
+func (quarantiner *Quarantiner) endFirstRuns(run *Run) {
+	for _, subject := range run.first {
+		quarantiner.firstRuns[subject]--
+		if quarantiner.firstRuns[subject] <= 0 {
+			delete(quarantiner.firstRuns, subject)
+		}
+	}
+
+	run.first = nil
+}
+
+// turn returns when this entry may try a quarantined part again. The entries take turns in
+// an order that all compute alike, so that one trial is made, by any that gets a request.
+func (quarantiner *Quarantiner) turn(suspect *suspect, now time.Time) time.Time {
+	own, before := rankOf(quarantiner.Instance, suspect.subject), 0
+
+	for _, peer := range quarantiner.Peers() {
+		if rankOf(peer, suspect.subject) > own {
+			before++
+		}
+	}
+
+	return suspect.releaseAt(now).Add(time.Duration(before) * trialStagger)
+}
+
+// rankOf orders the entries for a subject by rendezvous hashing.
+func rankOf(entry string, subject Subject) uint64 {
+	hash := fnv.New64a()
+	// Write of a hash never returns an error.
+	_, _ = hash.Write([]byte(entry + "\n" + subject.Service + "\n" + subject.Part))
+
+	return hash.Sum64()
+}
--- a/quarantiner/exchange_test.go
+++ b/quarantiner/exchange_test.go
@@ -139,10 +139,7 @@
 		fleet.setDeadly(true)
 		fleet.send(0, 2, "a", "x")
 
-		background, stop := context.WithCancel(t.Context())
-		defer stop()
-
-		go fleet.exchange(background)
+		defer fleet.startExchange()()
 
 		time.Sleep(2 * time.Second)
 		require.Equal(t, 4, fleet.blockedAt("x"))
@@ -165,10 +162,7 @@
 		fleet.setDeadly(true)
 		fleet.send(0, 2, "a", "x")
 
-		background, stop := context.WithCancel(t.Context())
-		defer stop()
-
-		go fleet.exchange(background)
+		defer fleet.startExchange()()
 
 		time.Sleep(5 * time.Second)
 		require.Equal(t, 8, fleet.blockedAt("x"))
@@ -191,10 +185,7 @@
 		fleet.setDeadly(true)
 		fleet.send(0, 2, "a", "x")
 
-		background, stop := context.WithCancel(t.Context())
-		defer stop()
-
-		go fleet.exchange(background)
+		defer fleet.startExchange()()
 
 		time.Sleep(2 * time.Second)
 		require.Equal(t, 4, fleet.blockedAt("x"))
@@ -229,10 +220,7 @@
 				fleet.setDeadly(true)
 				fleet.send(0, 2, "a", "x")
 
-				background, stop := context.WithCancel(t.Context())
-				defer stop()
-
-				go fleet.exchange(background)
+				defer fleet.startExchange()()
 
 				time.Sleep(time.Second)
 
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -230,6 +230,15 @@
 	return len(fleet.struck)
 }
 
+// startExchange sends reports until the returned function is called.
+func (fleet *fleet) startExchange() func() {
+	ctx, stop := context.WithCancel(fleet.t.Context())
+
+	go fleet.exchange(ctx)
+
+	return stop
+}
+
 // exchange sends reports until the context ends.
 func (fleet *fleet) exchange(ctx context.Context) {
 	interval := reportInterval
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,22 +25,6 @@
 	serverEnded bool
 }
 
-// EndedByItself reports whether an answer that does not mark its end, and has ended without
-// an error, is complete: it has begun, and its connection did not end with the server.
-func (run *Run) EndedByItself(ctx context.Context) bool {
-	return run.begun && !run.ServerGone(ctx)
-}
-
-// ServerGone reports whether the server's process has certainly ended.
-func (run *Run) ServerGone(ctx context.Context) bool {
-	return run.quarantiner.Liveness.HasEnded(ctx, run.server)
-}
-
-// ServerEnded reports whether the server's process ended before it began to answer.
-func (run *Run) ServerEnded() bool {
-	return run.serverEnded
-}
-
 // Begin records that the server has begun to answer, or has answered as a whole, with
 // success: a request that fails may not have come to the point at which it ends servers. The parts
 // of the prompt have ended none of the servers that they are suspected of.
@@ -98,6 +80,22 @@
 	run.quarantiner.recordStrike(run.request, strike{server: incarnationOf(run.server), requestID: run.request.ID, sentAt: run.sentAt, endedAt: now, trial: len(run.tried) > 0})
 }
 
+// EndedByItself reports whether an answer that does not mark its end, and has ended without
+// an error, is complete: it has begun, and its connection did not end with the server.
+func (run *Run) EndedByItself(ctx context.Context) bool {
+	return run.begun && !run.ServerGone(ctx)
+}
+
+// ServerGone reports whether the server's process has certainly ended.
+func (run *Run) ServerGone(ctx context.Context) bool {
+	return run.quarantiner.Liveness.HasEnded(ctx, run.server)
+}
+
+// ServerEnded reports whether the server's process ended before it began to answer.
+func (run *Run) ServerEnded() bool {
+	return run.serverEnded
+}
+
 // Close ends the run. A trial without an outcome leaves its turn to the next request.
 func (run *Run) Close() {
 	if len(run.tried) == 0 && len(run.first) == 0 {
@@ -114,96 +112,3 @@
 	run.tried = nil
 	run.quarantiner.endFirstRuns(run)
 }
-
-// endFirstRuns no longer counts a run as the first one of parts. The mutex must be held.
-func (quarantiner *Quarantiner) endFirstRuns(run *Run) {
-	for _, subject := range run.first {
-		quarantiner.firstRuns[subject]--
-		if quarantiner.firstRuns[subject] <= 0 {
-			delete(quarantiner.firstRuns, subject)
-		}
-	}
-
-	run.first = nil
-}
-
-// refute records that a server began to answer a request.
-func (quarantiner *Quarantiner) refute(run *Run) {
-	quarantiner.mutex.Lock()
-	defer quarantiner.mutex.Unlock()
-
-	quarantiner.endFirstRuns(run)
-
-	for _, part := range run.request.Parts {
-		subject := Subject{Service: run.request.Service, Part: part}
-		quarantiner.recordAnswered(subject)
-
-		known := quarantiner.suspects[subject]
-		if known == nil || len(known.strikes) == 0 {
-			continue
-		}
-
-		quarantiner.update("answer to "+run.request.ID, func() { known.refute(known.servers(), time.Now()) })
-	}
-}
-
-// recordAnswered records that a part was answered. It keeps the newer half when there are
-// too many parts. The mutex must be held.
-func (quarantiner *Quarantiner) recordAnswered(subject Subject) {
-	quarantiner.answered[subject] = time.Now()
-
-	if len(quarantiner.answered) <= maxAnswered {
-		return
-	}
-
-	times := slices.SortedFunc(maps.Values(quarantiner.answered), time.Time.Compare)
-	median := times[len(times)/2]
-	maps.DeleteFunc(quarantiner.answered, func(_ Subject, answeredAt time.Time) bool { return !answeredAt.After(median) })
-}
-
-// recordStrike records a strike against the parts of a request. If one of them was
-// quarantined already, that one is the cause.
-func (quarantiner *Quarantiner) recordStrike(request Request, added strike) {
-	quarantiner.mutex.Lock()
-	defer quarantiner.mutex.Unlock()
-
-	quarantiner.strikes.Inc(1)
-
-	known := quarantiner.quarantinedParts(request)
-
-	quarantiner.update("end of "+added.server.Server, func() {
-		for depth, part := range request.Parts {
-			subject := Subject{Service: request.Service, Part: part}
-			if len(known) > 0 && !known[subject] {
-				continue
-			}
-
-			struck := quarantiner.suspectFor(subject, added.endedAt)
-			struck.depth = max(struck.depth, depth)
-
-			if added.trial {
-				struck.failedTrials = min(struck.failedTrials+1, maxFailedTrials)
-			} else {
-				struck.askedAt = added.endedAt
-			}
-
-			added.deeper = slices.Clone(request.Parts[depth+1 : min(len(request.Parts), depth+1+maxDeeper)])
-			struck.addStrike(added, added.endedAt)
-		}
-	})
-}
-
-// quarantinedParts returns the parts of a request that are quarantined. The mutex must be
-// held.
-func (quarantiner *Quarantiner) quarantinedParts(request Request) map[Subject]bool {
-	parts := map[Subject]bool{}
-
-	for _, part := range request.Parts {
-		subject := Subject{Service: request.Service, Part: part}
-		if known := quarantiner.suspects[subject]; known != nil && quarantiner.isQuarantined(known) {
-			parts[subject] = true
-		}
-	}
-
-	return parts
-}
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -27,13 +27,6 @@
 	quietTrials = 8
 )
 
-// Subject is a part of prompts at one service. Services differ in their engines, so that a
-// part may end the servers of one of them only.
-type Subject struct {
-	Service string
-	Part    string
-}
-
 // suspect is a part of prompts and the evidence against it.
 type suspect struct {
 	subject Subject
