Let one entry at a time try kept items when no new requests come

Three gateways tried kept items within 17 ms at 36.17 s, ten seconds after the last new request.

Cause: the entries' turns were counted from the last strike, 26 s before, so that the turns of all had begun when the part became quiet, and kept items were looked at every 2 s only.

Change: turns begin with the moment from which no new requests came, and a waiting request is told its own turn.

--- a/quarantiner/admission.go
+++ b/quarantiner/admission.go
@@ -45,7 +45,12 @@
 			continue
 		}
 
-		wait := max(quarantiner.turn(suspect, now).Sub(now), suspect.trialUnderWay().Sub(now))
+		turn := quarantiner.turn(suspect, now)
+		if request.Waiting {
+			turn = earliest(turn, suspect.quietReleaseAt().Add(quarantiner.turnDelay(suspect)))
+		}
+
+		wait := max(turn.Sub(now), suspect.trialUnderWay().Sub(now))
 		if wait <= 0 {
 			tried = append(tried, suspect)
 
@@ -96,9 +101,15 @@
 	run.first = nil
 }
 
-// turn returns when this entry may try a quarantined part again. The entries take turns in
-// an order that all compute alike, so that one trial is made, by any that gets a request.
+// turn returns when this entry may try a quarantined part again.
 func (quarantiner *Quarantiner) turn(suspect *suspect, now time.Time) time.Time {
+	return suspect.releaseAt(now).Add(quarantiner.turnDelay(suspect))
+}
+
+// turnDelay returns how long after the release this entry's turn begins. The entries take
+// turns in an order that all compute alike, so that one trial is made, by any that gets a
+// request.
+func (quarantiner *Quarantiner) turnDelay(suspect *suspect) time.Duration {
 	own, before := rankOf(quarantiner.Instance, suspect.subject), 0
 
 	for _, peer := range quarantiner.Peers() {
@@ -107,7 +118,15 @@
 		}
 	}
 
-	return suspect.releaseAt(now).Add(time.Duration(before) * trialStagger)
+	return time.Duration(before) * trialStagger
+}
+
+func earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+
+	return other
 }
 
 // rankOf orders the entries for a subject by rendezvous hashing.
--- a/quarantiner/exchange_test.go
+++ b/quarantiner/exchange_test.go
@@ -311,3 +311,58 @@
 		})
 	}
 }
+
+// Waiting requests at many entries are tried one at a time, also at the moment when no new
+// ones have come for long enough, which is the same at all entries.
+func TestWaitingRequestsOfManyEntriesAreTriedInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			entries  = 8
+			duration = time.Minute
+		)
+
+		fleet := newFleet(t, 1, entries, 44)
+		fleet.lossShare = 0.05
+		fleet.setDeadly(true)
+		fleet.send(0, 2, "a", "x")
+
+		defer fleet.startExchange()()
+
+		time.Sleep(time.Second)
+
+		for range 40 {
+			fleet.send(fleet.pickEntry(), 1, "a", "x")
+			time.Sleep(200 * time.Millisecond)
+		}
+
+		// Not at the moment of a report, so that all look before they hear of a trial.
+		time.Sleep(reportInterval / 2)
+
+		before, ended := fleet.strikes(), time.Now().Add(duration)
+
+		for number := range entries {
+			fleet.calls.Go(func() {
+				waiting := quarantiner.Request{ID: fmt.Sprint(number), Service: service, Parts: []string{"a", "x"}, Waiting: true}
+
+				for time.Now().Before(ended) {
+					block, blocked := fleet.currentEntries()[number].Check(waiting)
+					if !blocked {
+						chosen, identity := fleet.pickServer()
+						fleet.run(number, waiting, chosen, identity)
+					}
+
+					time.Sleep(max(time.Millisecond, min(block.RetryAfter, 2*time.Second)))
+				}
+			})
+		}
+
+		fleet.calls.Wait()
+		// Ten seconds until no new ones count as coming, then one trial in eight.
+		require.LessOrEqual(t, fleet.strikes()-before, 7)
+		require.GreaterOrEqual(t, fleet.strikes()-before, 4)
+
+		for index := before + 1; index < len(fleet.struck); index++ {
+			require.GreaterOrEqual(t, fleet.struck[index].Sub(fleet.struck[index-1]), downtime)
+		}
+	})
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -99,7 +99,7 @@
 		quarantiner.trials.Inc(1)
 		quarantiner.Log.WithFields(logrus.Fields{
 			"RequestID": request.ID, "Service": request.Service, "PromptPart": suspect.subject.Part, "BackendServer": server.ID, "FailedTrials": suspect.failedTrials,
-			"Age": now.Sub(suspect.lastStrikeAt()), "Quiet": suspect.isQuiet(now),
+			"Age": now.Sub(suspect.lastStrikeAt()), "Quiet": !now.Before(suspect.quietAt()),
 		}).Info("Trying a quarantined prompt part again.")
 	}
 
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -122,25 +122,45 @@
 
 // releaseAt returns when the part may be tried again. There is a strike.
 func (suspect *suspect) releaseAt(now time.Time) time.Time {
-	period, doublings := firstPeriod, suspect.failedTrials
-	if suspect.isQuiet(now) {
-		period, doublings = quietPeriod, suspect.failedTrials/quietTrials
+	if !now.Before(suspect.quietAt()) {
+		return suspect.quietReleaseAt()
 	}
 
-	for range doublings {
+	return suspect.lastStrikeAt().Add(doubled(firstPeriod, suspect.failedTrials))
+}
+
+// quietReleaseAt returns when a waiting request may try the part again if no new ones come
+// until then. All entries see the moment from which none have come, so their turns begin
+// with it.
+func (suspect *suspect) quietReleaseAt() time.Time {
+	release, quietAt := suspect.lastStrikeAt().Add(doubled(quietPeriod, suspect.failedTrials/quietTrials)), suspect.quietAt()
+	if release.Before(quietAt) {
+		return quietAt
+	}
+
+	return release
+}
+
+// doubled doubles a period so often, at most to maxPeriod.
+func doubled(period time.Duration, times int) time.Duration {
+	for range times {
 		period = min(2*period, maxPeriod)
 	}
 
-	return suspect.lastStrikeAt().Add(period)
+	return period
 }
 
 func (suspect *suspect) lastStrikeAt() time.Time {
 	return suspect.strikes[len(suspect.strikes)-1].endedAt
 }
 
-// isQuiet reports whether no new requests with the part come.
-func (suspect *suspect) isQuiet(now time.Time) bool {
-	return now.Sub(suspect.askedAt) >= quietTime && now.Sub(suspect.peerAskedAt) >= quietTime
+// quietAt returns when no new requests with the part have come for quietTime.
+func (suspect *suspect) quietAt() time.Time {
+	if suspect.askedAt.After(suspect.peerAskedAt) {
+		return suspect.askedAt.Add(quietTime)
+	}
+
+	return suspect.peerAskedAt.Add(quietTime)
 }
 
 // trialUnderWay returns until when a trial, here or elsewhere, keeps others waiting.
