Tell again which strikes are refuted, those first that another entry still reports

Read in the diff: a report carries the newest refuted strikes only, so that an entry with older ones would not be told of them. They move to the end of the list when another entry reports them, and a report carries as many as a part may have strikes.

--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -20,7 +20,7 @@
 	// maxReportStrikes bounds the strikes of all findings in one report.
 	maxReportStrikes = 48
 	// maxFindingRefuted bounds the refuted strikes in a finding.
-	maxFindingRefuted = 6
+	maxFindingRefuted = maxStrikes
 	// answeredMargin is subtracted from the time of an answer that another entry reports: a
 	// report may be that late.
 	answeredMargin = 500 * time.Millisecond
@@ -190,9 +190,8 @@
 		known.peerTrialEndsAt = now.Add(trialHeardTime)
 	}
 
-	// The other entry has missed that these strikes are refuted, so it is told again.
-	if slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool { return slices.Contains(known.refuted, struck.Incarnation) }) {
-		known.changedAt = now
+	for _, struck := range finding.Strikes {
+		known.repeatRefuted(struck.Incarnation, now)
 	}
 }
 
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// repeatRefuted lets others be told again that a strike is refuted, as one of them has
+// missed it. It does nothing for other strikes.
+func (suspect *suspect) repeatRefuted(server Incarnation, now time.Time) {
+	index := slices.Index(suspect.refuted, server)
+	if index < 0 {
+		return
+	}
+
+	suspect.refuted = append(slices.Delete(suspect.refuted, index, index+1), server)
+	suspect.changedAt = now
+}
+
 // strikesBefore returns the servers that ended before the time.
 func (suspect *suspect) strikesBefore(at time.Time) []Incarnation {
 	servers := []Incarnation(nil)
