Give each address of the process harness to one process or link only

Cause, in the harness: while a backend server was down its link did not listen, and another soak in the same process got the link's port from the system. Gateways of the one then reached the servers of the other. (Two trials that reserved the port by a bound socket failed: without SO_REUSEADDR closed connections hold the port for a minute, with it others share it.)

Change: links take their ports from the range of the processes, below the ephemeral ones, and no address is given out twice. This also ends two starts at one probed port within a test process.

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -128,29 +125,6 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-const (
-	// firstPort and lastPort bound the ports of processes. They are below the range
-	// of ephemeral ports, any of which an outgoing connection may take meanwhile.
-	firstPort = 15000
-	lastPort  = 30000
-)
-
-// freeAddress returns a loopback address that has no listener now.
-func (deployment *Deployment) freeAddress() string {
-	for {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.N(lastPort-firstPort)))
-
-		listener, err := (&net.ListenConfig{}).Listen(deployment.T.Context(), "tcp", address)
-		if err != nil {
-			continue
-		}
-
-		require.NoError(deployment.T, listener.Close())
-
-		return address
-	}
-}
-
 // StartGateway starts a gateway and waits until it is ready.
 func (deployment *Deployment) StartGateway(name string) *Process {
 	gateway := deployment.LaunchGateway(name)
@@ -162,7 +136,7 @@
 // LaunchGateway starts a gateway without waiting for it. A restarted gateway keeps its
 // addresses.
 func (deployment *Deployment) LaunchGateway(name string) *Process {
-	gateway := &Process{Name: name, CallerAddress: deployment.freeAddress(), ReadyAddress: deployment.freeAddress(), OperationsAddress: deployment.freeAddress()}
+	gateway := &Process{Name: name, CallerAddress: freeAddress(deployment.T.Context()), ReadyAddress: freeAddress(deployment.T.Context()), OperationsAddress: freeAddress(deployment.T.Context())}
 	if previous := deployment.Gateways[name]; previous != nil {
 		gateway.CallerAddress, gateway.ReadyAddress, gateway.OperationsAddress, gateway.StoreLink = previous.CallerAddress, previous.ReadyAddress, previous.OperationsAddress, previous.StoreLink
 	} else {
@@ -171,7 +145,7 @@
 	}
 
 	gateway.start(deployment.T, deployment.Binary, "gateway", fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nOperations = %s\nSeeds = %s\n[Catalog]\nAddress = %s\n[Stop]\nBalancerLag = 500ms\n",
-		name, gateway.CallerAddress, gateway.ReadyAddress, deployment.freeAddress(), gateway.OperationsAddress, strings.Join(deployment.gatewaySeeds, ","), gateway.StoreLink.Address))
+		name, gateway.CallerAddress, gateway.ReadyAddress, freeAddress(deployment.T.Context()), gateway.OperationsAddress, strings.Join(deployment.gatewaySeeds, ","), gateway.StoreLink.Address))
 	deployment.Gateways[name] = gateway
 
 	return gateway
@@ -212,7 +186,7 @@
 	if previous := deployment.Holders[name]; previous != nil {
 		holder.OperationsAddress, holder.DataFolder, holder.StoreLink = previous.OperationsAddress, previous.DataFolder, previous.StoreLink
 	} else {
-		holder.OperationsAddress, holder.DataFolder, holder.StoreLink = deployment.freeAddress(), deployment.T.TempDir(), deployment.StartLink(deployment.storeAddress)
+		holder.OperationsAddress, holder.DataFolder, holder.StoreLink = freeAddress(deployment.T.Context()), deployment.T.TempDir(), deployment.StartLink(deployment.storeAddress)
 	}
 
 	holder.start(deployment.T, deployment.Binary, "holder", fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nOperations = %s\n[Catalog]\nAddress = %s\n[Data]\nFolder = %s\n",
--- a/deployer/link.go
+++ b/deployer/link.go
@@ -43,7 +43,7 @@
 
 // NewLink starts a link that runs until the context ends.
 func NewLink(ctx context.Context, target string) (*Link, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", freeAddress(ctx))
 	if err != nil {
 		return nil, errors.Annotate(err, "starting a link")
 	}
@@ -83,7 +83,6 @@
 	}
 
 	for {
-		// Another process may use the port for a moment.
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", link.Address)
 		if err == nil {
 			link.mutex.Lock()
@@ -95,6 +94,7 @@
 			return true
 		}
 
+		// Another process may look for a free port there at this moment.
 		if !kernel.Pause(ctx, relistenPause) {
 			return false
 		}
