--- a/batcher/quarantine.go
+++ b/batcher/quarantine.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/bookkeeper"
+	"limpetrail/kernel"
 	"limpetrail/quarantiner"
 	"limpetrail/retrier"
 )
@@ -68,7 +69,7 @@
 // postpone sets when it is checked again whether an item may run. The mutex must be held.
 func (batcher *Batcher) postpone(active *activeJob, pending *task, block quarantiner.Block) {
 	pending.checked = pending.checked || block.Quarantined
-	pending.notBefore = earliest(time.Now().Add(min(block.RetryAfter, quarantineRecheck)), active.job.GiveUp)
+	pending.notBefore = kernel.Earliest(time.Now().Add(min(block.RetryAfter, quarantineRecheck)), active.job.GiveUp)
 
 	if block.Quarantined && pending.quarantinedPart != block.Part {
 		pending.quarantinedPart = block.Part
@@ -76,14 +77,6 @@
 	}
 }
 
-func earliest(one, other time.Time) time.Time {
-	if one.Before(other) {
-		return one
-	}
-
-	return other
-}
-
 // recordServerEnd counts a backend server that ended before it began to answer the item.
 // If no part of the prompt is known to be the cause, further attempts are delayed after
 // several. The mutex must be held.
@@ -99,5 +92,5 @@
 		pause = min(2*pause, maxServerEndPause)
 	}
 
-	pending.notBefore = earliest(time.Now().Add(retrier.AddJitter(pause)), active.job.GiveUp)
+	pending.notBefore = kernel.Earliest(time.Now().Add(retrier.AddJitter(pause)), active.job.GiveUp)
 }
--- /dev/null
+++ b/kernel/earliest.go
@@ -0,0 +1,12 @@
+package kernel
+
+import "time"
+
+// Earliest returns the earlier of two times.
+func Earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+
+	return other
+}
--- a/quarantiner/admission.go
+++ b/quarantiner/admission.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"limpetrail/kernel"
 )
 
 const (
@@ -47,7 +49,7 @@
 
 		turn := quarantiner.turn(suspect, now)
 		if request.Waiting {
-			turn = earliest(turn, suspect.quietReleaseAt().Add(quarantiner.turnDelay(suspect)))
+			turn = kernel.Earliest(turn, suspect.quietReleaseAt().Add(quarantiner.turnDelay(suspect)))
 		}
 
 		wait := max(turn.Sub(now), suspect.trialUnderWay().Sub(now))
@@ -121,14 +123,6 @@
 	return time.Duration(before) * trialStagger
 }
 
-func earliest(one, other time.Time) time.Time {
-	if one.Before(other) {
-		return one
-	}
-
-	return other
-}
-
 // rankOf orders the entries for a subject by rendezvous hashing.
 func rankOf(entry string, subject Subject) uint64 {
 	hash := fnv.New64a()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -15,6 +15,7 @@
 // other entries observed.
 type Quarantiner struct {
 	kernel.Common
+	// Liveness is nil where sidecars tell which servers have ended.
 	Liveness Liveness
 	// Peers returns the names of the other entries that share their evidence now.
 	Peers func() []string
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -26,8 +26,8 @@
 }
 
 // Begin records that the server has begun to answer, or has answered as a whole, with
-// success: a request that fails may not have come to the point at which it ends servers. The parts
-// of the prompt have ended none of the servers that they are suspected of.
+// success: a request that fails may not have come to the point at which it ends servers. The
+// parts of the prompt have ended none of the servers that they are suspected of.
 func (run *Run) Begin() {
 	if run.begun {
 		return
