--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -5,9 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -62,12 +60,6 @@
 	SlowFactor int
 }
 
-// DeadlyRun is the run of a request whose prompt holds a deadly part.
-type DeadlyRun struct {
-	RequestID string
-	At        time.Time
-}
-
 // EventServer emulates a backend server that answers with events, or with a plain body
 // if EventCount is 0. It runs up to Places requests at once and queues the others.
 type EventServer struct {
@@ -134,15 +126,6 @@
 	server.faults = faults
 }
 
-// SetDeadlyParts sets the prompt parts that end the server's process when it begins to
-// answer a request that holds one of them.
-func (server *EventServer) SetDeadlyParts(parts ...string) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-
-	server.deadlyParts = parts
-}
-
 func (server *EventServer) isLeaving() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
@@ -277,45 +260,6 @@
 	server.writeEvents(writer, request, faults, after)
 }
 
-// DeadlyRuns returns the runs of requests with a deadly part.
-func (server *EventServer) DeadlyRuns() []DeadlyRun {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-
-	return slices.Clone(server.deadlyRuns)
-}
-
-func (server *EventServer) isDeadly(request *http.Request) bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-
-	for entry := range strings.SplitSeq(request.Header.Get(server.Headers.PromptParts), ",") {
-		part, _, _ := strings.Cut(entry, ":")
-		if slices.Contains(server.deadlyParts, part) {
-			return true
-		}
-	}
-
-	return false
-}
-
-// crash sends the head of an answer and ends the process where the first event is due.
-func (server *EventServer) crash(writer http.ResponseWriter, request *http.Request, faults EventFaults) {
-	server.mutex.Lock()
-	server.deadlyRuns = append(server.deadlyRuns, DeadlyRun{RequestID: request.Header.Get(server.Headers.RequestID), At: time.Now()})
-	server.mutex.Unlock()
-
-	writer.Header().Set("Content-Type", "text/event-stream")
-
-	_ = http.NewResponseController(writer).Flush()
-
-	if pauseFor(request, server.slowedDuration(faults, server.FirstEventDelay)) && server.Crash != nil {
-		server.Crash()
-	}
-
-	panic(http.ErrAbortHandler)
-}
-
 func (server *EventServer) writeEvents(writer http.ResponseWriter, request *http.Request, faults EventFaults, after int) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 
@@ -347,21 +291,6 @@
 	}
 }
 
-// breakOff ends an answer before the event with the number.
-func (server *EventServer) breakOff(writer http.ResponseWriter, faults EventFaults, number int) {
-	if faults.BreakMidEvent {
-		fmt.Fprintf(writer, "id: %d\nda", number)
-
-		_ = http.NewResponseController(writer).Flush()
-	}
-
-	if faults.EndProcess && server.Crash != nil {
-		server.Crash()
-	}
-
-	panic(http.ErrAbortHandler)
-}
-
 // writeSlowly sends one byte of an event per interval, and never its end, until the
 // caller closes the connection.
 func writeSlowly(writer http.ResponseWriter, request *http.Request, interval time.Duration) {
