--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"limpetrail/keeper"
 	"limpetrail/kernel"
@@ -73,6 +74,8 @@
 	removed     map[string]time.Time
 	revision    keeper.Revision
 	watchFailed bool
+	// syncedAt is when the last answer of the service arrived; zero if there was none.
+	syncedAt time.Time
 }
 
 // NewFollower returns a follower that passes its copies to apply.
@@ -186,6 +189,7 @@
 	}
 
 	follower.revision = listing.revision
+	follower.syncedAt = time.Now()
 	follower.recordSynced()
 	follower.publish()
 }
@@ -211,6 +215,7 @@
 	}
 
 	follower.revision = max(follower.revision, changes.Revision)
+	follower.syncedAt = time.Now()
 	follower.recordSynced()
 
 	if follower.dropExpired() || len(changes.Events) > 0 {
@@ -291,6 +296,9 @@
 	}
 
 	follower.removed[name] = time.Now().Add(delay)
+	follower.Log.WithFields(logrus.Fields{
+		"Prefix": follower.Prefix, "Key": name, "Revision": follower.revision, "Delay": delay, "SinceAnswer": time.Since(follower.syncedAt),
+	}).Info("Key was removed; it leaves the copy after a delay.")
 }
 
 // dropExpired deletes the removed keys whose delay is over, and tells whether there
@@ -302,6 +310,9 @@
 		if !time.Now().Before(expiry) {
 			delete(follower.removed, name)
 			delete(follower.current, name)
+			follower.Log.WithFields(logrus.Fields{
+				"Prefix": follower.Prefix, "Key": name, "Late": time.Since(expiry),
+			}).Info("Removed key left the copy.")
 
 			dropped = true
 		}
