Drop removed backend servers within the bound, whether the service answers or not

Callers' requests reached servers whose record had been removed longer ago than the platform allows (drainMs). Cause: the follower's delay of removals was fixed, 1.2 s, or 2 s after any failed call to the service, and counted from the moment the removal was seen. Its end waited for the next successful watch: 9 of 84 removals were dropped more than 0.1 s late, the last 1.55 s. After a cut the delay began at the first answer, up to 1.5 s after the way was back, and lasted 2 s of the 3 s in which the instance is excused.

Ruled out: requests that wait for a connection (they ask once more before the write); a copy from another process that cancels a pending removal (it is only taken while there is no copy).

Change: the delay ends by the bound less the longest time that the removal may be old, which is the time between the previous answer and the call that was answered. It ends by a timer of its own, also while calls hang or fail. The longer delay follows an outage (the breaker was open), no single failure, and ends RejoinWithin after the last call that failed in it began. The bounds come from the settings (DropRemoved from drainMs, NoticeSilence from contactMs).

--- a/app/gateway_followers.go
+++ b/app/gateway_followers.go
@@ -20,12 +20,13 @@
 	fallback, share := follower.WithFallback(gateway.Relay.Copy), follower.WithShare(gateway.Sharer.Share)
 	watchWait := max(minWatchWait, gateway.Settings.Follow.NoticeSilence-watchSilenceMargin)
 	longWatches := follower.WithLongWatches(gateway.longWatchesAllowed)
+	serverBounds := follower.RemovalBounds{DropWithin: gateway.Settings.Follow.DropRemoved, RejoinWithin: gateway.Settings.Follow.NoticeSilence}
 	gateway.followersByPrefix = map[string]*follower.Follower{}
 
 	for _, prefixFollower := range []*follower.Follower{
 		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, fallback, share, follower.WithWatchWait(watchWait), longWatches),
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, fallback, share, follower.WithRemovalDelay(), follower.WithWatchWait(watchWait), longWatches, gateway.pauseByFleetSize(serversPause, maxServersPause)),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.MembersPrefix, gateway.applyMembers, fallback, share, follower.WithRemovalDelay(), follower.WithWatchWait(membersWatchWait), longWatches, gateway.pauseByFleetSize(0, maxMembersPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, fallback, share, follower.WithRemovalDelay(serverBounds), follower.WithWatchWait(watchWait), longWatches, gateway.pauseByFleetSize(serversPause, maxServersPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.MembersPrefix, gateway.applyMembers, fallback, share, follower.WithRemovalDelay(follower.RemovalBounds{}), follower.WithWatchWait(membersWatchWait), longWatches, gateway.pauseByFleetSize(0, maxMembersPause)),
 		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithWatchWait(watchWait), gateway.pauseByFleetSize(headsPause, maxHeadsPause)),
 	} {
 		gateway.followersByPrefix[prefixFollower.Prefix] = prefixFollower
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -175,7 +175,7 @@
 
 		jobBatcher.SetMembers(live, memberFollower.SyncedRevision())
 		memberRegistrar.CheckEntry(members)
-	}, pauseOption, follower.WithRemovalDelay())
+	}, pauseOption, follower.WithRemovalDelay(follower.RemovalBounds{}))
 
 	for _, keyFollower := range []*follower.Follower{
 		memberFollower, follower.NewFollower(common, client, bookkeeper.PrefixHeads, jobBatcher.SetHeads, pauseOption),
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -21,16 +21,6 @@
 	watchWait = 4 * time.Second
 	// retryPause is the mean pause after a failed call.
 	retryPause = 250 * time.Millisecond
-	// removalDelay is how long a removed key stays in the copy. Keys whose lease
-	// expires during an outage of the service are written again within two seconds of
-	// its end.
-	removalDelay = 1200 * time.Millisecond
-	// outageRemovalDelay replaces removalDelay while the last failure of the service is
-	// more recent than this.
-	outageRemovalDelay = 2 * time.Second
-	// minExpiryWait is the shortest wait of a watch that is shortened to end when the
-	// removal delay of a key ends.
-	minExpiryWait = 10 * time.Millisecond
 )
 
 // Copy holds the items below a prefix, by key without the prefix.
@@ -41,8 +31,10 @@
 	kernel.Common
 	Client *keeper.CatalogClient
 	Prefix string
-	// DelayRemovals tells whether removed keys stay in the copy for a short time.
+	// DelayRemovals tells whether removed keys stay in the copy for a short time, within
+	// RemovalBounds.
 	DelayRemovals bool
+	RemovalBounds RemovalBounds
 	// Pause returns how long to pause before each watch, so that one answer carries
 	// more changes; nil for no pause.
 	Pause func() time.Duration
@@ -147,6 +139,8 @@
 
 	for {
 		select {
+		case <-follower.nextExpiry():
+			follower.publishExpired()
 		case page, found := <-fallback:
 			if found {
 				follower.applyFallback(page)
@@ -182,49 +176,93 @@
 		follower.put(item)
 	}
 
+	age := time.Since(follower.syncedAt)
+
 	for name := range follower.current {
 		if !present[name] {
-			follower.remove(name)
+			follower.remove(name, age)
 		}
 	}
 
 	follower.revision = listing.revision
 	follower.syncedAt = time.Now()
 	follower.recordSynced()
+	follower.dropExpired()
 	follower.publish()
 }
 
 func (follower *Follower) watch(ctx context.Context) error {
 	if follower.Pause != nil {
-		kernel.Pause(ctx, follower.Pause())
+		follower.pause(ctx, follower.Pause())
 	}
 
-	changes, err := follower.watchOnce(ctx)
+	var (
+		changes keeper.Changes
+		err     error
+	)
+
+	follower.dropExpiredDuring(func() { changes, err = follower.watchOnce(ctx) })
+
 	if err != nil {
 		return errors.Trace(err)
 	}
 
+	// A change that came while the watch waited was answered at once, so an older one came
+	// before the service was asked.
+	age := changes.Asked.Sub(follower.syncedAt)
+
 	for _, event := range changes.Events {
 		storeMax(&follower.progress.newest, uint64(event.Revision))
 
 		if event.Deleted {
-			follower.remove(event.Key[len(follower.Prefix):])
+			follower.remove(event.Key[len(follower.Prefix):], age)
 		} else {
 			follower.put(event.Item)
 		}
 	}
 
 	follower.revision = max(follower.revision, changes.Revision)
-	follower.syncedAt = time.Now()
+
+	// A long watch that was ended here was not answered.
+	if !changes.Asked.IsZero() {
+		follower.syncedAt = time.Now()
+	}
+
 	follower.recordSynced()
 
-	if follower.dropExpired() || len(changes.Events) > 0 {
+	if expired := follower.dropExpired(); expired || len(changes.Events) > 0 {
 		follower.publish()
 	}
 
 	return nil
 }
 
+// pause waits for the duration, unless the context ends before.
+func (follower *Follower) pause(ctx context.Context, duration time.Duration) {
+	follower.dropExpiredDuring(func() { kernel.Pause(ctx, duration) })
+}
+
+// dropExpiredDuring makes a call that takes a while and drops removed keys from the copy
+// meanwhile, whether the service answers or not.
+func (follower *Follower) dropExpiredDuring(call func()) {
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		call()
+	}()
+
+	for {
+		select {
+		case <-done:
+			return
+		case <-follower.nextExpiry():
+			follower.publishExpired()
+		}
+	}
+}
+
 // watchOnce makes one watch call. A long watch that superviseLongWatch cancels returns
 // no changes and no error, so that the caller watches again.
 func (follower *Follower) watchOnce(ctx context.Context) (keeper.Changes, error) {
@@ -247,19 +285,13 @@
 	return changes, errors.Trace(err)
 }
 
-// nextWait returns how long the next watch may wait: at most until the first removal
-// delay ends.
+// nextWait returns how long the next watch may wait.
 func (follower *Follower) nextWait() time.Duration {
-	wait := follower.WatchWait
 	if follower.LongWatchesAllowed != nil && follower.LongWatchesAllowed() {
-		wait = max(wait, longWatchWait)
+		return max(follower.WatchWait, longWatchWait)
 	}
 
-	for _, expiry := range follower.removed {
-		wait = min(wait, max(minExpiryWait, time.Until(expiry)))
-	}
-
-	return wait
+	return follower.WatchWait
 }
 
 // put adds or replaces an item, unless the copy has a newer revision of it.
@@ -275,7 +307,9 @@
 	delete(follower.removed, name)
 }
 
-func (follower *Follower) remove(name string) {
+// remove drops a key from the copy, or does so after a delay. Age is the longest time that
+// may have passed since the key's removal.
+func (follower *Follower) remove(name string, age time.Duration) {
 	if _, found := follower.current[name]; !found {
 		return
 	}
@@ -290,17 +324,31 @@
 		return
 	}
 
-	delay := removalDelay
-	if follower.Client.FailedWithin(outageRemovalDelay) {
-		delay = outageRemovalDelay
-	}
-
-	follower.removed[name] = time.Now().Add(delay)
+	now, outage := time.Now(), follower.Client.Outage()
+	expiry := follower.RemovalBounds.expiry(now, age, outage)
+	follower.removed[name] = expiry
 	follower.Log.WithFields(logrus.Fields{
-		"Prefix": follower.Prefix, "Key": name, "Revision": follower.revision, "Delay": delay, "SinceAnswer": time.Since(follower.syncedAt),
+		"Prefix": follower.Prefix, "Key": name, "Revision": follower.revision, "Delay": expiry.Sub(now), "MaxAge": age, "LastFailure": outage.LastFailure, "Available": outage.End,
 	}).Info("Key was removed; it leaves the copy after a delay.")
 }
 
+// nextExpiry returns a channel that receives when the next removed key must leave the copy;
+// nil if there is none.
+func (follower *Follower) nextExpiry() <-chan time.Time {
+	if len(follower.removed) == 0 {
+		return nil
+	}
+
+	return time.After(time.Until(slices.MinFunc(slices.Collect(maps.Values(follower.removed)), time.Time.Compare)))
+}
+
+// publishExpired publishes the copy if removed keys have left it.
+func (follower *Follower) publishExpired() {
+	if follower.dropExpired() {
+		follower.publish()
+	}
+}
+
 // dropExpired deletes the removed keys whose delay is over, and tells whether there
 // were any.
 func (follower *Follower) dropExpired() bool {
@@ -384,7 +432,7 @@
 		follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Warn("Watch is lost; the last copy remains in use.")
 	}
 
-	kernel.Pause(ctx, retryPause/2+rand.N(retryPause))
+	follower.pause(ctx, retryPause/2+rand.N(retryPause))
 }
 
 func (follower *Follower) reportRecovery() {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -57,9 +57,18 @@
 func runWithFollower(t *testing.T, run func(fixture *fixture), options ...follower.Option) {
 	t.Helper()
 
+	runWithView(t, func(fixture *fixture) keeper.Catalog {
+		return silentCatalog{Catalog: fixture.catalog, loseAnswer: &fixture.loseAnswer}
+	}, run, options...)
+}
+
+// runWithView does the same with a follower that sees the fixture's catalog through view.
+func runWithView(t *testing.T, view func(fixture *fixture) keeper.Catalog, run func(fixture *fixture), options ...follower.Option) {
+	t.Helper()
+
 	synctest.Test(t, func(t *testing.T) {
 		fixture := &fixture{t: t, catalog: emulator.NewCatalog()}
-		client := keeper.NewCatalogClient(kernel.NewDiscardCommon("entry"), silentCatalog{Catalog: fixture.catalog, loseAnswer: &fixture.loseAnswer}, loader.DefaultGateway().Calls)
+		client := keeper.NewCatalogClient(kernel.NewDiscardCommon("entry"), view(fixture), loader.DefaultGateway().Calls)
 		fixture.subject = follower.NewFollower(kernel.NewDiscardCommon("entry"), client, prefix, func(published follower.Copy) {
 			fixture.mutex.Lock()
 			defer fixture.mutex.Unlock()
@@ -147,7 +156,7 @@
 		fixture.catalog.Put(prefix+"a", nil)
 		time.Sleep(3 * time.Second)
 		fixture.expect("a")
-	}, follower.WithRemovalDelay(), follower.WithWatchWait(shortWatchWait))
+	}, follower.WithRemovalDelay(removalBounds), follower.WithWatchWait(shortWatchWait))
 }
 
 // Without a recent outage, a removal takes effect within the platform's two seconds.
@@ -159,7 +168,7 @@
 		fixture.expect("a", "b")
 		time.Sleep(900 * time.Millisecond)
 		fixture.expect("b")
-	}, follower.WithRemovalDelay(), follower.WithWatchWait(shortWatchWait))
+	}, follower.WithRemovalDelay(removalBounds), follower.WithWatchWait(shortWatchWait))
 }
 
 // Delaying a removal makes one call for each change and one when the delay ends.
@@ -173,7 +182,7 @@
 		time.Sleep(1900 * time.Millisecond)
 		fixture.expect("b")
 		require.LessOrEqual(t, fixture.catalog.CallCount("Watch")-callsBefore, 3)
-	}, follower.WithRemovalDelay(), follower.WithWatchWait(shortWatchWait))
+	}, follower.WithRemovalDelay(removalBounds), follower.WithWatchWait(shortWatchWait))
 }
 
 // A process that starts while the service is unavailable uses another process's copy,
--- a/follower/options.go
+++ b/follower/options.go
@@ -11,9 +11,9 @@
 type Option func(*Follower)
 
 // WithRemovalDelay keeps removed keys for a short time, since keys whose lease expired
-// during an outage are written again soon after it.
-func WithRemovalDelay() Option {
-	return func(follower *Follower) { follower.DelayRemovals = true }
+// during an outage are written again soon after it. The bounds limit that time.
+func WithRemovalDelay(bounds RemovalBounds) Option {
+	return func(follower *Follower) { follower.DelayRemovals, follower.RemovalBounds = true, bounds }
 }
 
 // WithPauseBeforeWatch pauses before each watch, so that one answer carries more
--- a/keeper/catalog.go
+++ b/keeper/catalog.go
@@ -44,6 +44,9 @@
 	Events []Change
 	// Revision is the revision from which the next watch continues.
 	Revision Revision
+	// Asked is when a CatalogClient began the call that was answered. A watch that failed
+	// before it was repeated in another way began earlier.
+	Asked time.Time
 }
 
 // Condition holds if the key is at the revision; 0 means that it is absent.
--- a/keeper/catalog_client.go
+++ b/keeper/catalog_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 	// call has failed.
 	lastFailure atomic.Int64
 	started     time.Time
+
+	outageMutex sync.Mutex
+	outage      Outage
 }
 
 var _ Catalog = (*CatalogClient)(nil)
@@ -77,6 +81,14 @@
 	return failure != 0 && time.Since(client.started)-time.Duration(failure) < duration
 }
 
+// Outage returns the last outage of the direct way to the service. Single failures are none.
+func (client *CatalogClient) Outage() Outage {
+	client.outageMutex.Lock()
+	defer client.outageMutex.Unlock()
+
+	return client.outage
+}
+
 // Get implements Catalog.
 func (client *CatalogClient) Get(ctx context.Context, key string) (Item, error) {
 	return callWithFallback(ctx, client, client.Settings.CallTimeout, func(ctx context.Context, catalog Catalog) (Item, error) {
@@ -120,7 +132,11 @@
 // Watch implements Catalog.
 func (client *CatalogClient) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
 	return callWithFallback(ctx, client, wait+watchDeadlineSlack, func(ctx context.Context, catalog Catalog) (Changes, error) {
-		return catalog.Watch(ctx, prefix, after, wait)
+		asked := time.Now()
+		changes, err := catalog.Watch(ctx, prefix, after, wait)
+		changes.Asked = asked
+
+		return changes, errors.Trace(err)
 	})
 }
 
@@ -214,10 +230,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
+	began := time.Now()
 	result, err := call(callCtx, catalog)
 	// An error after the caller has cancelled says nothing about the service.
 	if err == nil || ctx.Err() == nil || isServiceAnswer(err) {
-		client.recordResult(breaker, err)
+		client.recordResult(breaker, began, err)
 	}
 
 	return result, errors.Trace(err)
@@ -245,14 +262,19 @@
 	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrLeaseEnded)
 }
 
-func (client *CatalogClient) recordResult(breaker *Breaker, err error) {
+func (client *CatalogClient) recordResult(breaker *Breaker, began time.Time, err error) {
 	succeeded := err == nil || isServiceAnswer(err)
 	if !succeeded {
 		client.lastFailure.Store(max(1, int64(time.Since(client.started))))
 		client.Metrics.Counter("failed_calls").Inc(1)
 	}
 
-	if !breaker.RecordResult(succeeded) {
+	changed := breaker.RecordResult(succeeded)
+	if breaker == client.Breaker {
+		client.recordOutage(succeeded, changed, began)
+	}
+
+	if !changed {
 		return
 	}
 
@@ -265,3 +287,17 @@
 
 	entry.WithFields(logrus.Fields{"Error": err, "Failures": breaker.FailureThreshold}).Warn("Calls to the key-value service keep failing; its circuit breaker opened.")
 }
+
+// recordOutage records the result of a direct call, and whether it opened or closed the
+// breaker.
+func (client *CatalogClient) recordOutage(succeeded, changed bool, began time.Time) {
+	client.outageMutex.Lock()
+	defer client.outageMutex.Unlock()
+
+	switch {
+	case succeeded && changed:
+		client.outage.End = time.Now()
+	case !succeeded && client.Breaker.IsOpen():
+		client.outage.recordFailure(began)
+	}
+}
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -47,6 +47,9 @@
 	// NoticeSilence is the time within which a dead connection to the catalog is
 	// detected. Shorter times cost more calls.
 	NoticeSilence time.Duration
+	// DropRemoved is the time within which a backend server that has left the catalog's list,
+	// or has announced there that it will, must get no further requests.
+	DropRemoved time.Duration
 }
 
 // Memory limits the memory of the process.
@@ -102,6 +105,8 @@
 	defaultGrace       = 8 * time.Second
 	// defaultNoticeSilence is the shortest time that a platform has asked for.
 	defaultNoticeSilence = 3 * time.Second
+	// defaultDropRemoved is the shortest time that a platform has asked for.
+	defaultDropRemoved = 2 * time.Second
 	// gatewayCallTimeout is many times the catalog's usual latency of 4 ms, and
 	// shorter than the time that a caller waits for a job to be accepted.
 	gatewayCallTimeout = time.Second
@@ -118,7 +123,7 @@
 	return Gateway{
 		Catalog: PlatformService{Adapter: "platform"},
 		Calls:   gatewayCallSettings(),
-		Follow:  Follow{NoticeSilence: defaultNoticeSilence},
+		Follow:  Follow{NoticeSilence: defaultNoticeSilence, DropRemoved: defaultDropRemoved},
 		Answers: exchanger.DefaultLimits(),
 		Jobs:    batcher.DefaultSettings(),
 		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
