--- a/keeper/catalog_client.go
+++ b/keeper/catalog_client.go
@@ -298,6 +298,6 @@
 	case succeeded && changed:
 		client.outage.End = time.Now()
 	case !succeeded && client.Breaker.IsOpen():
-		client.outage.recordFailure(began)
+		client.outage = client.outage.withFailure(began)
 	}
 }
--- a/keeper/outage.go
+++ b/keeper/outage.go
@@ -16,13 +16,12 @@
 	return outage.LastFailure.IsZero() || !outage.End.IsZero() && outage.End.Before(moment)
 }
 
-// recordFailure extends the outage by a call that began at that time and failed.
-func (outage *Outage) recordFailure(began time.Time) {
-	if !outage.End.IsZero() {
-		*outage = Outage{}
+// withFailure returns the outage with a further call that began at that time and failed. An
+// outage that has ended is replaced by a new one.
+func (outage Outage) withFailure(began time.Time) Outage {
+	if !outage.End.IsZero() || began.After(outage.LastFailure) {
+		return Outage{LastFailure: began}
 	}
 
-	if began.After(outage.LastFailure) {
-		outage.LastFailure = began
-	}
+	return outage
 }
