Log the limits that backend servers name, and report them to the other entries

Ruled out: holding to it in this commit; where a call goes is decided as before.

Change: the answer's Server-Limit is decoded in platform/ into throttler.Statement, recorded in the placer with the server's start, and told to the other entries with the load reports for 1.5 s after each answer. One line for each change of a limit. A value that is no number is logged and says nothing: the previous limit holds.

--- a/batcher/run.go
+++ b/batcher/run.go
@@ -233,9 +233,7 @@
 		return batcher.observeFailure(ctx, grant, run, err)
 	}
 
-	if reply.Leaving {
-		grant.RecordDeparture(pending.item.ID)
-	}
+	reply.RecordAnnouncements(grant, pending.item.ID)
 
 	switch reply.Kind {
 	case forwarder.Full:
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -7,6 +7,7 @@
 
 	"limpetrail/exchanger"
 	"limpetrail/placer"
+	"limpetrail/throttler"
 )
 
 // Attempt holds the parameters of sending a call to one backend server.
@@ -53,6 +54,20 @@
 	Answer *exchanger.Answer
 	// Leaving is true if the server announced that it is shutting down.
 	Leaving bool
+	// Statement is what the server says of the requests that it takes; nil if the answer
+	// says nothing of it that can be relied on.
+	Statement *throttler.Statement
+}
+
+// RecordAnnouncements records what the answer to a request says of the server itself.
+func (reply Reply) RecordAnnouncements(grant *placer.Grant, requestID string) {
+	if reply.Leaving {
+		grant.RecordDeparture(requestID)
+	}
+
+	if reply.Statement != nil {
+		grant.RecordStatement(*reply.Statement, requestID)
+	}
 }
 
 // Backend sends calls to backend servers in their protocol. Its errors are of the
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -164,9 +164,7 @@
 		return delivery.handleFailure(ctx, grant, err, lastAttempt)
 	}
 
-	if reply.Leaving {
-		grant.RecordDeparture(delivery.call.ID)
-	}
+	reply.RecordAnnouncements(grant, delivery.call.ID)
 
 	switch reply.Kind {
 	case Full, Misdirected:
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -46,6 +46,8 @@
 	Loads       map[string]placer.Load
 	// Departures are the listed backend servers that announced that they are leaving.
 	Departures []placer.Departure `json:",omitempty"`
+	// Limits are what backend servers said to the entry lately of the requests that they take.
+	Limits []placer.ReportedLimit `json:",omitempty"`
 	// Marks holds the newest revision that the entry saw below each prefix of the
 	// key-value service.
 	Marks map[string]keeper.Revision `json:",omitempty"`
@@ -150,6 +152,7 @@
 		report.Number++
 		report.Loads = gossiper.Placer.OwnLoads()
 		report.Departures = gossiper.Placer.Departures()
+		report.Limits = gossiper.Placer.ReportedLimits()
 
 		if gossiper.NewestRevisions != nil {
 			report.Marks = gossiper.NewestRevisions()
@@ -249,6 +252,7 @@
 		}
 
 		gossiper.Placer.ApplyReport(report.Instance, report.DataCentre, report.Loads)
+		gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
 		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
 	}
 }
--- a/placer/grant.go
+++ b/placer/grant.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"limpetrail/throttler"
 )
 
 // Grant is the right to a place on a server until it is released.
@@ -43,6 +45,12 @@
 	grant.placer.MarkLeaving(grant.Server, "answer to "+requestID)
 }
 
+// RecordStatement records what the server said in its answer to a request of the requests that
+// it takes.
+func (grant *Grant) RecordStatement(statement throttler.Statement, requestID string) {
+	grant.placer.RecordStatement(grant.Server, statement, requestID)
+}
+
 // Withdrawn reports whether the server must get no new work. Requests that have started
 // there continue.
 func (grant *Grant) Withdrawn() bool {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,6 +28,8 @@
 	// departures holds the incarnations that announced that they are leaving, and when
 	// each was last listed.
 	departures map[Departure]time.Time
+	// limits holds what the servers said of the requests that they take, by start.
+	limits map[serverStart]*limit
 	// reports holds the latest reports of other entries by name, until they expire.
 	reports map[string]report
 	// listedPeers holds the data centres of the other entries that the platform lists, by
@@ -54,6 +56,7 @@
 		servers:              map[string]*serverState{},
 		services:             map[string]*service{},
 		departures:           map[Departure]time.Time{},
+		limits:               map[serverStart]*limit{},
 		reports:              map[string]report{},
 		loadChanged:          make(chan struct{}),
 		batchCapacityChanged: make(chan struct{}),
@@ -79,6 +82,7 @@
 		known := previous[server.ID]
 		if known == nil || known.Incarnation != server.Incarnation {
 			known = &serverState{grants: map[*Grant]bool{}, others: placer.reportedLoad(server.ID)}
+			known.limit = placer.limits[serverStart{id: server.ID, incarnation: server.Incarnation}]
 			placer.Log.WithFields(logrus.Fields{"BackendServer": server.ID, "Address": server.Address, "Service": server.Service}).Info("Backend server was listed for the first time or with a new incarnation.")
 		} else if server.Leaving && !known.Leaving {
 			placer.Log.WithField("BackendServer", server.ID).Info("Backend server is leaving.")
@@ -97,6 +101,7 @@
 	}
 
 	placer.pruneDepartures(time.Now())
+	placer.pruneLimits(time.Now())
 
 	for id := range previous {
 		if placer.servers[id] == nil {
--- a/placer/server.go
+++ b/placer/server.go
@@ -44,6 +44,9 @@
 	// preemptedAt is when this entry last preempted batch work on the server.
 	preemptedAt time.Time
 	health      health
+	// limit is what the server said of the requests that it takes; nil if it never named a
+	// limit.
+	limit *limit
 }
 
 func (server *serverState) totalOnline() int {
