Hold gateways to their shares of the limit that a backend server names

Callers of servers in need saw nothing; the servers got up to 34 requests in 4 s where they had named 2.7 a second. Cause: the placer weighs servers by what runs there, and no two gateways agreed on how many requests come in a second: each alone was below the limit, their sum was not. The class: a bound over all processes that each holds, if at all, against its own requests.

Ruled out: retries and items as the excess (first attempts alone exceed it; all are counted now, health checks too, since they all pass newGrant or SuspectServers).

Change: package throttler. Each entry may send its share, the limit divided among the entries that are listed or report; a limit too small for that is divided among the first in an order that all compute alike, half a request a second at least. Two seconds of it may be saved up, so that 4 s see at most 4 + 2 = 6 times the limit, one and a half times 4. Statements go out with the reports of load, with their age, and belong to the server's start. Work that finds no server with a place and a share waits or is refused at once, with the time until the next one; the pacer counts what the limits allow. Entries without a share ask after 5 s of silence.

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -14,6 +14,7 @@
 	"limpetrail/kernel"
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
+	"limpetrail/throttler"
 )
 
 // freePort returns a loopback address that nobody listens at now.
@@ -174,6 +175,22 @@
 	require.Eventually(t, func() bool { return receiver.Status()[0].Leaving }, 5*time.Second, time.Millisecond)
 }
 
+// Reports carry the limits that servers name.
+func TestLimitsReachPeers(t *testing.T) {
+	addresses := []string{freePort(t), freePort(t)}
+	first, observer := newEntry(t, "a", addresses[0])
+	second, receiver := newEntry(t, "b", addresses[1])
+
+	first.SetPeers(map[string]string{"b": addresses[1]})
+	second.SetPeers(map[string]string{"a": addresses[0]})
+
+	require.Eventually(t, func() bool {
+		observer.RecordStatement(placer.Server{ID: "x"}, throttler.Statement{Limited: true, PerSecond: 2.5}, "r-1")
+
+		return receiver.Status()[0].Limited && receiver.Status()[0].PerSecond == 2.5
+	}, 5*time.Second, time.Millisecond)
+}
+
 // Reports carry what an entry found out about prompt parts, and from whom it comes.
 func TestFindingsReachPeers(t *testing.T) {
 	addresses := []string{freePort(t), freePort(t)}
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -26,6 +26,9 @@
 	// Runs is how many runs end for this entry, each of the length RunDuration.
 	Runs        int
 	RunDuration time.Duration
+	// AllowedPerSecond is how many requests a second this entry may send to the servers that
+	// name a limit.
+	AllowedPerSecond float64
 }
 
 // Pacer assigns retry times to the refused callers of a service at one entry. It spaces them
@@ -63,7 +66,13 @@
 
 // interval returns the time between two retrying callers.
 func (pacer *Pacer) interval(now time.Time, load ServiceLoad) time.Duration {
-	freed := float64(max(1, load.Runs)) / max(load.RunDuration, time.Millisecond).Seconds()
+	runDuration := max(load.RunDuration, time.Millisecond).Seconds()
+
+	freed := float64(load.Runs)/runDuration + load.AllowedPerSecond
+	if freed == 0 {
+		freed = 1 / runDuration
+	}
+
 	forRetries := max(minRetryShare*freed, freed-pacer.arrivals.rate(now))
 
 	return time.Duration(float64(time.Second) / forRetries)
--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -60,7 +60,7 @@
 // many of their places are free is unknown here.
 func (chooser chooser) chooseFree(servers []*serverState, ownerSilent bool) *serverState {
 	return cheapest(servers, func(server *serverState) (float64, bool) {
-		return chooser.cost(server), chooser.isCandidate(server) && server.ownerSilent == ownerSilent && server.free() > 0
+		return chooser.cost(server), chooser.canSend(server) && server.ownerSilent == ownerSilent && server.free() > 0
 	})
 }
 
@@ -69,14 +69,14 @@
 // entry as soon as it gets the report of the new run.
 func (chooser chooser) choosePreemptible(servers []*serverState) *serverState {
 	own := cheapest(servers, func(server *serverState) (float64, bool) {
-		return chooser.cost(server), chooser.isCandidate(server) && len(server.grants) > 0 && server.totalOnline() < server.Places
+		return chooser.cost(server), chooser.canSend(server) && len(server.grants) > 0 && server.totalOnline() < server.Places
 	})
 	if own != nil {
 		return own
 	}
 
 	return cheapest(servers, func(server *serverState) (float64, bool) {
-		return float64(server.totalOnline()), chooser.isCandidate(server) && server.others.Batch > 0 && server.totalOnline() < server.Places
+		return float64(server.totalOnline()), chooser.canSend(server) && server.others.Batch > 0 && server.totalOnline() < server.Places
 	})
 }
 
@@ -89,6 +89,11 @@
 	return server.usable(chooser.now) && !slices.Contains(chooser.work.Exclude, server.ID)
 }
 
+// canSend reports whether the server can take the work and its limit allows a request now.
+func (chooser chooser) canSend(server *serverState) bool {
+	return chooser.isCandidate(server) && server.wait(chooser.now) == 0
+}
+
 func (chooser chooser) cost(server *serverState) float64 {
 	cost := float64(server.total()) + failurePenalty*server.health.failureShare
 
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -95,6 +95,8 @@
 
 	if server := placer.servers[start.id]; server != nil && server.Incarnation == start.incarnation {
 		server.limit = known
+		placer.shareLimit(server, placer.owners())
+
 		fields["Own"], fields["Others"] = server.own.Total(), server.others.Total()
 	}
 
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -47,15 +47,18 @@
 	return float64(suspects) >= maxSuspectShare*float64(len(servers))
 }
 
-// SuspectServers returns the servers that need a health check.
+// SuspectServers returns the servers that need a health check, which counts as a request for
+// those that name a limit.
 func (placer *Placer) SuspectServers() []Server {
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	suspects := []Server{}
+	suspects, now := []Server{}, time.Now()
 
 	for _, server := range placer.servers {
-		if server.health.suspect() && !server.Leaving {
+		if server.health.suspect() && !server.Leaving && server.wait(now) == 0 {
+			server.take(now)
+
 			suspects = append(suspects, server.Server)
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -237,10 +237,10 @@
 	}
 
 	decision.QueuedAhead = service.queue.ahead(work.Priority)
-	decision.ExpectedWait = service.estimateWait(now, decision.QueuedAhead, placer.shareOfRuns(service))
+	decision.ExpectedWait = placer.expectedWait(service, work, now, decision.QueuedAhead)
 
 	if decision.ExpectedWait > work.MaxWait {
-		placer.refuse(service, &decision)
+		placer.refuse(service, work, &decision)
 		placer.mutex.Unlock()
 
 		return decision
@@ -248,17 +248,20 @@
 
 	queued := &queuedWork{work: work, arrived: now, granted: make(chan *Grant, 1)}
 	service.queue.add(queued)
+	placer.wakeQueue(service, now)
 	placer.mutex.Unlock()
 
 	return placer.waitForGrant(ctx, queued, decision)
 }
 
-// HasCandidate reports whether some server can take the work, now or later.
+// HasCandidate reports whether some server can take the work as soon as it has a free place.
 func (placer *Placer) HasCandidate(work Work) bool {
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
-	return placer.newChooser(work).anyCandidate(placer.service(work.Service).servers)
+	chooser := placer.newChooser(work)
+
+	return slices.ContainsFunc(placer.service(work.Service).servers, chooser.canSend)
 }
 
 // waitForGrant waits for the grant of queued work, for at most its MaxWait.
@@ -299,7 +302,7 @@
 	if decision.Verdict == Refused {
 		// The expected wait was too short. If the request went to an engine's own queue
 		// now, it would be late and delay others.
-		placer.refuse(service, &decision)
+		placer.refuse(service, queued.work, &decision)
 	}
 
 	return decision
@@ -307,12 +310,14 @@
 
 // refuse marks the decision as refused and sets RetryAfter: up to the pacer's maximum, no
 // earlier than a place is free behind the work that is queued now. The mutex is held.
-func (placer *Placer) refuse(service *service, decision *Decision) {
-	now, share := time.Now(), placer.shareOfRuns(service)
-	wait := service.estimateWait(now, len(service.queue.waiting), share)
+func (placer *Placer) refuse(service *service, work Work, decision *Decision) {
+	now := time.Now()
 
 	decision.Verdict = Refused
-	decision.RetryAfter = service.retryPacer.NextRetryAfter(now, pacer.ServiceLoad{QueueWait: wait, Runs: share, RunDuration: service.meanRun})
+	decision.RetryAfter = service.retryPacer.NextRetryAfter(now, pacer.ServiceLoad{
+		QueueWait: placer.expectedWait(service, work, now, len(service.queue.waiting)),
+		Runs:      placer.shareOfRuns(service), RunDuration: service.meanRun, AllowedPerSecond: service.allowedPerSecond(now),
+	})
 }
 
 // PlaceBatch grants a place to batch work if there is one now.
@@ -332,7 +337,7 @@
 	server := cheapest(service.servers, func(server *serverState) (float64, bool) {
 		capacity := batchCapacity(server, placer.reportMissing, chooser.now)
 
-		return -float64(capacity), chooser.isCandidate(server) && capacity > 0
+		return -float64(capacity), chooser.canSend(server) && capacity > 0
 	})
 	if server == nil {
 		return nil, false
@@ -368,7 +373,7 @@
 
 	for _, server := range placer.service(serviceName).servers {
 		if server.usable(now) {
-			free += max(0, server.free())
+			free += server.sendable(now)
 		}
 	}
 
@@ -378,11 +383,17 @@
 // shareOfRuns returns how many runs this entry counts on to free places for it: its own
 // runs or, if that is more, its equal share of all online runs on the service's servers. An
 // entry that has just started runs nothing itself, and gets places as the runs of others end.
+// On servers that name a limit, the limit and not the end of a run lets the next request in.
 func (placer *Placer) shareOfRuns(service *service) int {
-	online := 0
+	own, online := len(service.running), 0
+
 	for _, server := range service.servers {
-		online += server.totalOnline()
+		if server.limited() {
+			own -= server.own.Online
+		} else {
+			online += server.totalOnline()
+		}
 	}
 
-	return max(len(service.running), online/(1+len(placer.reports)))
+	return max(own, online/(1+len(placer.reports)))
 }
--- a/placer/reconcile.go
+++ b/placer/reconcile.go
@@ -16,6 +16,7 @@
 		}
 
 		placer.serveQueue(service)
+		placer.wakeQueue(service, time.Now())
 	}
 
 	placer.signalLoadChange()
@@ -141,6 +142,7 @@
 func (placer *Placer) assignOwner(server *serverState, owners map[string]string) {
 	owner := ownerOf(server, owners)
 	server.owned, server.ownerSilent = owner == placer.Instance, !placer.hasReport(owner)
+	placer.shareLimit(server, owners)
 }
 
 // hasReport reports whether this entry knows the load of an entry: its own, or one with a
--- a/placer/server.go
+++ b/placer/server.go
@@ -62,6 +62,38 @@
 	return server.Places - server.total()
 }
 
+// wait returns how long it takes until the server's limit lets this entry send a request; 0
+// if one may be sent now.
+func (server *serverState) wait(now time.Time) time.Duration {
+	if server.limit == nil {
+		return 0
+	}
+
+	return server.limit.Wait(now)
+}
+
+// limited reports whether the server names a limit.
+func (server *serverState) limited() bool {
+	return server.limit != nil && server.limit.Statement().Limited
+}
+
+// sendable returns how many of the free places may get a request now.
+func (server *serverState) sendable(now time.Time) int {
+	free := max(0, server.free())
+	if server.limited() {
+		return min(free, server.limit.Available(now))
+	}
+
+	return free
+}
+
+// take records a request that is sent to the server now.
+func (server *serverState) take(now time.Time) {
+	if server.limit != nil {
+		server.limit.Take(now)
+	}
+}
+
 // usable reports whether the server can get new work.
 func (server *serverState) usable(now time.Time) bool {
 	return !server.Leaving && !server.health.suspect() && !now.Before(server.health.fullUntil)
--- a/placer/service.go
+++ b/placer/service.go
@@ -18,6 +18,9 @@
 	// medianFirstBytes is the median time to the first bytes over the servers at medianAt.
 	medianFirstBytes time.Duration
 	medianAt         time.Time
+	// wakeAt is when the queue is served again because limits allow further requests; a past
+	// time if that is not planned.
+	wakeAt time.Time
 }
 
 // service returns the state of a service and creates it if needed. The mutex is held.
@@ -35,9 +38,16 @@
 // runs that free places for this entry; see shareOfRuns. The age of other entries' runs is
 // unknown: their remaining times are assumed to be spread evenly from zero to the mean run.
 func (service *service) estimateWait(now time.Time, ahead, share int) time.Duration {
+	limited := map[string]bool{}
+	for _, server := range service.servers {
+		limited[server.ID] = server.limited()
+	}
+
 	runs := make([]time.Duration, 0, share)
 	for grant := range service.running {
-		runs = append(runs, remaining(now.Sub(grant.grantedAt), service.meanRun))
+		if !limited[grant.Server.ID] {
+			runs = append(runs, remaining(now.Sub(grant.grantedAt), service.meanRun))
+		}
 	}
 
 	unknown := share - len(runs)
--- a/placer/status.go
+++ b/placer/status.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"limpetrail/throttler"
 )
 
 // Status returns the state of the servers, ordered by ID.
@@ -15,10 +17,16 @@
 
 	for _, id := range slices.Sorted(maps.Keys(placer.servers)) {
 		server := placer.servers[id]
-		statuses = append(statuses, ServerStatus{
+
+		status := ServerStatus{
 			Server: server.Server, Own: server.own, Others: server.others,
 			Suspect: server.health.suspect(), Failing: server.health.failureShare, FirstBytes: server.health.firstBytes,
-		})
+		}
+		if server.limited() {
+			status.Statement, status.OwnPerSecond = server.limit.Statement(), server.limit.PerSecond()
+		}
+
+		statuses = append(statuses, status)
 	}
 
 	return statuses
@@ -34,4 +42,8 @@
 	Failing float64
 	// FirstBytes is the mean time to the first bytes of an answer.
 	FirstBytes time.Duration
+	// Statement is what the server says of the requests that it takes, and OwnPerSecond is how
+	// many a second of a limit are this entry's.
+	throttler.Statement
+	OwnPerSecond float64 `json:",omitempty"`
 }
--- a/throttler/throttle.go
+++ b/throttler/throttle.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// burstTime times an entry's share is what it may send at once, and at least one request.
-	burstTime = time.Second
+	// burstTime times an entry's share is what it may send at once, and at least one request. It
+	// lets peaks use what the time before them left.
+	burstTime = 2 * time.Second
 	// silenceLimit is the time without a statement after which each entry may send an equal
 	// part of the limit. Without it, nobody would notice the end of a limit whose holders
 	// have no requests to send.
@@ -88,6 +89,11 @@
 	return quiet + secondsOf(missing/throttle.equalShare())
 }
 
+// Available returns how many requests may be sent now, with a limit.
+func (throttle *Throttle) Available(now time.Time) int {
+	return int(throttle.available(now))
+}
+
 // PerSecond returns how many requests a second this entry may send; infinite without a limit.
 func (throttle *Throttle) PerSecond() float64 {
 	if !throttle.statement.Limited {
