Hold sidecars to the limit that their backend server names

With sidecars the same fault: the sidecar sends its backend server all that the entries ask for. Cause: as for gateways, nothing reads the limit; here one process sends all requests, so that the whole limit is its share.

Ruled out: a share for each entry (entries reach the server only by way of its sidecar).

Change: the drivers read the limit from each answer into a throttler.Gate, count orders and load calls, and forget the limit when the server takes no connection. The executor takes a turn before a request starts: an online request is refused at once as not run, with the time until the next turn, if that is over LimitWait; a batch item waits until it is preempted.

--- a/driver/http_client.go
+++ b/driver/http_client.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/juju/errors"
 
@@ -29,7 +30,7 @@
 
 // send posts the body. A NotProvisioned error means that no connection was opened
 // and nothing was sent; after any other error the request may have run.
-func send(ctx context.Context, client *http.Client, address, path string, body []byte, header http.Header) (*http.Response, error) {
+func (server *limitedServer) send(ctx context.Context, client *http.Client, address, path string, body []byte, header http.Header) (*http.Response, error) {
 	if !strings.HasPrefix(path, "/") {
 		return nil, errors.NewNotProvisioned(nil, "path "+path+" does not begin with a slash")
 	}
@@ -48,11 +49,20 @@
 	request.Header = header
 
 	response, err := client.Do(request)
-	if err != nil && !connected.Load() {
-		return nil, errors.NewNotProvisioned(err, "connecting")
+
+	switch {
+	case err == nil:
+		server.recordAnswer(response)
+
+		return response, nil
+	case connected.Load():
+		return nil, errors.Trace(err)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// Nothing listens there: the server has ended, and its limit with it.
+		server.Reset()
 	}
 
-	return response, errors.Trace(err)
+	return nil, errors.NewNotProvisioned(err, "connecting")
 }
 
 // refuses reports whether connections to the address are refused.
--- a/driver/http_engine.go
+++ b/driver/http_engine.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -26,6 +27,8 @@
 // HTTPEngine calls an engine over HTTP with JSON requests. The engine streams its
 // answer as one JSON token per line.
 type HTTPEngine struct {
+	limitedServer
+
 	Address string
 	Client  *http.Client
 }
@@ -33,8 +36,11 @@
 var _ Engine = (*HTTPEngine)(nil)
 
 func init() {
-	EngineAdapters.Register("http", func(_ kernel.Common, address string) (Engine, error) {
-		return NewHTTPEngine(address), nil
+	EngineAdapters.Register("http", func(common kernel.Common, address string) (Engine, error) {
+		engine := NewHTTPEngine(address)
+		engine.log = common.ForPart("driver").Log
+
+		return engine, nil
 	})
 }
 
@@ -43,7 +49,7 @@
 	return &HTTPEngine{Address: address, Client: newClient()}
 }
 
-// Generate implements Engine.
+// Generate implements Engine. The caller has a reservation.
 func (engine *HTTPEngine) Generate(ctx context.Context, generation Generation) (Stream, error) {
 	response, err := engine.post(ctx, PathGenerate, generation)
 	if err != nil {
@@ -68,6 +74,8 @@
 
 // Load implements Engine.
 func (engine *HTTPEngine) Load(ctx context.Context) (Load, error) {
+	engine.Count(time.Now())
+
 	response, err := engine.post(ctx, PathLoad, struct{}{})
 	if err != nil {
 		return Load{}, errors.Trace(err)
@@ -82,6 +90,8 @@
 
 // Order implements Engine.
 func (engine *HTTPEngine) Order(ctx context.Context, order Order) error {
+	engine.Count(time.Now())
+
 	response, err := engine.post(ctx, PathOrder, order)
 	if err != nil {
 		return errors.Trace(err)
@@ -96,7 +106,7 @@
 		return nil, errors.Trace(err)
 	}
 
-	response, err := send(ctx, engine.Client, engine.Address, path, body, http.Header{"Content-Type": {"application/json"}})
+	response, err := engine.send(ctx, engine.Client, engine.Address, path, body, http.Header{"Content-Type": {"application/json"}})
 	if err != nil {
 		return nil, errors.Annotatef(err, "engine %s", path)
 	}
--- a/driver/http_service.go
+++ b/driver/http_service.go
@@ -20,6 +20,8 @@
 
 // HTTPService calls a plain service over HTTP.
 type HTTPService struct {
+	limitedServer
+
 	Address string
 	Client  *http.Client
 }
@@ -27,8 +29,11 @@
 var _ Service = (*HTTPService)(nil)
 
 func init() {
-	ServiceAdapters.Register("http", func(_ kernel.Common, address string) (Service, error) {
-		return NewHTTPService(address), nil
+	ServiceAdapters.Register("http", func(common kernel.Common, address string) (Service, error) {
+		service := NewHTTPService(address)
+		service.log = common.ForPart("driver").Log
+
+		return service, nil
 	})
 }
 
@@ -37,9 +42,9 @@
 	return &HTTPService{Address: address, Client: newClient()}
 }
 
-// Call implements Service.
+// Call implements Service. The caller has a reservation.
 func (service *HTTPService) Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error) {
-	response, err := send(ctx, service.Client, service.Address, call.Path, call.Body, http.Header{
+	response, err := service.send(ctx, service.Client, service.Address, call.Path, call.Body, http.Header{
 		"Content-Type":  {call.ContentType},
 		RequestIDHeader: {call.RequestID},
 	})
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -53,7 +53,7 @@
 	reached := false
 
 	for failures := 0; ; {
-		place, refusal := executor.acquirePlace(ctx, placeRequest)
+		place, refusal := executor.acquireTurn(ctx, placeRequest)
 		if place == nil {
 			executor.finishWithoutPlace(run, refusal.Reason, refusal.RetryAfter)
 
--- a/executor/settings.go
+++ b/executor/settings.go
@@ -33,6 +33,9 @@
 	// ServiceSilence is the timeout of an idempotent call to a plain service,
 	// after which it is retried. Other calls may take until their deadline.
 	ServiceSilence time.Duration
+	// LimitWait is how long an online request waits for its turn at a backend server that
+	// names a limit; it is refused at once if it would wait for longer.
+	LimitWait time.Duration
 	// Abandon is how long an idempotent run continues without a reader.
 	Abandon time.Duration
 	// MaxRemaining limits the time that a request may ask for.
@@ -55,6 +58,7 @@
 		Linger:           5 * time.Second,
 		LeavingStart:     2 * time.Second,
 		LoadAge:          100 * time.Millisecond,
+		LimitWait:        100 * time.Millisecond,
 		EngineSilence:    5 * time.Second,
 		CancelTimeout:    time.Second,
 		ServiceSilence:   30 * time.Second,
