List the prefix again when a watch's changes are too long to be read

Cause here: an answer of the store is read up to 4 MB; several large odd entries changed together make a watch's answer longer. It could not be decoded, and the watch asked for the same changes for ever.

Ruled out: listings (pages of about 1 MB).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -102,7 +102,7 @@
 		for ctx.Err() == nil {
 			err := follower.watch(ctx)
 			if errors.Is(err, keeper.ErrCompacted) {
-				follower.Log.WithField("Prefix", follower.Prefix).Info("Key-value history was compacted; listing the prefix again.")
+				follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Info("Key-value history was compacted; listing the prefix again.")
 
 				break
 			}
--- a/keeper/catalog.go
+++ b/keeper/catalog.go
@@ -115,7 +115,8 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
-// ErrCompacted is the cause if the history that a watch needs was deleted.
+// ErrCompacted is the cause if the history that a watch needs was deleted, or is too long to
+// be read at once.
 var ErrCompacted = errors.New("the history of the key-value service is gone")
 
 // ErrLeaseEnded is the cause if a call's lease has expired or was revoked.
