Read the instance list element by element, so that an odd one hides no other

Entries and sidecars went on with an old list: they stopped following it.

Ruled out: larger limits of the decoder (nesting beyond 10,000 levels is an error by design).

Change: the array is split by brackets and quotes at any depth, each element is decoded alone, and those without a name, or with an address to which no connection can be made, are left out with a log line.

--- a/locator/http_list.go
+++ b/locator/http_list.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"limpetrail/kernel"
 )
@@ -26,6 +27,9 @@
 	Address string
 	Client  *http.Client
 
+	// Log receives the instances that are left out; nil for none.
+	Log logrus.FieldLogger
+
 	mutex sync.Mutex
 	// etag and cached are of the same answer.
 	etag   string
@@ -35,8 +39,11 @@
 var _ List = (*HTTPList)(nil)
 
 func init() {
-	Adapters.Register("http", func(_ kernel.Common, address string) (List, error) {
-		return NewHTTPList(address), nil
+	Adapters.Register("http", func(common kernel.Common, address string) (List, error) {
+		list := NewHTTPList(address)
+		list.Log = common.ForPart("locator").Log
+
+		return list, nil
 	})
 }
 
@@ -73,12 +80,60 @@
 		return nil, errors.Errorf("reading the instance list: unexpected status %s", response.Status)
 	}
 
-	instances := []Instance{}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&instances); err != nil {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, errors.Annotate(err, "reading the instance list")
+	}
+
+	elements, err := splitArray(text)
+	if err != nil {
 		return nil, errors.Annotate(err, "decoding the instance list")
 	}
 
+	instances := make([]Instance, 0, len(elements))
+
+	for _, element := range elements {
+		instance, err := decodeInstance(element)
+		if err != nil {
+			list.logOdd(element, err)
+
+			continue
+		}
+
+		instances = append(instances, instance)
+	}
+
 	list.etag, list.cached = response.Header.Get("ETag"), instances
 
 	return instances, nil
 }
+
+// decodeInstance decodes one instance of the list. It rejects those that name nothing that can
+// be reached, which other writers may leave there.
+func decodeInstance(text []byte) (Instance, error) {
+	instance := Instance{}
+	if err := json.Unmarshal(text, &instance); err != nil {
+		return Instance{}, errors.Trace(err)
+	}
+
+	if instance.Name == "" {
+		return Instance{}, errors.NotValidf("instance without a name")
+	}
+
+	if instance.Address != "" {
+		if err := kernel.CheckAddress(instance.Address); err != nil {
+			return Instance{}, errors.Annotatef(err, "instance %s", instance.Name)
+		}
+	}
+
+	return instance, nil
+}
+
+// maxLoggedBytes is how much of an odd instance is logged.
+const maxLoggedBytes = 200
+
+func (list *HTTPList) logOdd(text []byte, err error) {
+	if list.Log != nil {
+		list.Log.WithField("Instance", string(text[:min(len(text), maxLoggedBytes)])).WithError(err).Warn("Instance in the list cannot be used and is left out.")
+	}
+}
