--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -21,6 +21,9 @@
 	// Framed is true if the answer itself marks where it ends, by a length or in
 	// chunks. Other answers end when the connection closes.
 	Framed bool
+	// Reused is true if the connection was used for an earlier request, of which the server
+	// may still send an answer.
+	Reused bool
 
 	exchanger           *Exchanger
 	address             string
