Give kept items up at the give-up time, not after it

An item that is kept away was postponed to the give-up time of its job and given up after it: at that very time it was postponed to the present again and again, in a loop that ends only as the clock goes on. Cause: After where the other side says Earliest.

Ruled out: the quarantine (its blocks end later).

Change: the item is given up from that time on.

--- a/batcher/quarantine.go
+++ b/batcher/quarantine.go
@@ -29,7 +29,7 @@
 // mayRun reports whether an item may be sent now. One with a quarantined part is kept until
 // its job's time ends: until then the job promises a result. The mutex must be held.
 func (batcher *Batcher) mayRun(active *activeJob, pending *task, target *destination) bool {
-	if (pending.quarantinedPart != "" || pending.serverEnds > 0) && time.Now().After(active.job.GiveUp) {
+	if (pending.quarantinedPart != "" || pending.serverEnds > 0) && !time.Now().Before(active.job.GiveUp) {
 		batcher.recordResult(active, pending, bookkeeper.GivenUp, "The give-up time of the job has passed, and the item ends backend servers.")
 
 		return false
