Let a failed trial at a server that has a strike already delay the next one

Cause: strikes are kept by the server's start. A trial that ended a server which is still listed under the start of its strike added none, so that the time since the last strike was that of an older one and the next trial followed at once.

Ruled out: counting such strikes on their own (one end would be two strikes).

Change: a later trial's strike replaces that of the same start, if more than a second apart, as reports of one end differ by their delay.

--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -15,6 +15,9 @@
 	// maxStrikes and maxRefuted bound what is kept of a part, the newest first.
 	maxStrikes = 16
 	maxRefuted = 32
+	// sameEnd is how far apart two reports of one server's end may seem to be: other entries
+	// learn of it with a delay.
+	sameEnd = time.Second
 	// firstPeriod is how long a part is first kept away from servers. Each trial that ends
 	// another server doubles it, up to maxPeriod.
 	firstPeriod = 30 * time.Second
@@ -60,13 +63,25 @@
 	return slices.ContainsFunc(suspect.strikes, func(known strike) bool { return known.server == server })
 }
 
-// addStrike adds a strike, unless it is known or refuted.
+// addStrike adds a strike, unless it is known or refuted. A later trial that ended a server
+// which is still listed under a start that has a strike replaces that strike, so that the next
+// trial waits for its time.
 func (suspect *suspect) addStrike(added strike, now time.Time) {
-	if suspect.strikeBy(added.server) || slices.Contains(suspect.refuted, added.server) {
+	if slices.Contains(suspect.refuted, added.server) {
+		return
+	}
+
+	known := slices.IndexFunc(suspect.strikes, func(known strike) bool { return known.server == added.server })
+
+	switch {
+	case known < 0:
+		suspect.strikes = append(suspect.strikes, added)
+	case added.trial && added.endedAt.Sub(suspect.strikes[known].endedAt) > sameEnd:
+		suspect.strikes[known] = added
+	default:
 		return
 	}
 
-	suspect.strikes = append(suspect.strikes, added)
 	slices.SortStableFunc(suspect.strikes, func(one, other strike) int { return one.endedAt.Compare(other.endedAt) })
 	suspect.strikes = suspect.strikes[max(0, len(suspect.strikes)-maxStrikes):]
 	suspect.changedAt = now
