Keep watches that probe a failing service short

Cause: while the breaker is open a single call at a time probes the service, and its result closes the breaker. A watch that did so told it only once it ended, seconds later; all other calls went without the service until then, or until another probe was a short call. Watches without the gathering pause took more of the probes. The same delays the notice of leaving servers: a probing watch that hangs was noticed after its whole wait.

Ruled out: the pauses of committing and claiming (their bounds hold once the breaker is closed).

Change: a watch that probes the direct way waits for 100 ms at most, with a deadline to match.

Figures: TestWatchThatProbesKeepsCallsWaiting failed before.

--- a/keeper/catalog_client.go
+++ b/keeper/catalog_client.go
@@ -16,6 +16,9 @@
 // response time of a service that is sixty times slower than usual.
 const watchDeadlineSlack = 500 * time.Millisecond
 
+// probeWatchWait is how long a watch waits for changes if it probes a failing service.
+const probeWatchWait = 100 * time.Millisecond
+
 // CatalogClient makes all of a process's calls to its Catalog. Each call has a
 // deadline, and a breaker stops calls while the service fails. With a relay, failing
 // calls are made through another process, since the service may refuse some
@@ -132,14 +135,27 @@
 // Watch implements Catalog.
 func (client *CatalogClient) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
 	return callWithFallback(ctx, client, wait+watchDeadlineSlack, func(ctx context.Context, catalog Catalog) (Changes, error) {
-		asked := time.Now()
-		changes, err := catalog.Watch(ctx, prefix, after, wait)
-		changes.Asked = asked
+		if catalog == client.Catalog && client.Breaker.IsOpen() {
+			// Other calls go without the service until the result of this probe is known.
+			return client.watchUntil(ctx, catalog, prefix, after, min(wait, probeWatchWait))
+		}
 
-		return changes, errors.Trace(err)
+		return client.watchUntil(ctx, catalog, prefix, after, wait)
 	})
 }
 
+// watchUntil makes a watch with a deadline shortly after its wait.
+func (client *CatalogClient) watchUntil(ctx context.Context, catalog Catalog, prefix string, after Revision, wait time.Duration) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchDeadlineSlack)
+	defer cancel()
+
+	asked := time.Now()
+	changes, err := catalog.Watch(ctx, prefix, after, wait)
+	changes.Asked = asked
+
+	return changes, errors.Trace(err)
+}
+
 // Transact implements Catalog. A transaction that was not sent is WriteRefused.
 // While the direct breaker is open, writes use the relay first and only reads probe
 // the direct path: a write that loses its answer there could not be sent again
--- a/keeper/catalog_client_test.go
+++ b/keeper/catalog_client_test.go
@@ -125,3 +125,36 @@
 		require.False(t, client.FailedWithin(time.Second))
 	})
 }
+
+// While the service fails, a single call at a time probes it. A watch that did so told its result
+// only once it ended, and all other calls went without the service until then.
+func TestWatchThatProbesKeepsCallsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		catalog := emulator.NewCatalog()
+		settings := keeper.DefaultSettings()
+		client := keeper.NewCatalogClient(kernel.NewDiscardCommon("entry"), catalog, settings)
+
+		catalog.Faults.Set(emulator.FaultSwitches{Outage: true})
+
+		for range settings.Failures {
+			_, err := client.Get(t.Context(), "a")
+			require.Error(t, err)
+		}
+
+		catalog.Faults.Set(emulator.FaultSwitches{})
+		time.Sleep(2 * settings.FirstProbe)
+
+		watched := make(chan error, 1)
+
+		go func() {
+			_, err := client.Watch(t.Context(), "a/", 1, 20*time.Second)
+			watched <- err
+		}()
+
+		time.Sleep(200 * time.Millisecond)
+
+		_, err := client.Get(t.Context(), "a")
+		require.NoError(t, err)
+		require.NoError(t, <-watched)
+	})
+}
