Cut a watch that waits in the test of cut watches

TestChangeIsSeenLateAfterCutWatches failed in 2 of 180 plays under -race: the first listing may come before the keys that the test writes, so that no watch waited at the moment of the cut. Change: the test waits until a watch has begun; the check is the same.

--- a/follower/removal_test.go
+++ b/follower/removal_test.go
@@ -149,8 +149,13 @@
 
 		return catalog
 	}, func(fixture *fixture) {
-		// The first watch waits from the end of the first pause on.
-		time.Sleep(pause)
+		time.Sleep(10 * time.Second)
+
+		// A watch that has just begun waits for longer than what follows takes.
+		for before := fixture.catalog.CallCount("Watch"); fixture.catalog.CallCount("Watch") == before; {
+			time.Sleep(10 * time.Millisecond)
+		}
+
 		catalog.cut()
 		synctest.Wait()
 		fixture.catalog.Put(prefix+"c", nil)
