Keep only limited servers in the map that estimates waits

Each refusal made a map of all servers of the service, limited or not. It holds the limited ones now; the result is the same. go test ./placer: as before (only the known red one fails).

--- a/placer/service.go
+++ b/placer/service.go
@@ -39,8 +39,11 @@
 // unknown: their remaining times are assumed to be spread evenly from zero to the mean run.
 func (service *service) estimateWait(now time.Time, ahead, share int) time.Duration {
 	limited := map[string]bool{}
+
 	for _, server := range service.servers {
-		limited[server.ID] = server.limited()
+		if server.limited() {
+			limited[server.ID] = true
+		}
 	}
 
 	runs := make([]time.Duration, 0, share)
