Leave relayed watches their slack for the second hop

The bound on probing watches gave every watch a deadline of its own, so that one through another process lost the 200 ms for its second hop. Only a probe is bounded now.

--- a/keeper/catalog_client.go
+++ b/keeper/catalog_client.go
@@ -135,25 +135,24 @@
 // Watch implements Catalog.
 func (client *CatalogClient) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
 	return callWithFallback(ctx, client, wait+watchDeadlineSlack, func(ctx context.Context, catalog Catalog) (Changes, error) {
+		callWait := wait
+
 		if catalog == client.Catalog && client.Breaker.IsOpen() {
 			// Other calls go without the service until the result of this probe is known.
-			return client.watchUntil(ctx, catalog, prefix, after, min(wait, probeWatchWait))
-		}
+			callWait = min(wait, probeWatchWait)
 
-		return client.watchUntil(ctx, catalog, prefix, after, wait)
-	})
-}
+			probeCtx, cancel := context.WithTimeout(ctx, callWait+watchDeadlineSlack)
+			defer cancel()
 
-// watchUntil makes a watch with a deadline shortly after its wait.
-func (client *CatalogClient) watchUntil(ctx context.Context, catalog Catalog, prefix string, after Revision, wait time.Duration) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchDeadlineSlack)
-	defer cancel()
+			ctx = probeCtx
+		}
 
-	asked := time.Now()
-	changes, err := catalog.Watch(ctx, prefix, after, wait)
-	changes.Asked = asked
+		asked := time.Now()
+		changes, err := catalog.Watch(ctx, prefix, after, callWait)
+		changes.Asked = asked
 
-	return changes, errors.Trace(err)
+		return changes, errors.Trace(err)
+	})
 }
 
 // Transact implements Catalog. A transaction that was not sent is WriteRefused.
