Start no item at a leaving sidecar after it has waited for its turn

Found in reading the change once more: a batch item that waits for its turn under its server's limit started whenever that came, also long after the sidecar, which was leaving, may start nothing more (LeavingStart). Cause: the wait for a place ends with that time, the wait for a turn, new since, did not.

Ruled out: online requests beyond LimitWait (they are refused at once); gateways (a grant is asked once more before a request is written).

Change: the wait ends with the last moment for starts, and the sidecar refuses the item as not run, as it does while it waits for a place.

--- a/executor/limit_test.go
+++ b/executor/limit_test.go
@@ -156,3 +156,30 @@
 		})
 	}
 }
+
+// An item that waited for its turn started at the backend server of a sidecar that was leaving,
+// long after the last moment for that.
+func TestItemStartsAtALeavingSidecarAfterItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := emulator.NewEngine()
+		go engine.Run(t.Context())
+
+		// One request in four seconds.
+		backend := &limitedBackend{Handler: emulator.NewEngineHandler(engine), limit: 0.25}
+		_, connect := httpBackend(t, backend)
+		fixture := &limitFixture{t: t, engine: driver.NewHTTPEngine("backend:1")}
+		connect(fixture.engine.Client)
+
+		fixture.executor = NewExecutor(t.Context(), kernel.NewDiscardCommon("sidecar-1"), admitter.NewFixed(64), WithEngine(fixture.engine))
+		// The first item's answer names the limit; the second one waits.
+		fixture.submit(1, messenger.Class_CLASS_BATCH, false)
+		time.Sleep(time.Second)
+		fixture.submit(1, messenger.Class_CLASS_BATCH, false)
+		fixture.executor.Drain()
+		fixture.executor.Wait()
+
+		fate, _ := fixture.runs[1].Fate()
+		require.Equal(t, messenger.Fate_FATE_NOT_RUN, fate)
+		require.Len(t, backend.arrivals, 1)
+	})
+}
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -20,13 +20,16 @@
 		}
 
 		wait := executor.awaitTurn(ctx, request, place)
-		if wait == 0 {
+		leaving := executor.startContext.Err() != nil
+
+		if wait == 0 && !leaving {
 			return place, refusal
 		}
 
 		place.Release()
 
-		if !wasPreempted(place) {
+		// A leaving sidecar refuses the next place.
+		if !wasPreempted(place) && !leaving {
 			refusal.Reason, refusal.RetryAfter = "the backend server takes no more requests for now", wait
 
 			return nil, refusal
@@ -36,7 +39,8 @@
 
 // awaitTurn waits until the limit that the backend server names allows another request, and
 // returns 0. If the request would wait for too long it returns for how long: an online request
-// can be sent elsewhere, while a batch item waits until it is preempted or its time ends.
+// can be sent elsewhere, while a batch item waits until it is preempted, its time ends or a
+// leaving sidecar may start nothing more.
 func (executor *Executor) awaitTurn(ctx context.Context, request admitter.PlaceRequest, place admitter.Place) time.Duration {
 	limited := executor.limited()
 	if limited == nil {
@@ -51,6 +55,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
+	stop := context.AfterFunc(executor.startContext, cancel) //nolint:contextcheck // Either context ends it.
+	defer stop()
+
 	if request.Batch {
 		go func() {
 			select {
