Say what the smallest share of a limit stands for

The comment claimed a bound 'over any second', which a newcomer cannot follow; it names the two seconds of the limit now that all saved requests come to. Comment only; go test ./throttler passes.

--- a/throttler/share.go
+++ b/throttler/share.go
@@ -1,8 +1,8 @@
 package throttler
 
-// minShare is the smallest share of a limit, in requests a second. Each share lets one request
-// through at once, so that many small shares would exceed the limit in a moment: shares of half
-// a request a second come to twice the limit at most, over any second.
+// minShare is the smallest share of a limit, in requests a second. Each holder may have saved
+// one request. With half a request a second for each, all of these together are what the limit
+// allows in two seconds at most.
 const minShare = 0.5
 
 // Share is the part of a limit that one entry may use.
