Log a fingerprint of requests under which backend servers end

Cause: the lines on broken answers named the parts of prompts only, so that attempts at one request could not be told from attempts at different ones.

Change: a fingerprint of caller, method, host, path and body (firm, workspace, adapter and path on our own interface) in the requests that quarantiner sees and in its log lines. Nothing is decided by it yet. Items have none.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -68,10 +68,11 @@
 	defer cancel()
 
 	routed := &routedCall{
-		Dispatcher: dispatcher,
-		call:       call,
-		answer:     &answerWriter{sink: sink},
-		budget:     dispatcher.budgets.GetOrCreate(call.Service),
+		Dispatcher:        dispatcher,
+		call:              call,
+		answer:            &answerWriter{sink: sink},
+		quarantineRequest: newQuarantineRequest(call),
+		budget:            dispatcher.budgets.GetOrCreate(call.Service),
 	}
 
 	outcome := routed.run(ctx)
--- a/dispatcher/routed_call.go
+++ b/dispatcher/routed_call.go
@@ -25,6 +25,8 @@
 
 	call   Call
 	answer *answerWriter
+	// quarantineRequest describes the call by what it has in common with others.
+	quarantineRequest quarantiner.Request
 	budget *retrier.Budget
 	// excluded names the replicas that were tried already.
 	excluded []string
@@ -62,7 +64,7 @@
 // run tries one replica after the other until the call is answered or may not be
 // retried.
 func (routed *routedCall) run(ctx context.Context) classifier.Outcome {
-	if block, blocked := routed.Quarantiner.Check(routed.quarantineRequest()); blocked {
+	if block, blocked := routed.Quarantiner.Check(routed.quarantineRequest); blocked {
 		return routed.blockedOutcome(block)
 	}
 
@@ -129,15 +131,18 @@
 	return last
 }
 
-// quarantineRequest describes the call by the hashes of its prompt's leading blocks. Calls
+// newQuarantineRequest describes the call by the hashes of its prompt's leading blocks. Calls
 // whose prompts begin alike share them, and a deeper one is the more specific.
-func (routed *routedCall) quarantineRequest() quarantiner.Request {
-	parts := make([]string, 0, len(routed.call.PrefixKeys))
-	for _, key := range routed.call.PrefixKeys {
+func newQuarantineRequest(call Call) quarantiner.Request {
+	parts := make([]string, 0, len(call.PrefixKeys))
+	for _, key := range call.PrefixKeys {
 		parts = append(parts, strconv.FormatUint(key, 16))
 	}
 
-	return quarantiner.Request{ID: routed.call.ID, Service: routed.call.Service, Parts: parts}
+	return quarantiner.Request{
+		ID: call.ID, Service: call.Service, Parts: parts,
+		Fingerprint: quarantiner.Fingerprint(call.Body, call.Firm, call.Workspace, call.Adapter, call.Path),
+	}
 }
 
 func (routed *routedCall) blockedOutcome(block quarantiner.Block) classifier.Outcome {
@@ -150,7 +155,7 @@
 
 // runAttempt makes one attempt at the replica.
 func (routed *routedCall) runAttempt(ctx context.Context, replica router.Replica) result {
-	run, block, blocked := routed.Quarantiner.Start(routed.quarantineRequest(), placer.Server{ID: replica.Name})
+	run, block, blocked := routed.Quarantiner.Start(routed.quarantineRequest, placer.Server{ID: replica.Name})
 	if blocked {
 		return result{Outcome: routed.blockedOutcome(block), final: true, health: router.ResultRefused}
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -14,6 +14,8 @@
 	// Target is the path and query as the caller sent them.
 	Target string
 	Host   string
+	// Caller identifies who sent the call, by the credentials in it; empty if it has none.
+	Caller string
 	// Header holds the end-to-end headers.
 	Header http.Header
 	Body   []byte
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -24,8 +24,8 @@
 	// arrived.
 	spentBefore time.Duration
 
-	// parts holds the parts of the prompt that other calls may share.
-	parts []string
+	// quarantineRequest describes the call by what it has in common with others.
+	quarantineRequest quarantiner.Request
 
 	// triedServers holds the IDs of the servers that are not tried again.
 	triedServers []string
@@ -53,7 +53,7 @@
 // tryNext gets a place for the call and makes one attempt. It returns false if another
 // attempt is to follow.
 func (delivery *delivery) tryNext(ctx context.Context) (Result, bool) {
-	if block, blocked := delivery.forwarder.Quarantiner.Check(delivery.quarantineRequest()); blocked {
+	if block, blocked := delivery.forwarder.Quarantiner.Check(delivery.quarantineRequest); blocked {
 		return delivery.resultOfBlock(block), true
 	}
 
@@ -67,7 +67,7 @@
 	defer decision.Grant.Release()
 
 	// The call may have waited for its place, or another part was found deadly meanwhile.
-	run, block, blocked := delivery.forwarder.Quarantiner.Start(delivery.quarantineRequest(), decision.Grant.Server)
+	run, block, blocked := delivery.forwarder.Quarantiner.Start(delivery.quarantineRequest, decision.Grant.Server)
 	if blocked {
 		return delivery.resultOfBlock(block), true
 	}
@@ -99,10 +99,6 @@
 	return work
 }
 
-func (delivery *delivery) quarantineRequest() quarantiner.Request {
-	return quarantiner.Request{ID: delivery.call.ID, Service: delivery.call.Service, Parts: delivery.parts}
-}
-
 // resultOfBlock returns the result of a call that must not be sent, as a part of its prompt
 // ends backend servers.
 func (delivery *delivery) resultOfBlock(block quarantiner.Block) Result {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,7 +67,10 @@
 		startedAt:   startedAt,
 		spentBefore: forwarder.spentTime.estimate(call.Route.Name, call.Deadline.Sub(startedAt), startedAt),
 		lastEventID: call.LastEventID,
-		parts:       forwarder.Backend.SharedParts(call.Header),
+		quarantineRequest: quarantiner.Request{
+			ID: call.ID, Service: call.Service, Parts: forwarder.Backend.SharedParts(call.Header),
+			Fingerprint: quarantiner.Fingerprint(call.Body, call.Caller, call.Method, call.Host, call.Target),
+		},
 	}
 
 	for {
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -49,7 +49,7 @@
 	ended := run.quarantiner.Liveness.HasEnded(ctx, run.server)
 
 	run.quarantiner.Log.WithFields(logrus.Fields{
-		"RequestID": run.request.ID, "Service": run.request.Service, "PromptParts": run.request.Parts, "BackendServer": run.server.ID,
+		"RequestID": run.request.ID, "Service": run.request.Service, "PromptParts": run.request.Parts, "Fingerprint": run.request.Fingerprint, "BackendServer": run.server.ID,
 		"Ended": ended, "Age": now.Sub(run.sentAt), "Reason": reason,
 	}).Info("Backend server broke off before it began to answer.")
 
@@ -68,7 +68,7 @@
 	run.server.Incarnation = start
 
 	run.quarantiner.Log.WithFields(logrus.Fields{
-		"RequestID": run.request.ID, "Service": run.request.Service, "PromptParts": run.request.Parts, "BackendServer": run.server.ID,
+		"RequestID": run.request.ID, "Service": run.request.Service, "PromptParts": run.request.Parts, "Fingerprint": run.request.Fingerprint, "BackendServer": run.server.ID,
 		"Age": time.Since(run.sentAt),
 	}).Info("Backend server ended before it began to answer.")
 
