Leave no sound item waiting after another request ended its servers

Cause: an item under which two servers ended is delayed for 30 s and more, whatever ended them. Ruled out: the item's own part (it has none); the server list (other items of the job ran).

Change: an end that a quarantined request or part explains does not count. A line says why an item is delayed.

--- a/batcher/active_job.go
+++ b/batcher/active_job.go
@@ -9,6 +9,7 @@
 
 	"limpetrail/bookkeeper"
 	"limpetrail/librarian"
+	"limpetrail/placer"
 )
 
 // activeJob is a job that this process runs: its items and results that are not
@@ -97,8 +98,11 @@
 	// avoidServer is the backend server to exclude from the next attempt, as the last
 	// one failed or was interrupted there.
 	avoidServer string
-	// serverEnds counts the backend servers that ended before they began to answer the item.
-	serverEnds int
+	// endedServers are the backend servers that ended before they began to answer the item, at
+	// most maxEndedServers.
+	endedServers []placer.Server
+	// pausedUntil is when the item may run again even if nothing else explains these ends.
+	pausedUntil time.Time
 	// checked is true once a part of the prompt was found to be quarantined.
 	checked bool
 	// quarantinedPart is the part of the prompt for which the item may not run; empty if it
--- a/batcher/quarantine.go
+++ b/batcher/quarantine.go
@@ -7,6 +7,7 @@
 
 	"limpetrail/bookkeeper"
 	"limpetrail/kernel"
+	"limpetrail/placer"
 	"limpetrail/quarantiner"
 	"limpetrail/retrier"
 )
@@ -20,16 +21,18 @@
 	freeServerEnds    = 2
 	serverEndPause    = 30 * time.Second
 	maxServerEndPause = 10 * time.Minute
+	// maxEndedServers is more than the pauses tell apart.
+	maxEndedServers = 16
 )
 
 func (batcher *Batcher) quarantineRequest(pending *task, target *destination) quarantiner.Request {
-	return quarantiner.Request{ID: pending.item.ID, Service: target.service, Parts: batcher.Backend.SharedParts(headerOf(pending.item)), Patient: true, Waiting: pending.checked || pending.serverEnds > 0}
+	return quarantiner.Request{ID: pending.item.ID, Service: target.service, Parts: batcher.Backend.SharedParts(headerOf(pending.item)), Patient: true, Waiting: pending.checked || len(pending.endedServers) > 0}
 }
 
 // mayRun reports whether an item may be sent now. One with a quarantined part is kept until
 // its job's time ends: until then the job promises a result. The mutex must be held.
 func (batcher *Batcher) mayRun(active *activeJob, pending *task, target *destination) bool {
-	if (pending.quarantinedPart != "" || pending.serverEnds > 0) && !time.Now().Before(active.job.GiveUp) {
+	if (pending.quarantinedPart != "" || len(pending.endedServers) > 0) && !time.Now().Before(active.job.GiveUp) {
 		batcher.recordResult(active, pending, bookkeeper.GivenUp, "The give-up time of the job has passed, and the item ends backend servers.")
 
 		return false
@@ -47,6 +50,12 @@
 		pending.quarantinedPart = ""
 	}
 
+	if time.Now().Before(pending.pausedUntil) && batcher.unexplainedEnds(pending, target) >= freeServerEnds {
+		batcher.recheckPause(active, pending)
+
+		return false
+	}
+
 	return true
 }
 
@@ -77,20 +86,49 @@
 	}
 }
 
-// recordServerEnd counts a backend server that ended before it began to answer the item.
-// If no part of the prompt is known to be the cause, further attempts are delayed after
-// several. The mutex must be held.
-func (batcher *Batcher) recordServerEnd(active *activeJob, pending *task, target *destination) {
-	pending.serverEnds++
+// recordServerEnd records a backend server that ended before it began to answer the item. If
+// neither the prompt nor another request is known to be the cause, further attempts are delayed
+// after several. The mutex must be held.
+func (batcher *Batcher) recordServerEnd(active *activeJob, pending *task, target *destination, server placer.Server) {
+	pending.endedServers = append(pending.endedServers, server)
+	pending.endedServers = pending.endedServers[max(0, len(pending.endedServers)-maxEndedServers):]
+
+	if _, blocked := batcher.Quarantiner.Check(batcher.quarantineRequest(pending, target)); blocked {
+		return
+	}
 
-	if _, blocked := batcher.Quarantiner.Check(batcher.quarantineRequest(pending, target)); blocked || pending.serverEnds < freeServerEnds {
+	unexplained := batcher.unexplainedEnds(pending, target)
+	if unexplained < freeServerEnds {
 		return
 	}
 
 	pause := serverEndPause
-	for range pending.serverEnds - freeServerEnds {
+	for range unexplained - freeServerEnds {
 		pause = min(2*pause, maxServerEndPause)
 	}
 
-	pending.notBefore = kernel.Earliest(time.Now().Add(retrier.AddJitter(pause)), active.job.GiveUp)
+	pending.pausedUntil = time.Now().Add(retrier.AddJitter(pause))
+	batcher.Log.WithFields(logrus.Fields{"JobID": active.job.ID, "RequestID": pending.item.ID, "Servers": len(pending.endedServers), "Unexplained": unexplained, "RetryAfter": pause}).Info("Item is delayed: backend servers ended under it and nothing else is known to be the cause.")
+	batcher.recheckPause(active, pending)
+}
+
+// unexplainedEnds counts the servers that ended under the item and under nothing that is known to
+// end servers. What ran beside the item may be found later than the end.
+func (batcher *Batcher) unexplainedEnds(pending *task, target *destination) int {
+	unexplained := 0
+
+	for _, server := range pending.endedServers {
+		if !batcher.Quarantiner.Explains(target.service, server) {
+			unexplained++
+		}
+	}
+
+	return unexplained
+}
+
+// recheckPause sets when it is checked again whether a delayed item may run. The mutex must be
+// held.
+func (batcher *Batcher) recheckPause(active *activeJob, pending *task) {
+	recheck := kernel.Earliest(pending.pausedUntil, time.Now().Add(quarantineRecheck))
+	pending.notBefore = kernel.Earliest(recheck, active.job.GiveUp)
 }
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -168,7 +168,7 @@
 		}
 
 		if run.ServerEnded() {
-			batcher.recordServerEnd(active, pending, target)
+			batcher.recordServerEnd(active, pending, target, grant.Server)
 		}
 	}
 
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -1,5 +1,9 @@
 package quarantiner
 
+import (
+	"limpetrail/placer"
+)
+
 // isQuarantined judges the evidence against a part. The mutex must be held.
 func (quarantiner *Quarantiner) isQuarantined(judged *suspect) bool {
 	if judged.judgedAt == quarantiner.revision {
@@ -51,3 +55,17 @@
 
 	return countIndependent(unexplained)+len(explaining) >= needed
 }
+
+// Explains reports whether something that is quarantined was at the server when it ended.
+func (quarantiner *Quarantiner) Explains(service string, server placer.Server) bool {
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+
+	for subject, known := range quarantiner.suspects {
+		if subject.Service == service && known.strikeBy(incarnationOf(server)) && quarantiner.isQuarantined(known) {
+			return true
+		}
+	}
+
+	return false
+}
