Log the software version of servers at which streams go on

Cause: nothing decoded a server's version and nothing read Resumes, so that the log could not tell the three ways apart by which a stream goes on.

Change: the version in the record of a server (unknown if missing or odd), Resumes in the call, a line for each attempt that continues a stream. Nothing is decided by them yet.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -29,6 +29,8 @@
 	PrefixHash uint64
 	// LastEventID is the number of the last event that the caller has received, or -1.
 	LastEventID int
+	// Resumes is the ID of the call that brought the first event, if LastEventID is set.
+	Resumes string
 }
 
 // Sink receives the answer for the caller.
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -156,6 +156,10 @@
 		attempt.FirstByteDeadline = startedAt.Add(fraction(firstByteShare, latencyTarget(delivery.call.Route)))
 	}
 
+	if delivery.lastEventID >= 0 {
+		delivery.logEntry(grant, "").WithFields(logrus.Fields{"Software": grant.Server.Software, "Resumes": delivery.call.Resumes, "TakenUp": delivery.call.LastEventID >= 0}).Info("Continuing a stream.")
+	}
+
 	reply, err := delivery.forwarder.Backend.Send(ctx, grant.Server, delivery.call, attempt)
 	if err != nil {
 		return delivery.handleFailure(ctx, grant, err, lastAttempt)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -83,7 +83,7 @@
 		if known == nil || known.Incarnation != server.Incarnation {
 			known = &serverState{grants: map[*Grant]bool{}, others: placer.reportedLoad(server.ID)}
 			known.limit = placer.limits[serverStart{id: server.ID, incarnation: server.Incarnation}]
-			placer.Log.WithFields(logrus.Fields{"BackendServer": server.ID, "Address": server.Address, "Service": server.Service}).Info("Backend server was listed for the first time or with a new incarnation.")
+			placer.Log.WithFields(logrus.Fields{"BackendServer": server.ID, "Address": server.Address, "Service": server.Service, "Software": server.Software}).Info("Backend server was listed for the first time or with a new incarnation.")
 		} else if server.Leaving && !known.Leaving {
 			placer.Log.WithField("BackendServer", server.ID).Info("Backend server is leaving.")
 		}
--- a/placer/server.go
+++ b/placer/server.go
@@ -7,9 +7,12 @@
 	ID string
 	// Incarnation differs for each start of the server.
 	Incarnation int64
-	Address     string
-	DataCentre  string
-	Service     string
+	// Software is the version of the server's software; empty if it is not known. What two
+	// versions write does not fit together.
+	Software   string
+	Address    string
+	DataCentre string
+	Service    string
 	// Places is how many requests it runs at once.
 	Places int
 	// Leaving servers take no new work.
