Let a stream go on only at the software version that began it

Cause: a continuation was placed like a new request, within one answer and at a take-up; nothing knew a server's version, and nothing read Resumes. After a loss of all gateways nobody could have known. The class: a fact that an answer depends on lived only in the process that sent it.

Change: resumer remembers for a minute at which service and version a stream began; two holders are told by a datagram before the first event is passed on, and asked by an entry that does not know. The placer takes only servers of that version for a continuation, within one answer too. A take-up whose version is gone or not known is refused as not run, with 30 s in Retry-After. Without any record it goes on only if all servers had one version for twice the route's timeout, as far as this entry saw. Work that waits for some servers only keeps no other work waiting. No call to the store.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -30,6 +30,7 @@
 	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
+	"limpetrail/resumer"
 )
 
 const (
@@ -95,6 +96,7 @@
 	Limiter       *limiter.Limiter
 	Inquirer      *inquirer.Inquirer
 	Conveyer      *conveyer.Conveyer
+	Resumer       *resumer.Resumer
 
 	// ReloadSettings reads the settings file again.
 	ReloadSettings func() (loader.Gateway, error)
--- a/app/gateway_followers.go
+++ b/app/gateway_followers.go
@@ -140,6 +140,7 @@
 	// together with the other instances.
 	gateway.Relay.SetPeers(append(operationsAddresses, slices.Sorted(maps.Values(custodians))...))
 	gateway.Depositor.SetCustodians(custodians)
+	gateway.Resumer.SetHolders(custodians)
 	gateway.Sharer.SetHolders(slices.Sorted(maps.Values(custodians)))
 	gateway.Gossiper.SetPeers(peerAddresses)
 	gateway.Placer.SetListedPeers(dataCentres)
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -26,6 +26,7 @@
 	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
+	"limpetrail/resumer"
 )
 
 func newGatewayMeter(settings loader.Gateway) *meter.Meter {
@@ -109,6 +110,15 @@
 	return quarantiner.NewQuarantiner(common, backend, quarantiner.WithPeers(places.ReportingPeerNames))
 }
 
+// newResumer asks holders for streams that it does not know, also before it knows the members.
+func newResumer(common kernel.Common, settings loader.Gateway) *resumer.Resumer {
+	return resumer.NewResumer(common, resumer.WithSeeds(parseSeeds(settings.Listen.Seeds, settings.Listen.Operations)))
+}
+
+func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer) *forwarder.Forwarder {
+	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins))
+}
+
 func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
 	created := gossiper.NewGossiper(common, places, settings.Listen.Peers)
 	created.Process = member.ProcessID()
--- a/app/holder.go
+++ b/app/holder.go
@@ -18,6 +18,7 @@
 	"limpetrail/platform"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
+	"limpetrail/resumer"
 )
 
 // emptyCheckInterval is how often a retiring holder checks whether it is empty.
@@ -35,6 +36,7 @@
 	Registrar *registrar.Registrar
 	Custodian *custodian.Custodian
 	Copies    *relayer.Copies
+	Collector *resumer.Collector
 	// ReloadSettings reads the settings file again.
 	ReloadSettings func() (loader.Holder, error)
 
@@ -51,6 +53,11 @@
 	tasks := sync.WaitGroup{}
 	tasks.Go(func() { holder.Registrar.Run(ctx) })
 	tasks.Go(func() { holder.Custodian.Run(ctx) })
+	tasks.Go(func() {
+		if err := holder.Collector.Run(ctx, holder.Settings.Listen.Operations); err != nil {
+			holder.Log.WithError(err).Error("Cannot receive records of streams; entries that ask this holder for one get none.")
+		}
+	})
 	tasks.Go(func() {
 		follower.NewFollower(holder.Common, holder.Client, platform.PrefixRetirements, holder.applyRetirements(ctx)).Run(ctx)
 	})
@@ -67,6 +74,7 @@
 	mux := http.NewServeMux()
 	holder.Custodian.Register(mux)
 	holder.Meter.Register(mux)
+	mux.Handle("GET "+resumer.Path, holder.Collector)
 	mux.Handle("POST "+relayer.PathCopies, holder.Copies)
 	mux.Handle("GET "+relayer.PathCopies, holder.Copies)
 	mux.Handle("POST "+relayer.PathCatalog, relayer.NewServer(holder.Common, holder.Client.WithoutRelay(), holder.Copies.Get))
--- a/app/wire.go
+++ b/app/wire.go
@@ -26,6 +26,7 @@
 	"limpetrail/quarantiner"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
+	"limpetrail/resumer"
 	"limpetrail/scheduler"
 	"limpetrail/submitter"
 )
@@ -119,11 +120,12 @@
 		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
 		wire.Bind(new(quarantiner.Liveness), new(*platform.Backend)),
 		newQuarantiner,
-		forwarder.NewForwarder,
+		newForwarder,
+		newResumer,
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer", "Resumer"),
 	))
 }
 
@@ -140,6 +142,7 @@
 		newHolderFolder,
 		newCustodian,
 		newCopies,
-		wire.Struct(new(Holder), "Common", "Settings", "Listen", "Meter", "Client", "Relay", "Registrar", "Custodian", "Copies"),
+		resumer.NewCollector,
+		wire.Struct(new(Holder), "Common", "Settings", "Listen", "Meter", "Client", "Relay", "Registrar", "Custodian", "Copies", "Collector"),
 	))
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"limpetrail/archiver"
-	"limpetrail/forwarder"
 	"limpetrail/handler"
 	"limpetrail/limiter"
 	"limpetrail/loader"
@@ -23,6 +22,7 @@
 	"limpetrail/puller"
 	"limpetrail/registrar"
 	"limpetrail/relayer"
+	"limpetrail/resumer"
 	"limpetrail/scheduler"
 	"limpetrail/submitter"
 )
@@ -165,9 +165,10 @@
 	inquirer := newInquirer(common, relay)
 	conveyer := newConveyer(common, relay)
 	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantiner, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
-	forwarderForwarder := forwarder.NewForwarder(common, placerPlacer, platformBackend, quarantiner)
+	resumer := newResumer(common, settings)
+	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer)
 	jobHandler := platform.NewJobHandler(batcher)
-	platformHandler := newGatewayHandler(common, currentDocument, forwarderForwarder, jobHandler)
+	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
 	gateway := &Gateway{
 		Common:        common,
@@ -190,6 +191,7 @@
 		Limiter:       limiterLimiter,
 		Inquirer:      inquirer,
 		Conveyer:      conveyer,
+		Resumer:       resumer,
 	}
 	return gateway, nil
 }
@@ -221,6 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
+	collector := resumer.NewCollector(common)
 	holder := &Holder{
 		Common:    common,
 		Settings:  settings,
@@ -231,6 +234,7 @@
 		Registrar: registrarRegistrar,
 		Custodian: custodian,
 		Copies:    copies,
+		Collector: collector,
 	}
 	return holder, nil
 }
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -65,6 +65,9 @@
 type EventServer struct {
 	ID      string
 	Headers EventHeaders
+	// Software is the version of the server's software, which shows in the text of its events;
+	// empty for none. The server continues streams of any version.
+	Software string
 	// Places is the number of requests that run at once, and QueueLimit the number that
 	// may wait.
 	Places     int
@@ -279,7 +282,7 @@
 		}
 
 		if faults.SkipEvent == 0 || number != faults.SkipEvent {
-			fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, EventText(number))
+			fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, SoftwareText(number, server.Software))
 		}
 
 		if control.Flush() != nil {
@@ -313,6 +316,15 @@
 	return "event-" + strconv.Itoa(number)
 }
 
+// SoftwareText returns the data of an event by a server with the software version.
+func SoftwareText(number int, software string) string {
+	if software == "" {
+		return EventText(number)
+	}
+
+	return EventText(number) + "@" + software
+}
+
 func (server *EventServer) slowedDuration(faults EventFaults, duration time.Duration) time.Duration {
 	return duration * time.Duration(max(1, faults.SlowFactor))
 }
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -179,11 +179,17 @@
 		return errors.Trace(err)
 	}
 
+	numbered := delivery.lastEventID >= 0
+
 	ready, sequenceErr := delivery.consecutiveEvents(parser)
 	if len(ready) == 0 {
 		return sequenceErr
 	}
 
+	if !numbered && delivery.lastEventID >= 0 {
+		delivery.recordOrigin()
+	}
+
 	if delivery.timeToFirstByte == 0 {
 		delivery.timeToFirstByte = time.Since(delivery.startedAt)
 	}
--- /dev/null
+++ b/forwarder/continuation.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/matcher"
+	"limpetrail/resumer"
+)
+
+const (
+	// softwareGoneRetryAfter is when a caller may try to take up a stream whose software version
+	// no server has any more, or nobody knows. It only comes back with a rollback.
+	softwareGoneRetryAfter = 30 * time.Second
+	// originUnknownRetryAfter is when a holder that did not answer may.
+	originUnknownRetryAfter = 500 * time.Millisecond
+	// soleSoftwareTimeouts is for how many times the route's timeout all servers must have had one
+	// version, for a stream of unknown origin to have begun there.
+	soleSoftwareTimeouts = 2
+	// defaultStreamTime applies to routes without a timeout.
+	defaultStreamTime = 30 * time.Second
+)
+
+// Origins knows where streams began, also at other entries.
+type Origins interface {
+	Record(id string, origin resumer.Origin)
+	// Find returns an error of the type NotFound if nobody knows.
+	Find(ctx context.Context, id string) (resumer.Origin, error)
+}
+
+// isContinuation reports whether the next attempt must go on after an event.
+func (delivery *delivery) isContinuation() bool {
+	return delivery.lastEventID >= 0 && delivery.call.Route.Kind == matcher.Stream
+}
+
+// resolveOrigin finds out where the stream began that the caller takes up, and directs the call
+// there. It returns false and the result of the call if the stream cannot go on. What two software
+// versions write does not fit together, and servers do not check it.
+func (delivery *delivery) resolveOrigin(ctx context.Context) (Result, bool) {
+	if !delivery.isContinuation() {
+		return Result{}, true
+	}
+
+	origin, err := delivery.forwarder.Origins.Find(ctx, delivery.call.Resumes)
+	if err != nil {
+		software, sole := delivery.forwarder.Placer.SoleSoftware(delivery.call.Service, delivery.soleSoftwarePeriod())
+		if !sole {
+			return delivery.refuseContinuation(origin, retryAfterUnknown(err), "It is not known which software version began the stream; request it from the start.")
+		}
+
+		origin = resumer.Origin{Service: delivery.call.Service, Software: software}
+	}
+
+	if !delivery.serves(origin.Service) {
+		return delivery.refuseContinuation(origin, softwareGoneRetryAfter, "The route no longer leads to the service that began the stream; request it from the start.")
+	}
+
+	if !delivery.forwarder.Placer.HasSoftware(origin.Service, origin.Software) {
+		return delivery.refuseContinuation(origin, softwareGoneRetryAfter, "No backend server has the software version that began the stream any more; request it from the start.")
+	}
+
+	delivery.origin, delivery.call.Service = origin, origin.Service
+
+	return Result{}, true
+}
+
+func retryAfterUnknown(err error) time.Duration {
+	if errors.Is(err, errors.NotFound) {
+		return softwareGoneRetryAfter
+	}
+
+	return originUnknownRetryAfter
+}
+
+func (delivery *delivery) soleSoftwarePeriod() time.Duration {
+	if delivery.call.Route.Timeout <= 0 {
+		return soleSoftwareTimeouts * defaultStreamTime
+	}
+
+	return soleSoftwareTimeouts * delivery.call.Route.Timeout
+}
+
+func (delivery *delivery) serves(service string) bool {
+	return slices.ContainsFunc(delivery.call.Route.Shares, func(share matcher.Share) bool { return share.Service == service })
+}
+
+func (delivery *delivery) refuseContinuation(origin resumer.Origin, retryAfter time.Duration, reason string) (Result, bool) {
+	delivery.forwarder.log(delivery.call, logrus.Fields{
+		"Resumes": delivery.call.Resumes, "After": delivery.call.LastEventID, "Service": origin.Service, "Software": origin.Software, "RetryAfter": retryAfter, "Reason": reason,
+	}).Info("Stream cannot be taken up.")
+
+	return Result{Outcome: Refused, RetryAfter: retryAfter, Reason: reason}, false
+}
+
+// recordOrigin records where the stream began, before its first event is passed on.
+func (delivery *delivery) recordOrigin() {
+	delivery.origin = resumer.Origin{Service: delivery.call.Service, Software: delivery.software}
+
+	if delivery.call.Route.Repeatable() {
+		delivery.forwarder.Origins.Record(delivery.call.ID, delivery.origin)
+	}
+}
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -13,6 +13,7 @@
 	"limpetrail/matcher"
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
+	"limpetrail/resumer"
 )
 
 // delivery is the state of one call over all of its attempts.
@@ -46,11 +47,35 @@
 	eventCount      int
 	timeToFirstByte time.Duration
 	queueTime       time.Duration
-	serverID        string
+	// serverID and software are of the server that was tried last.
+	serverID string
+	software string
+	// origin is where the stream began, once an event was passed on or if the caller takes the
+	// stream up.
+	origin resumer.Origin
 	// run is the attempt that was made last.
 	run *quarantiner.Run
 }
 
+// deliver makes attempts until the call has ended.
+func (delivery *delivery) deliver(ctx context.Context) Result {
+	if refused, possible := delivery.resolveOrigin(ctx); !possible {
+		return refused
+	}
+
+	call := delivery.call
+	delivery.quarantineRequest = quarantiner.Request{
+		ID: call.ID, Service: call.Service, Parts: delivery.forwarder.Backend.SharedParts(call.Header),
+		Fingerprint: quarantiner.Fingerprint(call.Body, call.Caller, call.Method, call.Host, call.Target),
+	}
+
+	for {
+		if result, ended := delivery.tryNext(ctx); ended {
+			return result
+		}
+	}
+}
+
 // tryNext gets a place for the call and makes one attempt. It returns false if another
 // attempt is to follow.
 func (delivery *delivery) tryNext(ctx context.Context) (Result, bool) {
@@ -75,7 +100,7 @@
 
 	defer run.Close()
 
-	delivery.run, delivery.serverID = run, decision.Grant.Server.ID
+	delivery.run, delivery.serverID, delivery.software = run, decision.Grant.Server.ID, decision.Grant.Server.Software
 
 	return delivery.attempt(ctx, decision.Grant)
 }
@@ -91,7 +116,11 @@
 		Exclude:   delivery.triedServers,
 	}
 
-	if delivery.streamStarted {
+	if delivery.isContinuation() {
+		work.Continues, work.Software = true, delivery.origin.Software
+	}
+
+	if delivery.streamStarted || delivery.isContinuation() {
 		// Goes ahead of the calls of all routes: this caller has waited longest, and an
 		// incomplete answer is of no use to it.
 		work.Priority, work.MaxWait = -1, resumeQueueLimit
@@ -156,7 +185,7 @@
 		attempt.FirstByteDeadline = startedAt.Add(fraction(firstByteShare, latencyTarget(delivery.call.Route)))
 	}
 
-	if delivery.lastEventID >= 0 {
+	if delivery.isContinuation() {
 		delivery.logEntry(grant, "").WithFields(logrus.Fields{"Software": grant.Server.Software, "Resumes": delivery.call.Resumes, "TakenUp": delivery.call.LastEventID >= 0}).Info("Continuing a stream.")
 	}
 
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -36,6 +36,7 @@
 	httpServers []*http.Server
 	placer      *placer.Placer
 	forwarder   *forwarder.Forwarder
+	backend     forwarder.Backend
 	callCount   atomic.Int64
 }
 
@@ -78,6 +79,7 @@
 
 	httpExchanger := exchanger.NewExchanger(common, exchanger.WithDial(fleet.network.DialContext))
 	backend := emulator.NewEventBackend(httpExchanger)
+	fleet.backend = backend
 	fleet.forwarder = forwarder.NewForwarder(common, fleet.placer, backend, quarantiner.NewQuarantiner(common, backend))
 
 	run(fleet)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"limpetrail/kernel"
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
+	"limpetrail/resumer"
 	"limpetrail/retrier"
 )
 
@@ -18,6 +19,7 @@
 	Placer      *placer.Placer
 	Backend     Backend
 	Quarantiner *quarantiner.Quarantiner
+	Origins     Origins
 
 	// budgets limit the retries of attempts that a silent server did not answer in
 	// time, by service.
@@ -37,19 +39,34 @@
 	maxRetryBudgets = 1000
 )
 
+// Option changes a Forwarder at construction.
+type Option func(*Forwarder)
+
+// WithOrigins sets who knows where streams began. Without it the forwarder knows its own only.
+func WithOrigins(origins Origins) Option {
+	return func(forwarder *Forwarder) { forwarder.Origins = origins }
+}
+
 // NewForwarder returns a forwarder that gets places from the placer.
-func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend, quarantine *quarantiner.Quarantiner) *Forwarder {
+func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend, quarantine *quarantiner.Quarantiner, options ...Option) *Forwarder {
 	common = common.ForPart("forwarder")
 
-	return &Forwarder{
+	forwarder := &Forwarder{
 		Common:      common,
 		outcomes:    newOutcomeRecorder(common),
 		spentTime:   newSpentEstimator(),
 		Placer:      requestPlacer,
 		Backend:     backend,
 		Quarantiner: quarantine,
+		Origins:     resumer.NewResumer(common),
 		budgets:     retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
 	}
+
+	for _, option := range options {
+		option(forwarder)
+	}
+
+	return forwarder
 }
 
 // Forward handles a call until it is answered or has failed. If the outcome is
@@ -67,20 +84,12 @@
 		startedAt:   startedAt,
 		spentBefore: forwarder.spentTime.estimate(call.Route.Name, call.Deadline.Sub(startedAt), startedAt),
 		lastEventID: call.LastEventID,
-		quarantineRequest: quarantiner.Request{
-			ID: call.ID, Service: call.Service, Parts: forwarder.Backend.SharedParts(call.Header),
-			Fingerprint: quarantiner.Fingerprint(call.Body, call.Caller, call.Method, call.Host, call.Target),
-		},
 	}
 
-	for {
-		if result, ended := delivery.tryNext(ctx); ended {
-			result = delivery.finish(ctx, result)
-			forwarder.outcomes.record(call, result, time.Since(delivery.startedAt))
+	result := delivery.finish(ctx, delivery.deliver(ctx))
+	forwarder.outcomes.record(call, result, time.Since(delivery.startedAt))
 
-			return result
-		}
-	}
+	return result
 }
 
 // log returns a log entry with the call's ID and route.
--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -42,6 +42,8 @@
 	dataCentre string
 	now        time.Time
 	work       Work
+	// impossible is set for work that continues a stream of an unknown version.
+	impossible bool
 	// medianFirstBytes is the median time to the first bytes over the service's servers.
 	medianFirstBytes time.Duration
 	// staleness is the age of reports as a multiple of the shortest report interval,
@@ -86,7 +88,12 @@
 }
 
 func (chooser chooser) isCandidate(server *serverState) bool {
-	return server.usable(chooser.now) && !slices.Contains(chooser.work.Exclude, server.ID)
+	return server.usable(chooser.now) && !slices.Contains(chooser.work.Exclude, server.ID) && chooser.fits(server)
+}
+
+// fits reports whether the server's software can do the work.
+func (chooser chooser) fits(server *serverState) bool {
+	return !chooser.work.Continues || !chooser.impossible && server.Software == chooser.work.Software
 }
 
 // canSend reports whether the server can take the work and its limit allows a request now.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,6 +28,8 @@
 	// departures holds the incarnations that announced that they are leaving, and when
 	// each was last listed.
 	departures map[Departure]time.Time
+	// listedSince is when this entry first got a list of servers.
+	listedSince time.Time
 	// limits holds what the servers said of the requests that they take, by start.
 	limits map[serverStart]*limit
 	// reports holds the latest reports of other entries by name, until they expire.
@@ -69,6 +71,8 @@
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
 
+	placer.recordSoftware(time.Now())
+
 	previous, owners := placer.servers, placer.owners()
 	placer.servers = map[string]*serverState{}
 
@@ -358,11 +362,14 @@
 func (placer *Placer) newChooser(work Work) chooser {
 	now := time.Now()
 
+	service := placer.service(work.Service)
+
 	return chooser{
 		dataCentre:       placer.DataCentre,
+		impossible:       work.Continues && !service.continues(work.Software),
 		now:              now,
 		work:             work,
-		medianFirstBytes: placer.service(work.Service).medianFirstBytesAt(now),
+		medianFirstBytes: service.medianFirstBytesAt(now),
 		staleness:        reportStaleness(len(placer.reports)),
 	}
 }
--- a/placer/reconcile.go
+++ b/placer/reconcile.go
@@ -25,18 +25,21 @@
 }
 
 // serveQueue grants places to queued work in order, until the first work in the queue
-// finds no place.
+// finds no place. Work that only some servers can take keeps no other work waiting.
 func (placer *Placer) serveQueue(service *service) {
-	for len(service.queue.waiting) > 0 {
-		first := service.queue.waiting[0]
-
-		grant := placer.findPlace(first.work)
-		if grant == nil {
+	for position := 0; position < len(service.queue.waiting); {
+		queued := service.queue.waiting[position]
+		grant := placer.findPlace(queued.work)
+
+		switch {
+		case grant != nil:
+			service.queue.remove(queued)
+			queued.granted <- grant
+		case queued.work.Continues:
+			position++
+		default:
 			return
 		}
-
-		service.queue.remove(first)
-		first.granted <- grant
 	}
 }
 
--- a/placer/service.go
+++ b/placer/service.go
@@ -18,6 +18,9 @@
 	// medianFirstBytes is the median time to the first bytes over the servers at medianAt.
 	medianFirstBytes time.Duration
 	medianAt         time.Time
+	// softwareListedAt is when servers of each software version were last listed, as far as the
+	// list has changed since.
+	softwareListedAt map[string]time.Time
 	// wakeAt is when the queue is served again because limits allow further requests; a past
 	// time if that is not planned.
 	wakeAt time.Time
@@ -27,7 +30,7 @@
 func (placer *Placer) service(name string) *service {
 	state := placer.services[name]
 	if state == nil {
-		state = &service{meanRun: initialMeanRun, running: map[*Grant]bool{}}
+		state = &service{meanRun: initialMeanRun, running: map[*Grant]bool{}, softwareListedAt: map[string]time.Time{}}
 		placer.services[name] = state
 	}
 
--- a/placer/work.go
+++ b/placer/work.go
@@ -17,6 +17,10 @@
 	Prefix uint64
 	// Due is when the result of batch work is due; zero for online work.
 	Due time.Time
+	// Continues is true for work that goes on with a stream which began at Software. Only
+	// servers of that version can take it.
+	Continues bool
+	Software  string
 	// Exclude holds the IDs of servers that were tried already.
 	Exclude []string
 }
--- /dev/null
+++ b/resumer/resumer.go
@@ -0,0 +1,256 @@
+package resumer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/kernel"
+)
+
+const (
+	// Path is where holders are asked for the origin of a stream.
+	Path = "/v1/streams"
+	// queryID is the query parameter with the ID of the call that brought the first event.
+	queryID = "id"
+	// askTimeout bounds the question to the holders: a caller waits for its stream.
+	askTimeout = 250 * time.Millisecond
+	// copies is how many holders are told of each stream; one may be away.
+	copies = 2
+)
+
+// Resumer knows where streams began: from this entry's own calls, and from the holders that all
+// entries tell.
+type Resumer struct {
+	kernel.Common
+	Client *http.Client
+	// Seeds are the addresses of holders that are known before the list of members is.
+	Seeds []string
+	// Send sends a datagram.
+	Send func(address string, datagram []byte) error
+
+	ledger *Ledger
+
+	mutex sync.Mutex
+	// holders are the addresses of the listed holders by name.
+	holders map[string]string
+}
+
+// Option changes a Resumer at construction.
+type Option func(*Resumer)
+
+// WithSeeds sets the holders that are known from the start.
+func WithSeeds(addresses []string) Option {
+	return func(resumer *Resumer) { resumer.Seeds = addresses }
+}
+
+// WithSend replaces the UDP socket.
+func WithSend(send func(address string, datagram []byte) error) Option {
+	return func(resumer *Resumer) { resumer.Send = send }
+}
+
+// WithClient replaces the HTTP client for questions to holders.
+func WithClient(client *http.Client) Option {
+	return func(resumer *Resumer) { resumer.Client = client }
+}
+
+// NewResumer returns a resumer that knows no streams.
+func NewResumer(common kernel.Common, options ...Option) *Resumer {
+	resumer := &Resumer{
+		Common: common.ForPart("resumer"), Client: &http.Client{}, Send: newSocket().send,
+		ledger: NewLedger(), holders: map[string]string{},
+	}
+
+	for _, option := range options {
+		option(resumer)
+	}
+
+	return resumer
+}
+
+// SetHolders replaces the addresses of the listed holders, by name.
+func (resumer *Resumer) SetHolders(addresses map[string]string) {
+	resumer.mutex.Lock()
+	defer resumer.mutex.Unlock()
+
+	resumer.holders = maps.Clone(addresses)
+}
+
+// Record records where a stream began, before its first event is passed on. Two holders are told
+// without waiting for them: they are asked once this process is gone.
+func (resumer *Resumer) Record(id string, origin Origin) {
+	resumer.ledger.Record(id, origin)
+
+	datagram, err := json.Marshal(record{Origin: origin, ID: id})
+	if err != nil {
+		resumer.Log.WithField("RequestID", id).WithError(err).Warn("Record of a stream cannot be encoded; other entries cannot continue the stream.")
+
+		return
+	}
+
+	for _, address := range resumer.chosenHolders(id) {
+		if err := resumer.Send(address, datagram); err != nil {
+			resumer.Log.WithFields(logrus.Fields{"RequestID": id, "Holder": address}).WithError(err).Debug("Record of a stream was not sent to a holder.")
+		}
+	}
+}
+
+// chosenHolders returns the addresses of the holders that keep a stream's record.
+func (resumer *Resumer) chosenHolders(id string) []string {
+	resumer.mutex.Lock()
+	defer resumer.mutex.Unlock()
+
+	names := slices.SortedFunc(maps.Keys(resumer.holders), func(one, other string) int { return compareRanks(id, one, other) })
+	addresses := []string{}
+
+	for _, name := range names[:min(copies, len(names))] {
+		addresses = append(addresses, resumer.holders[name])
+	}
+
+	return addresses
+}
+
+// allHolders returns the addresses of the listed holders and of the seeds.
+func (resumer *Resumer) allHolders() []string {
+	resumer.mutex.Lock()
+	defer resumer.mutex.Unlock()
+
+	addresses := append(slices.Collect(maps.Values(resumer.holders)), resumer.Seeds...)
+	slices.Sort(addresses)
+
+	return slices.Compact(addresses)
+}
+
+// Find returns where a stream began. The error is of the type NotFound if nobody remembers it; it
+// is another one if a holder that may know did not answer.
+func (resumer *Resumer) Find(ctx context.Context, id string) (Origin, error) {
+	if id == "" {
+		return Origin{}, errors.NotFoundf("ID of the call that brought the first event")
+	}
+
+	if origin, age, known := resumer.ledger.Find(id); known {
+		resumer.logFound(id, origin, "this entry", age)
+
+		return origin, nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	holders := resumer.allHolders()
+	answers := make(chan answer, len(holders))
+
+	for _, holder := range holders {
+		go func() { answers <- resumer.ask(ctx, holder, id) }()
+	}
+
+	var silent error
+
+	for range holders {
+		switch answer := <-answers; {
+		case answer.err == nil:
+			resumer.ledger.Record(id, answer.Origin)
+			resumer.logFound(id, answer.Origin, answer.holder, answer.Age)
+
+			return answer.Origin, nil
+		case !errors.Is(answer.err, errors.NotFound):
+			silent = answer.err
+		}
+	}
+
+	resumer.Log.WithFields(logrus.Fields{"Resumes": id, "Holders": len(holders)}).WithError(silent).Info("Origin of a stream is not known.")
+
+	if silent != nil {
+		return Origin{}, errors.Annotate(silent, "asking the holders")
+	}
+
+	return Origin{}, errors.NotFoundf("stream %s", id)
+}
+
+func (resumer *Resumer) logFound(id string, origin Origin, source string, age time.Duration) {
+	resumer.Log.WithFields(logrus.Fields{
+		"Resumes": id, "Service": origin.Service, "Software": origin.Software, "Source": source, "Age": age,
+	}).Info("Origin of a stream is known.")
+}
+
+// answer is a holder's answer.
+type answer struct {
+	reply
+
+	holder string
+	err    error
+}
+
+// ask asks one holder.
+func (resumer *Resumer) ask(ctx context.Context, holder, id string) answer {
+	failed := func(err error) answer { return answer{holder: holder, err: errors.Annotate(err, holder)} }
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder+Path+"?"+url.Values{queryID: {id}}.Encode(), nil)
+	if err != nil {
+		return failed(err)
+	}
+
+	response, err := resumer.Client.Do(request)
+	if err != nil {
+		return failed(err)
+	}
+	defer response.Body.Close()
+
+	found := answer{holder: holder}
+
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return failed(errors.NotFoundf("stream %s", id))
+	default:
+		return failed(errors.Errorf("status %d", response.StatusCode))
+	}
+
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxRecordBytes)).Decode(&found.reply); err != nil {
+		return failed(err)
+	}
+
+	return found
+}
+
+// socket sends datagrams from a port that is opened with the first one.
+type socket struct {
+	mutex      sync.Mutex
+	connection *net.UDPConn
+}
+
+func newSocket() *socket {
+	return &socket{}
+}
+
+func (socket *socket) send(address string, datagram []byte) error {
+	target, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+
+	socket.mutex.Lock()
+	defer socket.mutex.Unlock()
+
+	if socket.connection == nil {
+		connection, err := net.ListenUDP("udp4", nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+
+		socket.connection = connection
+	}
+
+	_, err = socket.connection.WriteToUDP(datagram, target)
+
+	return errors.Trace(err)
+}
