Let an item's output be of one software version

Change: the version is kept with the output, in memory, in the saved partial output and at a hand-over. The next attempt goes to a server of that version; other items go ahead while it has no place. If the version is gone, is not known, or had no place for ten seconds beside servers of others, the item begins anew: a result is listed once, so nobody has seen the discarded part.

Ruled out: giving the item up (it is owed). Partial output saved by an earlier release has no version and begins anew where servers name theirs.

--- a/batcher/active_job.go
+++ b/batcher/active_job.go
@@ -91,6 +91,11 @@
 	eventCount int
 	lastEvent  int
 
+	// software is the software version of the servers that sent the output.
+	software string
+	// heldSince is since when the item waits for a server of that version; zero if it does not.
+	heldSince time.Time
+
 	// failures counts the failed attempts, which the route limits.
 	failures int
 	// interruptions counts interrupted attempts that received no event.
@@ -120,6 +125,23 @@
 	task.failures++
 }
 
+// begins records the software version of the server that the item begins at, or begins anew.
+func (task *task) begins(software string) {
+	task.mutex.Lock()
+	defer task.mutex.Unlock()
+
+	task.software = software
+}
+
+// discardOutput lets the item begin anew.
+func (task *task) discardOutput() {
+	task.mutex.Lock()
+	defer task.mutex.Unlock()
+
+	task.output.Reset()
+	task.eventCount, task.lastEvent, task.software, task.heldSince = 0, -1, "", time.Time{}
+}
+
 // addEvent appends the data of the event with the number to the output.
 func (task *task) addEvent(number int, data []byte) {
 	task.mutex.Lock()
@@ -139,7 +161,7 @@
 	task.mutex.Lock()
 	defer task.mutex.Unlock()
 
-	return bookkeeper.Partial{After: task.lastEvent, Events: task.eventCount, Output: task.output.String(), Failures: task.failures}
+	return bookkeeper.Partial{After: task.lastEvent, Events: task.eventCount, Output: task.output.String(), Software: task.software, Failures: task.failures}
 }
 
 // newTask returns a task that continues after the output that was saved.
@@ -150,7 +172,7 @@
 	}
 
 	created.output.WriteString(saved.Output)
-	created.eventCount, created.lastEvent = saved.Events, saved.After
+	created.eventCount, created.lastEvent, created.software = saved.Events, saved.After, saved.Software
 
 	return created
 }
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -94,13 +94,19 @@
 		work.Exclude = []string{chosen.avoidServer}
 	}
 
+	if chosen.lastEvent >= 0 && !batcher.discardIfGone(active, chosen, route) {
+		work.Continues, work.Software = true, chosen.software
+	}
+
 	grant, placed := batcher.Placer.PlaceBatch(work)
 	if !placed {
 		chosen.avoidServer = ""
 
-		return false
+		return work.Continues && batcher.holdForSoftware(chosen, route)
 	}
 
+	chosen.heldSince = time.Time{}
+
 	active.waiting = slices.DeleteFunc(active.waiting, func(other *task) bool { return other == chosen })
 	active.running++
 
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -100,6 +100,9 @@
 	grant.SetProgress(pending.eventCount)
 
 	eventsBefore, started := pending.eventCount, time.Now()
+	if eventsBefore == 0 {
+		pending.begins(grant.Server.Software)
+	}
 
 	run, block, blocked := batcher.Quarantiner.Start(batcher.quarantineRequest(pending, target), grant.Server)
 	if blocked {
--- a/bookkeeper/partial.go
+++ b/bookkeeper/partial.go
@@ -17,6 +17,8 @@
 	// Events is the number of events received.
 	Events int
 	Output string
+	// Software is the software version of the servers that sent the output.
+	Software string `json:",omitempty"`
 	// Failures is the number of failed attempts.
 	Failures int
 }
