Continue no stream at a server that has started again since it was listed

Cause: a server may come back under its ID with other software before the list shows it, for seconds while the store is away. It takes a continuation that was meant for the start before.

Change: before a continuation is sent, the server's report is asked for its start; another one, or no answer, is an attempt that was not sent. New requests fit any version and are sent without it. Both callers' streams and items go this way.

--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -143,7 +143,7 @@
 	placerServers := []placer.Server{}
 
 	for _, server := range fleet.servers {
-		placerServers = append(placerServers, placer.Server{ID: server.ID, Software: server.Software, Address: server.ID, Service: serviceName, Places: server.Places})
+		placerServers = append(placerServers, placer.Server{ID: server.ID, Address: server.ID, Service: serviceName, Places: server.Places})
 	}
 
 	places.UpdateServers(placerServers)
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -278,7 +278,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return interrupted, "The attempt was cancelled, or preempted by online work."
-	case errors.Is(err, exchanger.ErrWithdrawn):
+	case errors.Is(err, exchanger.ErrWithdrawn), errors.Is(err, exchanger.ErrRestarted):
 	case errors.As(err, &failure) && failure.Kind == exchanger.Unsent:
 		grant.Observe(placer.Unreachable, 0)
 	case failure.Kind == exchanger.Unanswered:
--- a/batcher/software_test.go
+++ b/batcher/software_test.go
@@ -20,7 +20,7 @@
 
 	for index, version := range versions {
 		server := fleet.servers[index]
-		server.Software = version
+		server.SetStart(version, 0)
 
 		if version != "" {
 			list = append(list, placer.Server{ID: server.ID, Software: version, Address: server.ID, Service: serviceName, Places: server.Places})
@@ -91,7 +91,7 @@
 			newFleet(t, 2, 4, func(fleet *fleet) {
 				for index, server := range fleet.servers {
 					server.EventInterval = 100 * time.Millisecond
-					server.Software = fmt.Sprint("v", index%2+1)
+					server.SetStart(fmt.Sprint("v", index%2+1), 0)
 				}
 
 				fleet.setSoftware("v1", "v2", "v1", "v2")
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -65,9 +65,6 @@
 type EventServer struct {
 	ID      string
 	Headers EventHeaders
-	// Software is the version of the server's software, which shows in the text of its events;
-	// empty for none. The server continues streams of any version.
-	Software string
 	// Places is the number of requests that run at once, and QueueLimit the number that
 	// may wait.
 	Places     int
@@ -90,8 +87,13 @@
 	maxInFlight  int
 	deadlyParts  []string
 	deadlyBody   string
-	deadlyRuns   []DeadlyRun
-	usedPlaces   chan struct{}
+	// software is the version of the server's software, which shows in the text of its events;
+	// empty for none. The server continues streams of any version. born identifies its start; 0
+	// for a server that does not tell.
+	software   string
+	born       int64
+	deadlyRuns []DeadlyRun
+	usedPlaces chan struct{}
 }
 
 // DefaultEventHeaders returns header names for tests without the platform's protocol.
@@ -193,6 +195,12 @@
 
 // ServeHTTP implements http.Handler.
 func (server *EventServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Method == http.MethodGet && request.URL.Path == reportPath {
+		server.writeReport(writer)
+
+		return
+	}
+
 	// net/http detects a closed connection only after the body has been read.
 	body, _ := io.ReadAll(request.Body)
 
@@ -265,6 +273,8 @@
 }
 
 func (server *EventServer) writeEvents(writer http.ResponseWriter, request *http.Request, faults EventFaults, after int) {
+	software, _ := server.start()
+
 	writer.Header().Set("Content-Type", "text/event-stream")
 
 	control := http.NewResponseController(writer)
@@ -282,7 +292,7 @@
 		}
 
 		if faults.SkipEvent == 0 || number != faults.SkipEvent {
-			fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, SoftwareText(number, server.Software))
+			fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, SoftwareText(number, software))
 		}
 
 		if control.Flush() != nil {
--- a/exchanger/failure_kind.go
+++ b/exchanger/failure_kind.go
@@ -6,6 +6,10 @@
 // while a connection was made.
 var ErrWithdrawn = errors.New("backend server was withdrawn")
 
+// ErrRestarted is the cause when a request was not sent because its server has started again since
+// it was listed.
+var ErrRestarted = errors.New("backend server has started again since it was listed")
+
 // FailureKind is how an exchange failed, which tells whether the request may have run.
 type FailureKind int
 
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -290,9 +290,14 @@
 // recordUnsent logs why nothing was sent: the server was withdrawn while a connection
 // was made, or no connection could be made.
 func (delivery *delivery) recordUnsent(grant *placer.Grant, failure exchanger.FailureError) {
-	if errors.Is(failure.Cause, exchanger.ErrWithdrawn) {
+	switch {
+	case errors.Is(failure.Cause, exchanger.ErrWithdrawn):
 		delivery.logEntry(grant, failure.Error()).Info("Backend server was withdrawn before the request was sent.")
 
+		return
+	case errors.Is(failure.Cause, exchanger.ErrRestarted):
+		delivery.logEntry(grant, failure.Error()).WithField("Software", grant.Server.Software).Info("Backend server has started again since it was listed; the stream does not go on there.")
+
 		return
 	}
 
--- a/forwarder/software_test.go
+++ b/forwarder/software_test.go
@@ -33,7 +33,7 @@
 
 	for index, version := range versions {
 		server := fleet.servers[index]
-		server.Software = version
+		server.SetStart(version, 0)
 		list = append(list, placer.Server{
 			ID: server.ID, Incarnation: time.Now().UnixNano(), Software: version, Address: server.ID, Service: serviceName, Places: server.Places,
 		})
