Take no answer without a length for complete that ended with its head

Cause: such an answer ends with its connection, and the check that the server went on passes, as it did.

Change: an answer without length, chunks or a byte of body is broken off, at gateways and sidecars. A server that means an empty body says so by a length or 204.

--- a/driver/http_client_test.go
+++ b/driver/http_client_test.go
@@ -186,3 +186,38 @@
 		})
 	}
 }
+
+// A service stops within the head of its answer, or right after it, and closes. Nothing of that is
+// a complete answer.
+func TestServiceAnswerCutInItsHeadIsComplete(t *testing.T) {
+	for name, head := range map[string]string{
+		"chunked":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n\r\n",
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Type: text/plain\r\n\r\n",
+		"without a length": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := emulator.NewNetwork()
+				cut := 0
+
+				service, stop := serve(network, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+					_, _ = io.Copy(io.Discard, request.Body)
+
+					connection, _, err := http.NewResponseController(writer).Hijack()
+					if err != nil {
+						panic(err)
+					}
+
+					_, _ = io.WriteString(connection, head[:cut])
+					connection.Close()
+				}))
+				defer stop()
+
+				for cut = range len(head) + 1 {
+					_, err := service.Call(context.Background(), driver.ServiceCall{Path: "/", ContentType: "text/plain"})
+					require.Error(t, err, "after %q", head[:cut])
+				}
+			})
+		})
+	}
+}
--- a/driver/http_service.go
+++ b/driver/http_service.go
@@ -58,7 +58,8 @@
 		return ServiceAnswer{}, errors.Annotate(err, "reading the service's answer")
 	}
 
-	if !exchanger.IsFramed(response) && refuses(ctx, service.Client, service.Address) {
+	// A service that stops right after the head of such an answer leaves no other sign.
+	if !exchanger.IsFramed(response) && (len(body) == 0 || refuses(ctx, service.Client, service.Address)) {
 		return ServiceAnswer{}, errors.Annotate(io.ErrUnexpectedEOF, "the service ended with an answer that does not mark its end")
 	}
 
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -24,7 +24,8 @@
 // off within the first maxBufferedBytes may be retried.
 func (delivery *delivery) forwardWhole(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
-	if err == nil && !answer.Framed && len(body) < maxBufferedBytes && delivery.run.ServerGone(ctx) {
+	// A server that stops right after the head of an answer without a length leaves no other sign.
+	if err == nil && !answer.Framed && len(body) < maxBufferedBytes && (len(body) == 0 || delivery.run.ServerGone(ctx)) {
 		err = errors.New(endedEarly)
 	}
 
@@ -167,7 +168,7 @@
 }
 
 // endedEarly is the reason of an answer that ended without an error and is not complete.
-const endedEarly = "The answer ended within an event, or has no length and ended with its server or without an event."
+const endedEarly = "The answer ended within an event, or has no length and ended with its server or without a byte or an event."
 
 // errCallerDisconnected is the cause when the caller's connection no longer accepts data.
 var errCallerDisconnected = errors.New("the caller disconnected")
