Play several software versions and take-ups in the soak

The stand-ins had no software versions and answered nothing about their start; callers of the soak never took a stream up.

Change: backend servers of the stand-in have a version, which shows in their text, and a start in their report; they continue streams of any version. A stream or an item's output must be of one version; more than two joined take-ups break the rule.

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -67,6 +67,7 @@
 		deployment.Servers = append(deployment.Servers, server)
 		deployment.ServerLinks = append(deployment.ServerLinks, link)
 
+		server.SetStart("", int64(deployment.bornAt(index, 0)))
 		deployment.MarkServerReady(index)
 	}
 
@@ -89,8 +90,12 @@
 
 func (deployment *Deployment) writeServerEntry(index int, state string) {
 	server := deployment.Servers[index]
-	incarnation := int(deployment.incarnations[index].Load())*serverCount + index + 1
-	deployment.Store.Catalog.Put(emulator.PlatformServerEntry(server.ID, deployment.ServerLinks[index].Address, state, incarnation))
+	deployment.Store.Catalog.Put(emulator.PlatformServerEntry(server.ID, deployment.ServerLinks[index].Address, state, server.Software(), deployment.bornAt(index, deployment.incarnations[index].Load())))
+}
+
+// bornAt identifies a start of a backend server.
+func (deployment *Deployment) bornAt(index int, incarnation int64) int {
+	return int(incarnation)*serverCount + index + 1
 }
 
 // serverDowntime is how long a backend server that crashed is away.
@@ -98,8 +103,17 @@
 
 // restartServer ends the process of a backend server and starts it again.
 func (deployment *Deployment) restartServer(index int) {
+	deployment.ReplaceServer(index, deployment.Servers[index].Software())
+}
+
+// ReplaceServer ends the process of a backend server and starts one with the software version under
+// its ID. The store's entry follows a moment later.
+func (deployment *Deployment) ReplaceServer(index int, software string) {
+	incarnation := deployment.incarnations[index].Load() + 1
+	deployment.Servers[index].SetStart(software, int64(deployment.bornAt(index, incarnation)))
+
 	if deployment.ServerLinks[index].Crash(deployment.T.Context(), serverDowntime) {
-		deployment.incarnations[index].Add(1)
+		deployment.incarnations[index].Store(incarnation)
 		deployment.MarkServerReady(index)
 	}
 }
--- a/emulator/platform_protocol.go
+++ b/emulator/platform_protocol.go
@@ -40,10 +40,16 @@
 		"services":[{"name":"model","healthPath":"/healthz"}],"limits":{"maxBodyBytes":1000000}}`, version, version)
 }
 
-// PlatformServerEntry returns the key and the entry of a backend server of "model".
-func PlatformServerEntry(id, address, state string, incarnation int) (string, []byte) {
+// PlatformServerEntry returns the key and the entry of a backend server of "model". An empty software
+// version is left out.
+func PlatformServerEntry(id, address, state, software string, incarnation int) (string, []byte) {
+	version := ""
+	if software != "" {
+		version = fmt.Sprintf(`,"version":%q`, software)
+	}
+
 	return platformServerPrefix + id, fmt.Appendf(nil,
-		`{"service":"model","address":%q,"zone":"a","slots":8,"state":%q,"born":%d}`, address, state, incarnation)
+		`{"service":"model","address":%q,"zone":"a"%s,"slots":8,"state":%q,"born":%d}`, address, version, state, incarnation)
 }
 
 // PlatformJob returns the body of a job whose items have these IDs and use the route of
--- a/emulator/server_start.go
+++ b/emulator/server_start.go
@@ -17,6 +17,13 @@
 	server.software, server.born = software, born
 }
 
+// Software returns the software version of the server's process.
+func (server *EventServer) Software() string {
+	software, _ := server.start()
+
+	return software
+}
+
 // start returns the software version and the start of the server's process.
 func (server *EventServer) start() (software string, born int64) {
 	server.mutex.Lock()
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -58,7 +58,13 @@
 		}
 
 		soak.history.RecordRequest(id, once)
-		soak.history.RecordAnswer(id, caller.RequestStream(context.WithoutCancel(ctx), target, id))
+
+		answer := caller.RequestStream(context.WithoutCancel(ctx), target, id)
+		soak.history.RecordAnswer(id, answer)
+
+		if soak.hasVersions() && !once {
+			soak.takeUp(context.WithoutCancel(ctx), caller, id, answer)
+		}
 	}
 }
 
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -68,6 +68,7 @@
 	violations := soak.checkRecovery(ctx)
 	violations = append(violations, soak.checkJobs(ctx)...)
 	violations = append(violations, soak.checkDeadlyRuns()...)
+	violations = append(violations, soak.checkTakeUps()...)
 
 	return append(violations, soak.checkRuns()...)
 }
@@ -101,7 +102,7 @@
 			caller := deployer.NewCaller(process)
 			caller.Parts = soak.newCaller().Parts
 
-			return caller.RequestStream(ctx, "/stream/x", id).Body == deployer.CompleteStream()
+			return deployer.IsCompleteStream(caller.RequestStream(ctx, "/stream/x", id).Body)
 		}) {
 			violations = append(violations, fmt.Sprintf("RECOVER: %s does not serve a complete stream", process.Name))
 		}
@@ -160,7 +161,7 @@
 		switch {
 		case seen[result.ID]:
 			violations = append(violations, "TWICE: "+result.ID+" has two results")
-		case result.State == "completed" && result.Output != deployer.CompleteOutput():
+		case result.State == "completed" && !deployer.IsCompleteOutput(result.Output):
 			violations = append(violations, fmt.Sprintf("MIXED: item %s has the wrong output %q", result.ID, result.Output))
 		}
 
--- a/soaker/deadly_part.go
+++ b/soaker/deadly_part.go
@@ -83,7 +83,7 @@
 
 // hasDeadlyRequest reports whether the load of the seed has the deadly request.
 func (soak *Soak) hasDeadlyRequest() bool {
-	return soak.Seed >= firstDeadlyRequestSeed
+	return soak.Seed >= firstDeadlyRequestSeed && soak.Seed < firstVersionSeed
 }
 
 // sendDeadlyRequests sends requests with the deadly part, or the deadly request, until the context
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -59,6 +59,10 @@
 		faults = append(faults, wideFaults()...)
 	}
 
+	if soak.hasVersions() {
+		faults = append(faults, (*Soak).releaseServer, (*Soak).releaseServer)
+	}
+
 	injectors := sync.WaitGroup{}
 
 	for range concurrentFaults {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -51,6 +51,8 @@
 	plannedStopLock sync.Mutex
 	// disturbances records the faults of each gateway's processes.
 	disturbances [gatewayCount]disturbance
+	// releaseLock allows one server to be replaced at a time.
+	releaseLock sync.Mutex
 	// processLock guards the maps of the current processes.
 	processLock sync.Mutex
 }
@@ -94,6 +96,12 @@
 		}
 	}
 
+	if soak.hasVersions() {
+		for index := range soak.Servers {
+			soak.giveSoftware(index)
+		}
+	}
+
 	for number := range gatewayCount {
 		soak.StartGateway(gatewayName(number))
 		soak.rotation.Store(number, true)
