Tell seeds of streams until the members are known

Cause: a gateway that has just started serves before it has the list of members; streams that began then were told to no holder. After a loss of all gateways that is when most streams begin.

Change: the two holders are chosen among the seeds until any are listed.

Test: TestStreamBeforeTheMembersAreKnownIsNotTold, which failed before (0 of 2 told).

--- a/resumer/collector_test.go
+++ b/resumer/collector_test.go
@@ -55,6 +55,24 @@
 	require.NotErrorIs(t, err, errors.NotFound, "a holder that does not answer may know")
 }
 
+// An entry that has just started serves before it knows the members. Its streams are told too.
+func TestStreamBeforeTheMembersAreKnownIsNotTold(t *testing.T) {
+	told := map[string]int{}
+	starting := resumer.NewResumer(kernel.NewDiscardCommon("entry-1"), resumer.WithSeeds([]string{"a:1", "b:1", "c:1"}),
+		resumer.WithSend(func(address string, _ []byte) error {
+			told[address]++
+
+			return nil
+		}))
+
+	starting.Record("first", resumer.Origin{Service: "model", Software: "v1"})
+	require.Len(t, told, 2)
+
+	starting.SetHolders(map[string]string{"holder-9": "z:1"})
+	starting.Record("second", resumer.Origin{Service: "model", Software: "v1"})
+	require.Equal(t, 1, told["z:1"])
+}
+
 // Records of other programs and faulty entries are dropped.
 func TestUnreadableRecordsAreDropped(t *testing.T) {
 	collector := resumer.NewCollector(kernel.NewDiscardCommon("holder-1"))
--- a/resumer/rank.go
+++ b/resumer/rank.go
@@ -5,7 +5,7 @@
 	"hash/fnv"
 )
 
-// compareRanks orders holders for a stream by rendezvous hashing, the first one first.
+// compareRanks orders the addresses of holders for a stream by rendezvous hashing, the first one first.
 func compareRanks(id, one, other string) int {
 	return cmp.Or(cmp.Compare(rankOf(id, other), rankOf(id, one)), cmp.Compare(one, other))
 }
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -104,19 +104,20 @@
 	}
 }
 
-// chosenHolders returns the addresses of the holders that keep a stream's record.
+// chosenHolders returns the addresses of the holders that keep a stream's record. Until any are
+// listed they are chosen among the seeds.
 func (resumer *Resumer) chosenHolders(id string) []string {
 	resumer.mutex.Lock()
 	defer resumer.mutex.Unlock()
 
-	names := slices.SortedFunc(maps.Keys(resumer.holders), func(one, other string) int { return compareRanks(id, one, other) })
-	addresses := []string{}
-
-	for _, name := range names[:min(copies, len(names))] {
-		addresses = append(addresses, resumer.holders[name])
+	candidates := slices.Collect(maps.Values(resumer.holders))
+	if len(candidates) == 0 {
+		candidates = slices.Clone(resumer.Seeds)
 	}
 
-	return addresses
+	slices.SortFunc(candidates, func(one, other string) int { return compareRanks(id, one, other) })
+
+	return candidates[:min(copies, len(candidates))]
 }
 
 // allHolders returns the addresses of the listed holders and of the seeds.
