--- a/placer/software_test.go
+++ b/placer/software_test.go
@@ -45,6 +45,7 @@
 		grants["v2"].Release()
 
 		decision := <-decisions
+		require.Equal(t, placer.Placed, decision.Verdict)
 		require.Equal(t, "v2", decision.Grant.Server.Software)
 		require.Less(t, decision.Waited, time.Second)
 
