Let take-ups go on after a loss of all gateways if there was one version only

Cause: callers that name no first attempt (those of sites without several versions) were refused for twice the route's timeout by gateways that had just started: they cannot tell from their list that there was only one version.

Change: such a gateway asks the holders at which versions streams of the service began lately. If all but one of those that keep a stream's record have been told for that long, and there was one, the stream goes on there.

Test: three cases in TestTakeUpJoinsTwoVersions; the first failed before, the others fail with the check of a single version taken out.

--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -30,6 +30,9 @@
 	Record(id string, origin resumer.Origin)
 	// Find returns an error of the type NotFound if nobody knows.
 	Find(ctx context.Context, id string) (resumer.Origin, error)
+	// SoleSoftware returns the version at which all streams of a service began in the period, and
+	// false if that is not certain.
+	SoleSoftware(ctx context.Context, service string, period time.Duration) (string, bool)
 }
 
 // isContinuation reports whether the next attempt must go on after an event.
@@ -47,7 +50,7 @@
 
 	origin, err := delivery.forwarder.Origins.Find(ctx, delivery.call.Resumes)
 	if err != nil {
-		software, sole := delivery.forwarder.Placer.SoleSoftware(delivery.call.Service, delivery.soleSoftwarePeriod())
+		software, sole := delivery.soleSoftware(ctx)
 		if !sole {
 			return delivery.refuseContinuation(origin, retryAfterUnknown(err), "It is not known which software version began the stream; request it from the start.")
 		}
@@ -76,12 +79,19 @@
 	return originUnknownRetryAfter
 }
 
-func (delivery *delivery) soleSoftwarePeriod() time.Duration {
-	if delivery.call.Route.Timeout <= 0 {
-		return soleSoftwareTimeouts * defaultStreamTime
+// soleSoftware returns the only version at which a stream of the service can have begun, by the list
+// of servers or, if this entry has not had that for long, by what the holders were told.
+func (delivery *delivery) soleSoftware(ctx context.Context) (string, bool) {
+	period := soleSoftwareTimeouts * defaultStreamTime
+	if delivery.call.Route.Timeout > 0 {
+		period = soleSoftwareTimeouts * delivery.call.Route.Timeout
 	}
 
-	return soleSoftwareTimeouts * delivery.call.Route.Timeout
+	if software, sole := delivery.forwarder.Placer.SoleSoftware(delivery.call.Service, period); sole {
+		return software, true
+	}
+
+	return delivery.forwarder.Origins.SoleSoftware(ctx, delivery.call.Service, period)
 }
 
 func (delivery *delivery) serves(service string) bool {
--- a/forwarder/software_test.go
+++ b/forwarder/software_test.go
@@ -169,6 +169,8 @@
 	// versions are those of the servers at the take-up; nil for the same servers.
 	versions     []string
 	silent, lost bool
+	// seasoned holders were told for long before, of a stream at another version as well if mixed.
+	seasoned, mixed bool
 	// nameless callers do not name their first attempt.
 	nameless bool
 	outcome  forwarder.Outcome
@@ -192,6 +194,9 @@
 		"the holder is silent":                    {silent: true, outcome: forwarder.Refused, soon: true},
 		"the holder is silent, at the same entry": {silent: true, sameEntry: true, outcome: forwarder.Answered},
 		"no first attempt is named":               {nameless: true, outcome: forwarder.Refused},
+		"none is named, all began at one version": {nameless: true, seasoned: true, outcome: forwarder.Answered},
+		"none is named, they began at two":        {nameless: true, seasoned: true, mixed: true, outcome: forwarder.Refused},
+		"none is named, that version has left":    {nameless: true, seasoned: true, versions: []string{"", "v2"}, outcome: forwarder.Refused},
 		"an unknown version beside known ones":    {began: unknown, versions: []string{"", "", "v2"}, outcome: forwarder.Refused},
 		"no server names a version":               {began: unknown, versions: []string{"", ""}, outcome: forwarder.Answered},
 	} {
@@ -211,6 +216,15 @@
 
 	told := newHolders()
 	told.lost = scenario.lost
+
+	if scenario.seasoned {
+		time.Sleep(time.Minute)
+	}
+
+	if scenario.mixed {
+		told.newResumer().Record("another", resumer.Origin{Service: serviceName, Software: "v2"})
+	}
+
 	first := fleet.newEntry(told.newResumer(), fleet.listed(began))
 	fleet.setFaults(emulator.EventFaults{BreakAfter: 5})
 
--- a/resumer/collector.go
+++ b/resumer/collector.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,7 +18,16 @@
 type Collector struct {
 	kernel.Common
 
-	ledger *Ledger
+	ledger    *Ledger
+	startedAt time.Time
+}
+
+// versionsReply is the JSON body of a holder's answer to the question for versions.
+type versionsReply struct {
+	// Versions are those at which streams began within the period.
+	Versions []string
+	// Up is how long the holder has been told.
+	Up time.Duration
 }
 
 // reply is the JSON body of a holder's answer.
@@ -29,7 +40,7 @@
 
 // NewCollector returns a collector without records.
 func NewCollector(common kernel.Common) *Collector {
-	return &Collector{Common: common.ForPart("resumer"), ledger: NewLedger()}
+	return &Collector{Common: common.ForPart("resumer"), ledger: NewLedger(), startedAt: time.Now()}
 }
 
 // Run receives records at the address until the context ends.
@@ -75,18 +86,44 @@
 	collector.ledger.Record(received.ID, received.Origin)
 }
 
-// ServeHTTP implements http.Handler: it answers where a stream began, or 404.
+// ServeHTTP implements http.Handler: it answers where a stream began, or 404, or at which versions
+// streams of a service began.
 func (collector *Collector) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	origin, age, known := collector.ledger.Find(request.URL.Query().Get(queryID))
+	query := request.URL.Query()
+
+	if query.Has(queryService) {
+		collector.serveVersions(writer, query.Get(queryService), query.Get(queryPeriod))
+
+		return
+	}
+
+	origin, age, known := collector.ledger.Find(query.Get(queryID))
 	if !known {
 		http.Error(writer, "No stream with this ID is known.", http.StatusNotFound)
 
 		return
 	}
 
+	collector.write(writer, reply{Origin: origin, Age: age})
+}
+
+func (collector *Collector) serveVersions(writer http.ResponseWriter, service, text string) {
+	period, err := time.ParseDuration(text)
+	if err != nil {
+		http.Error(writer, "The parameter "+queryPeriod+" is no duration: "+err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	collector.write(writer, versionsReply{
+		Versions: slices.Sorted(maps.Keys(collector.ledger.Versions(service, period))), Up: time.Since(collector.startedAt),
+	})
+}
+
+func (collector *Collector) write(writer http.ResponseWriter, answer any) {
 	writer.Header().Set("Content-Type", "application/json")
 
-	if err := json.NewEncoder(writer).Encode(reply{Origin: origin, Age: age}); err != nil {
-		collector.Log.WithError(err).Info("Origin of a stream could not be sent to an entry.")
+	if err := json.NewEncoder(writer).Encode(answer); err != nil {
+		collector.Log.WithError(err).Info("What is known of streams could not be sent to an entry.")
 	}
 }
--- a/resumer/ledger.go
+++ b/resumer/ledger.go
@@ -1,6 +1,7 @@
 package resumer
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -57,6 +58,27 @@
 	}
 }
 
+// Versions returns the software versions at which streams of the service began within the period.
+func (ledger *Ledger) Versions(service string, period time.Duration) map[string]bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+
+	versions := map[string]bool{}
+
+	for _, id := range slices.Backward(ledger.order[ledger.first:]) {
+		entry := ledger.entries[id]
+		if time.Since(entry.recordedAt) > period {
+			break
+		}
+
+		if entry.origin.Service == service {
+			versions[entry.origin.Software] = true
+		}
+	}
+
+	return versions
+}
+
 // Find returns the origin of a stream and how long ago it was recorded, and false if it is not
 // known.
 func (ledger *Ledger) Find(id string) (Origin, time.Duration, bool) {
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"iter"
 	"maps"
 	"net"
 	"net/http"
@@ -22,6 +23,11 @@
 	Path = "/v1/streams"
 	// queryID is the query parameter with the ID of the call that brought the first event.
 	queryID = "id"
+	// queryService and queryPeriod ask for the versions at which streams began.
+	queryService = "service"
+	queryPeriod  = "period"
+	// maxReplyBytes bounds a holder's answer.
+	maxReplyBytes = 64 << 10
 	// askTimeout bounds the question to the holders: a caller waits for its stream.
 	askTimeout = 250 * time.Millisecond
 	// copies is how many holders are told of each stream; one may be away.
@@ -144,25 +150,17 @@
 		return origin, nil
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-
 	holders := resumer.allHolders()
-	answers := make(chan answer, len(holders))
-
-	for _, holder := range holders {
-		go func() { answers <- resumer.ask(ctx, holder, id) }()
-	}
 
 	var silent error
 
-	for range holders {
-		switch answer := <-answers; {
+	for answer := range askAll[reply](ctx, resumer, holders, url.Values{queryID: {id}}) {
+		switch {
 		case answer.err == nil:
-			resumer.ledger.Record(id, answer.Origin)
-			resumer.logFound(id, answer.Origin, answer.holder, answer.Age)
+			resumer.ledger.Record(id, answer.reply.Origin)
+			resumer.logFound(id, answer.reply.Origin, answer.holder, answer.reply.Age)
 
-			return answer.Origin, nil
+			return answer.reply.Origin, nil
 		case !errors.Is(answer.err, errors.NotFound):
 			silent = answer.err
 		}
@@ -183,44 +181,90 @@
 	}).Info("Origin of a stream is known.")
 }
 
-// answer is a holder's answer.
-type answer struct {
-	reply
+// SoleSoftware returns the version at which all streams of the service began in the period, as far as
+// the holders were told. It is false if there was none or were several, or if too few holders answer
+// that have been told for so long.
+func (resumer *Resumer) SoleSoftware(ctx context.Context, service string, period time.Duration) (string, bool) {
+	holders := resumer.allHolders()
+	versions, told := resumer.ledger.Versions(service, period), 0
+
+	for answer := range askAll[versionsReply](ctx, resumer, holders, url.Values{queryService: {service}, queryPeriod: {period.String()}}) {
+		if answer.err != nil || answer.reply.Up < period {
+			continue
+		}
+
+		told++
 
+		for _, version := range answer.reply.Versions {
+			versions[version] = true
+		}
+	}
+
+	names := slices.Sorted(maps.Keys(versions))
+	// Each stream is told to several holders, so that all but one of these may be missing.
+	sole := told > 0 && told > len(holders)-copies && len(names) == 1
+
+	resumer.Log.WithFields(logrus.Fields{"Service": service, "Software": names, "Holders": len(holders), "Told": told, "Sole": sole}).Info("Asked for the software versions of recent streams.")
+
+	if !sole {
+		return "", false
+	}
+
+	return names[0], true
+}
+
+// answer is a holder's answer to a question.
+type answer[T any] struct {
 	holder string
+	reply  T
 	err    error
 }
 
-// ask asks one holder.
-func (resumer *Resumer) ask(ctx context.Context, holder, id string) answer {
-	failed := func(err error) answer { return answer{holder: holder, err: errors.Annotate(err, holder)} }
+// askAll asks all holders at once and yields their answers as they come.
+func askAll[T any](ctx context.Context, resumer *Resumer, holders []string, query url.Values) iter.Seq[answer[T]] {
+	return func(yield func(answer[T]) bool) {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+
+		answers := make(chan answer[T], len(holders))
+
+		for _, holder := range holders {
+			go func() {
+				asked := answer[T]{holder: holder}
+				asked.err = errors.Annotate(resumer.ask(ctx, holder, query, &asked.reply), holder)
+				answers <- asked
+			}()
+		}
+
+		for range holders {
+			if !yield(<-answers) {
+				return
+			}
+		}
+	}
+}
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder+Path+"?"+url.Values{queryID: {id}}.Encode(), nil)
+// ask asks one holder and decodes its answer.
+func (resumer *Resumer) ask(ctx context.Context, holder string, query url.Values, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+holder+Path+"?"+query.Encode(), nil)
 	if err != nil {
-		return failed(err)
+		return errors.Trace(err)
 	}
 
 	response, err := resumer.Client.Do(request)
 	if err != nil {
-		return failed(err)
+		return errors.Trace(err)
 	}
 	defer response.Body.Close()
 
-	found := answer{holder: holder}
-
 	switch response.StatusCode {
 	case http.StatusOK:
+		return errors.Trace(json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxReplyBytes)).Decode(reply))
 	case http.StatusNotFound:
-		return failed(errors.NotFoundf("stream %s", id))
+		return errors.NotFoundf("stream")
 	default:
-		return failed(errors.Errorf("status %d", response.StatusCode))
+		return errors.Errorf("status %d", response.StatusCode)
 	}
-
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxRecordBytes)).Decode(&found.reply); err != nil {
-		return failed(err)
-	}
-
-	return found
 }
 
 // socket sends datagrams from a port that is opened with the first one.
