--- a/quarantiner/abandoned_run.go
+++ b/quarantiner/abandoned_run.go
@@ -39,9 +39,9 @@
 	run.quarantiner.abandoned = run.quarantiner.abandoned[max(0, len(run.quarantiner.abandoned)-maxAbandoned):]
 }
 
-// strikeAbandoned records strikes against the requests that were abandoned at a server right
+// addStrikesOfAbandoned records strikes against the requests that were abandoned at a server right
 // before it ended. The mutex must be held, within an update.
-func (quarantiner *Quarantiner) strikeAbandoned(server Incarnation, endedAt time.Time) {
+func (quarantiner *Quarantiner) addStrikesOfAbandoned(server Incarnation, endedAt time.Time) {
 	kept := quarantiner.abandoned[:0]
 
 	for _, abandoned := range quarantiner.abandoned {
@@ -50,7 +50,7 @@
 		switch {
 		case time.Since(abandoned.abandonedAt) > 2*abandonedMemory:
 		case abandoned.server == server && age < abandonedMemory:
-			quarantiner.strike(abandoned.request, strike{
+			quarantiner.addStrikes(abandoned.request, strike{
 				server: server, requestID: abandoned.request.ID, fingerprint: abandoned.request.Fingerprint,
 				sentAt: abandoned.sentAt, endedAt: kernel.Latest(endedAt, abandoned.abandonedAt), trial: abandoned.trial, abandonedAt: abandoned.abandonedAt,
 			})
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -16,8 +16,8 @@
 	defer quarantiner.mutex.Unlock()
 
 	quarantiner.update("end of "+added.server.Server, func() {
-		quarantiner.strike(request, added)
-		quarantiner.strikeAbandoned(added.server, added.endedAt)
+		quarantiner.addStrikes(request, added)
+		quarantiner.addStrikesOfAbandoned(added.server, added.endedAt)
 	})
 }
 
@@ -31,12 +31,12 @@
 		return
 	}
 
-	quarantiner.update("refusal of "+ended.Server, func() { quarantiner.strikeAbandoned(ended, time.Now()) })
+	quarantiner.update("refusal of "+ended.Server, func() { quarantiner.addStrikesOfAbandoned(ended, time.Now()) })
 }
 
-// strike adds a strike against a request and the parts of its prompt. If one of them was
+// addStrikes adds a strike against a request and the parts of its prompt. If one of them was
 // quarantined already, that one is the cause. The mutex must be held, within an update.
-func (quarantiner *Quarantiner) strike(request Request, added strike) {
+func (quarantiner *Quarantiner) addStrikes(request Request, added strike) {
 	quarantiner.strikes.Inc(1)
 
 	known := quarantiner.quarantinedSubjects(request)
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -232,7 +232,7 @@
 			continue
 		}
 
-		quarantiner.strikeAbandoned(struck.Incarnation, endedAt)
+		quarantiner.addStrikesOfAbandoned(struck.Incarnation, endedAt)
 		known.addStrike(strike{
 			server: struck.Incarnation, requestID: struck.RequestID, fingerprint: struck.Fingerprint, deeper: struck.Deeper, sentAt: now.Add(-struck.SentAge), endedAt: endedAt,
 		}, now)
@@ -243,14 +243,14 @@
 	}
 }
 
+// compareBools orders false before true.
 func compareBools(one, other bool) int {
-	if one == other {
+	switch {
+	case one == other:
 		return 0
-	}
-
-	if one {
+	case one:
 		return 1
+	default:
+		return -1
 	}
-
-	return -1
 }
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"iter"
 	"maps"
 	"net"
@@ -259,7 +260,7 @@
 
 	switch response.StatusCode {
 	case http.StatusOK:
-		return errors.Trace(json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxReplyBytes)).Decode(reply))
+		return errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply))
 	case http.StatusNotFound:
 		return errors.NotFoundf("stream")
 	default:
