Look for another port when the harness finds one taken

The port was free when it was looked for, and taken when it was used: the harness closes its look before it listens. Which process took it is not known; it is below the range of outgoing connections (32768 to 60999 here).

Change: a link tries up to ten ports. Ports of processes keep the gap, as only their process can listen.

No test of its own: the gap is between two calls of the system.

--- a/deployer/address.go
+++ b/deployer/address.go
@@ -6,6 +6,8 @@
 	"net"
 	"strconv"
 	"sync"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -40,3 +42,22 @@
 		return address
 	}
 }
+
+// listenFree listens at an address that is free. Another process may take one between the look for
+// it and its use.
+func listenFree(ctx context.Context) (net.Listener, error) {
+	const attempts = 10
+
+	var failure error
+
+	for range attempts {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", freeAddress(ctx))
+		if err == nil {
+			return listener, nil
+		}
+
+		failure = err
+	}
+
+	return nil, errors.Trace(failure)
+}
--- a/deployer/link.go
+++ b/deployer/link.go
@@ -43,7 +43,7 @@
 
 // NewLink starts a link that runs until the context ends.
 func NewLink(ctx context.Context, target string) (*Link, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", freeAddress(ctx))
+	listener, err := listenFree(ctx)
 	if err != nil {
 		return nil, errors.Annotate(err, "starting a link")
 	}
