--- a/dispatcher/deadly_prompt_test.go
+++ b/dispatcher/deadly_prompt_test.go
@@ -23,6 +23,22 @@
 	return fmt.Appendf(nil, "%s%d", strings.Repeat(shared, 1100/len(shared)+1)[:1100], number)
 }
 
+// newRestartingFleet returns a fleet of six engines that are back a second after they end.
+func newRestartingFleet(t *testing.T) *fleet {
+	t.Helper()
+
+	fleet := newFleet(t, nil)
+	for number := range 6 {
+		fleet.addReplica(fmt.Sprintf("model-%d", number), modelService)
+	}
+
+	for _, engine := range fleet.engines {
+		engine.RestartTime = time.Second
+	}
+
+	return fleet
+}
+
 // Calls whose prompts begin alike end one engine after the other, at the sidecar that
 // repeats them and at the replicas that they are moved to. After a few engines such calls
 // are refused at once, and others are served.
@@ -30,14 +46,7 @@
 	for name, idempotent := range map[string]bool{"idempotent calls": true, "calls that run once": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := newFleet(t, nil)
-				for number := range 6 {
-					fleet.addReplica(fmt.Sprintf("model-%d", number), modelService)
-				}
-
-				for _, engine := range fleet.engines {
-					engine.RestartTime = time.Second
-				}
+				fleet := newRestartingFleet(t)
 
 				starts, last := 0, classifier.Outcome{}
 
@@ -125,14 +134,7 @@
 // not.
 func TestCallEndsEngineAfterEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet := newFleet(t, nil)
-		for number := range 6 {
-			fleet.addReplica(fmt.Sprintf("model-%d", number), modelService)
-		}
-
-		for _, engine := range fleet.engines {
-			engine.RestartTime = time.Second
-		}
+		fleet := newRestartingFleet(t)
 
 		starts, last := 0, classifier.Outcome{}
 
