--- /dev/null
+++ b/review/stand/fleet.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// zones are the zones of the small deployment.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// process is a running gateway or holder.
+type process struct {
+	name    string
+	command *exec.Cmd
+	door    *door
+	// callers, ready and control are addresses of the process.
+	callers, ready, control string
+	ended                   chan struct{}
+}
+
+// fleet is the deployment of a case: the project's programs against the stand-ins.
+type fleet struct {
+	store    *store
+	record   *record
+	folder   string
+	gateways []*process
+	holders  []*process
+	replicas []*replica
+
+	mutex     sync.Mutex
+	processes []*process
+}
+
+// newFleet creates a deployment without processes.
+func newFleet(log *record) *fleet {
+	folder, err := os.MkdirTemp("", "review-")
+	check(err)
+
+	return &fleet{store: newStore(), record: log, folder: folder}
+}
+
+// usedAddresses are those given out, as a free port may be offered twice.
+var usedAddresses = map[string]bool{}
+
+func freeAddress() string {
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		check(err)
+
+		address := listener.Addr().String()
+		listener.Close()
+
+		if !usedAddresses[address] {
+			usedAddresses[address] = true
+
+			return address
+		}
+	}
+}
+
+// startMachines starts one holder a zone and the gateways, with the commands of the deploy file and
+// the settings of its templates.
+func (fleet *fleet) startMachines(gateways int) {
+	seeds := ""
+
+	for index, zone := range zones {
+		holder := &process{name: fmt.Sprintf("storage-%d", index+1), door: fleet.store.open(), control: freeAddress()}
+		fleet.holders = append(fleet.holders, holder)
+
+		if seeds != "" {
+			seeds += ","
+		}
+
+		seeds += holder.control
+		_ = zone
+	}
+
+	for index, holder := range fleet.holders {
+		fleet.launch(holder, "holder", fmt.Sprintf(
+			"[Instance]\nName = %s\nDataCentre = %s\n\n[Listen]\nOperations = %s\nMetrics = %s\nSeeds = %s\n\n[Catalog]\nAdapter = platform\nAddress = %s\n\n[Jobs]\nRetention = 120s\n\n[Data]\nFolder = %s\nMegabytes = 410\n",
+			holder.name, zones[index], holder.control, freeAddress(), seeds, holder.door.address, filepath.Join(fleet.folder, holder.name)))
+	}
+
+	for index := range gateways {
+		gateway := &process{name: fmt.Sprintf("front-%d", index+1), door: fleet.store.open(), callers: freeAddress(), ready: freeAddress(), control: freeAddress()}
+		fleet.gateways = append(fleet.gateways, gateway)
+		fleet.launch(gateway, "gateway", fmt.Sprintf(
+			"[Instance]\nName = %s\nDataCentre = %s\n\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nOperations = %s\nMetrics = %s\nSeeds = %s\n\n[Catalog]\nAdapter = platform\nAddress = %s\n\n[Follow]\nNoticeSilence = 3000ms\nDropRemoved = 2000ms\n\n[Jobs]\nRetention = 120s\nLostDisks = 1\n\n[Memory]\nMegabytes = 284\n\n[Stop]\nGrace = 8s\n",
+			gateway.name, zones[index%len(zones)], gateway.callers, gateway.ready, freeAddress(), gateway.control, freeAddress(), seeds, gateway.door.address))
+	}
+}
+
+func (fleet *fleet) launch(started *process, role, settings string) {
+	path := filepath.Join(fleet.folder, started.name+".ini")
+	check(os.WriteFile(path, []byte(settings), 0o600))
+
+	log, err := os.Create(filepath.Join(fleet.folder, started.name+".log"))
+	check(err)
+
+	started.command = exec.Command("target/limpetrail", role, "--settings", path)
+	started.command.Stdout, started.command.Stderr = log, log
+	started.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started.ended = make(chan struct{})
+	check(started.command.Start())
+
+	fleet.mutex.Lock()
+	fleet.processes = append(fleet.processes, started)
+	fleet.mutex.Unlock()
+
+	go func() {
+		_ = started.command.Wait()
+		fleet.record.line("process %s has ended: %s", started.name, started.command.ProcessState)
+		close(started.ended)
+	}()
+}
+
+// close ends all processes and removes the temporary folder.
+func (fleet *fleet) close() {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+
+	for _, started := range fleet.processes {
+		_ = started.command.Process.Kill()
+		<-started.ended
+	}
+
+	if os.Getenv("KEEP") == "" {
+		os.RemoveAll(fleet.folder)
+	}
+}
+
+// writeConfiguration writes a version of the operator's configuration. A prefix of a batch route
+// stands for each route.
+func (fleet *fleet) writeConfiguration(version int, prefixes ...string) {
+	routes := []any{}
+
+	for index, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d", index), "host": host, "prefix": prefix, "kind": "batch", "timeoutMs": 15000, "targetLatencyMs": 400,
+			"priority": 2, "service": service, "maxAttempts": 3, "completionTargetMs": 18000, "expiryS": expiry.Seconds(), "sessionAffinity": true, "resumable": true, "gapAimMs": 250,
+		})
+	}
+
+	document, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes, "services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConnections": 230}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 10000},
+	})
+	check(err)
+
+	revision := fleet.store.put("op/config", document)
+	fleet.record.line("the store has version %d of the configuration with the batch routes %v (revision %d)", version, prefixes, revision)
+}
+
+// awaitReady waits until all gateways are ready and all processes are members.
+func (fleet *fleet) awaitReady() bool {
+	return await(20*time.Second, func() bool {
+		for _, gateway := range fleet.gateways {
+			if status, _, _ := call(http.MethodGet, "http://"+gateway.ready+"/limpetrail/readyz", nil, nil, time.Second); status != http.StatusOK {
+				return false
+			}
+		}
+
+		return fleet.store.count("limpetrail/members/") == len(fleet.gateways)+len(fleet.holders)
+	})
+}
+
+// lastHad returns when a request was last at a replica.
+func (fleet *fleet) lastHad(request string) time.Time {
+	last := time.Time{}
+
+	for _, replica := range fleet.replicas {
+		if had := replica.had(request); had.After(last) {
+			last = had
+		}
+	}
+
+	return last
+}
+
+// lastFinished returns how long ago a replica last answered a request whole.
+func (fleet *fleet) lastFinished() time.Duration {
+	last := time.Time{}
+
+	for _, replica := range fleet.replicas {
+		replica.mutex.Lock()
+		if replica.finishedAt.After(last) {
+			last = replica.finishedAt
+		}
+		replica.mutex.Unlock()
+	}
+
+	return time.Since(last)
+}
