--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -118,7 +118,7 @@
 // output is the whole output of an item.
 func output(item string) string {
 	texts := []string{}
-	for number := range itemEvents {
+	for number := range eventCount {
 		texts = append(texts, eventText(item, number))
 	}
 
--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -32,16 +32,25 @@
 
 	time.Sleep(3 * time.Second)
 
+	// The day has gone on for a while: all parts of prompts that jobs share have been answered.
+	jobs := []*job{newJob("3b90e09b52d6a3f7", "/pule252/", 10, 700)}
+	if jobs[0].submit(fleet, fleet.gateways[0]) != http.StatusAccepted {
+		return notRun
+	}
+
+	time.Sleep(3 * time.Second)
+
 	began := time.Now()
-	jobs := []*job{newJob("7c41e09b52d6a3f8", "/pule252/", 10, 700)}
+	struck := newJob("7c41e09b52d6a3f8", "/pule252/", 10, 700)
+	jobs = append(jobs, struck)
 
-	if jobs[0].submit(fleet, fleet.gateways[0]) != http.StatusAccepted {
+	if struck.submit(fleet, fleet.gateways[0]) != http.StatusAccepted {
 		return notRun
 	}
 
 	lastCrash := time.Now()
 
-	if trouble && !fleet.crashTwice(jobs[0], &lastCrash) {
+	if trouble && !fleet.crashTwice(&lastCrash) {
 		return notRun
 	}
 
@@ -100,8 +109,8 @@
 
 // crashTwice crashes two replicas, and two more once an item that was at one of the first has come
 // to another replica. Each crash meets an item before its first event.
-func (fleet *fleet) crashTwice(running *job, lastCrash *time.Time) bool {
-	time.Sleep(150 * time.Millisecond)
+func (fleet *fleet) crashTwice(lastCrash *time.Time) bool {
+	time.Sleep(100 * time.Millisecond)
 
 	struck := map[string]bool{}
 	if fleet.crash(2, func(request string) bool { struck[request] = true; return true }) == 0 {
@@ -123,7 +132,7 @@
 		return false
 	}
 
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
 
 	fleet.crash(1, func(request string) bool { return struck[request] })
 	fleet.crash(1, func(string) bool { return true })
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,6 +26,7 @@
 	"handover": playHandover,
 	"crashes":  playCrashes,
 	"large":    playLarge,
+	"segments": playSegments,
 }
 
 // record is the file in which a case writes what was sent, answered and run.
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -16,12 +16,14 @@
 	queueLimit = 24
 	// heartbeat is heartbeatMs; an entry is removed after three of them in silence.
 	heartbeat = 1200 * time.Millisecond
-	// eventPause lies between the events of an answer.
-	eventPause = 10 * time.Millisecond
-	// itemEvents is the number of events of an item's answer.
-	itemEvents = 60
 )
 
+// eventPause lies between the events of an answer.
+var eventPause = func(string) time.Duration { return 10 * time.Millisecond }
+
+// eventCount is the number of events of an answer.
+var eventCount = 60
+
 // replica is a stand-in of a model replica. A restart after a crash is a new lifetime with a new id.
 type replica struct {
 	store   *store
@@ -242,7 +244,7 @@
 
 	pause := replica.firstEvent
 
-	for number := first; number < itemEvents; number++ {
+	for number := first; number < eventCount; number++ {
 		select {
 		case <-time.After(pause):
 		case <-request.Context().Done():
@@ -250,7 +252,7 @@
 			panic(http.ErrAbortHandler)
 		}
 
-		pause = eventPause
+		pause = eventPause(attempt)
 
 		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, eventText(attempt, number)); err != nil || control.Flush() != nil {
 			panic(http.ErrAbortHandler)
@@ -268,6 +270,6 @@
 }
 
 // eventText is the data of an event; it is the same at all replicas.
-func eventText(attempt string, number int) string {
+var eventText = func(attempt string, number int) string {
 	return fmt.Sprintf("%s-token-%d", attempt, number)
 }
