--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if results of accepted items are never listed, 0 if all are, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [ -x target/review-stand ] || { echo "run review/build.sh first" >&2; exit 2; }
 exec target/review-stand segments review/2/record.txt
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -149,6 +149,12 @@
 		})
 	}
 
+	// All clients' streams go by one route.
+	routes = append(routes, map[string]any{
+		"name": "r-stream", "host": host, "prefix": streamPrefix, "kind": "streaming", "timeoutMs": 5000, "targetLatencyMs": 300,
+		"priority": 0, "service": service, "maxAttempts": 2, "sessionAffinity": true, "resumable": true, "gapAimMs": 250,
+	})
+
 	document, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConnections": 230}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 10000},
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,7 @@
 	"crashes":  playCrashes,
 	"large":    playLarge,
 	"segments": playSegments,
+	"versions": playVersions,
 }
 
 // record is the file in which a case writes what was sent, answered and run.
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -34,6 +34,12 @@
 	number  int
 	// firstEvent is how long a request waits for its first event.
 	firstEvent time.Duration
+	// version is that of the replica's software.
+	version string
+	// sameID is true if the replica starts again under the id that it had.
+	sameID bool
+	// unregistered is true while the store takes no entries.
+	unregistered bool
 
 	mutex    sync.Mutex
 	lifetime int
@@ -53,7 +59,7 @@
 
 // newReplica starts a replica at a free loopback address.
 func newReplica(store *store, log *record, service, zone string, number int, firstEvent time.Duration) *replica {
-	created := &replica{store: store, record: log, service: service, zone: zone, number: number, firstEvent: firstEvent, lastHad: map[string]time.Time{}}
+	created := &replica{store: store, record: log, service: service, zone: zone, number: number, firstEvent: firstEvent, version: "v1", lastHad: map[string]time.Time{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 
@@ -64,6 +70,10 @@
 }
 
 func (replica *replica) id() string {
+	if replica.sameID {
+		return fmt.Sprintf("i-%02d", replica.number)
+	}
+
 	return fmt.Sprintf("i-%02d-%d", replica.number, replica.lifetime)
 }
 
@@ -74,17 +84,28 @@
 	replica.listener, replica.stages, replica.places, replica.inside, replica.down = listener, map[string]string{}, make(chan struct{}, slots), 0, false
 	server := &http.Server{Handler: replica}
 	replica.server = server
+	silent := replica.unregistered
+	replica.mutex.Unlock()
+
+	go server.Serve(listener) //nolint:errcheck // Ends with a crash or the process.
+
+	if !silent {
+		replica.register()
+	}
+}
+
+// register writes the replica's entry to the store.
+func (replica *replica) register() {
+	replica.mutex.Lock()
 	id := replica.id()
 	entry, err := json.Marshal(map[string]any{
-		"service": replica.service, "address": replica.address, "zone": replica.zone, "version": "v1", "slots": slots,
+		"service": replica.service, "address": replica.address, "zone": replica.zone, "version": replica.version, "slots": slots,
 		"state": "ready", "coldLeftMs": 0, "stage": "any", "callSeq": 0, "born": replica.born,
 		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 	})
 	replica.mutex.Unlock()
 	check(err)
 
-	go server.Serve(listener) //nolint:errcheck // Ends with a crash or the process.
-
 	replica.store.put("servers/"+id, entry)
 }
 
@@ -103,12 +124,15 @@
 	replica.record.line("replica %s crashes", id)
 	server.Close()
 
-	time.AfterFunc(3*heartbeat, func() { replica.store.drop("servers/" + id) })
+	if !replica.sameID {
+		time.AfterFunc(3*heartbeat, func() { replica.store.drop("servers/" + id) })
+	}
+
 	time.AfterFunc(downtime, func() {
 		listener, err := net.Listen("tcp", replica.address)
 		check(err)
 		replica.start(listener)
-		replica.record.line("replica %s is up at the same address", replica.id())
+		replica.record.line("replica %s is up at the same address, version %s", replica.id(), replica.version)
 	})
 }
 
@@ -166,7 +190,7 @@
 // ServeHTTP implements http.Handler.
 func (replica *replica) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	replica.mutex.Lock()
-	id, born, places := replica.id(), replica.born, replica.places
+	id, born, places, version := replica.id(), replica.born, replica.places, replica.version
 	replica.mutex.Unlock()
 
 	switch {
@@ -233,10 +257,10 @@
 		first = after + 1
 	}
 
-	replica.writeEvents(writer, request, attempt, id, first)
+	replica.writeEvents(writer, request, attempt, id, version, first)
 }
 
-func (replica *replica) writeEvents(writer http.ResponseWriter, request *http.Request, attempt, id string, first int) {
+func (replica *replica) writeEvents(writer http.ResponseWriter, request *http.Request, attempt, id, version string, first int) {
 	control := http.NewResponseController(writer)
 
 	writer.Header().Set("Content-Type", "text/event-stream")
@@ -254,7 +278,7 @@
 
 		pause = eventPause(attempt)
 
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, eventText(attempt, number)); err != nil || control.Flush() != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, eventText(attempt, number)+versionMark(version)); err != nil || control.Flush() != nil {
 			panic(http.ErrAbortHandler)
 		}
 
@@ -273,3 +297,12 @@
 var eventText = func(attempt string, number int) string {
 	return fmt.Sprintf("%s-token-%d", attempt, number)
 }
+
+// versionMark marks an event with the version of the replica that wrote it, except v1.
+func versionMark(version string) string {
+	if version == "v1" {
+		return ""
+	}
+
+	return "@" + version
+}
