--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -47,22 +48,31 @@
 	return &fleet{store: newStore(), record: log, folder: folder}
 }
 
-// usedAddresses are those given out, as a free port may be offered twice.
+// usedAddresses are those given out, as a free port may be drawn twice.
 var usedAddresses = map[string]bool{}
 
+const (
+	// firstPort and lastPort are below the ports that outgoing channels use, so that none of those
+	// takes a port before its process listens.
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+// freeAddress draws a loopback address that nobody listens at.
 func freeAddress() string {
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		check(err)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+
+		listener, err := net.Listen("tcp", address)
+		if err != nil || usedAddresses[address] {
+			continue
+		}
 
-		address := listener.Addr().String()
 		listener.Close()
 
-		if !usedAddresses[address] {
-			usedAddresses[address] = true
+		usedAddresses[address] = true
 
-			return address
-		}
+		return address
 	}
 }
 
@@ -71,7 +81,7 @@
 func (fleet *fleet) startMachines(gateways int) {
 	seeds := ""
 
-	for index, zone := range zones {
+	for index := range zones {
 		holder := &process{name: fmt.Sprintf("storage-%d", index+1), door: fleet.store.open(), control: freeAddress()}
 		fleet.holders = append(fleet.holders, holder)
 
@@ -80,7 +90,6 @@
 		}
 
 		seeds += holder.control
-		_ = zone
 	}
 
 	for index, holder := range fleet.holders {
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -87,7 +87,8 @@
 	silent := replica.unregistered
 	replica.mutex.Unlock()
 
-	go server.Serve(listener) //nolint:errcheck // Ends with a crash or the process.
+	// Serve ends with a crash of the replica, or with the process.
+	go func() { _ = server.Serve(listener) }()
 
 	if !silent {
 		replica.register()
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -69,7 +70,7 @@
 	check(err)
 
 	opened := &door{store: store, address: listener.Addr().String(), watches: make(chan string, 1000)}
-	go http.Serve(listener, opened) //nolint:errcheck // Ends with the process.
+	go func() { check(http.Serve(listener, opened)) }()
 
 	return opened
 }
@@ -106,7 +107,8 @@
 func (door *door) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if door.isClosed() {
 		// The context of a request ends with its connection only once its body was read.
-		_, _ = http.MaxBytesReader(writer, request.Body, 64<<20).Read(make([]byte, 1))
+		_, _ = io.Copy(io.Discard, request.Body)
+
 		hold(request)
 	}
 
