--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -52,27 +52,33 @@
 var usedAddresses = map[string]bool{}
 
 const (
-	// firstPort and lastPort are below the ports that outgoing channels use, so that none of those
-	// takes a port before its process listens.
+	// firstPort and lastPort are mostly below the ports that outgoing channels use, so that these
+	// seldom take a port before its process listens.
 	firstPort = 10_000
 	lastPort  = 30_000
 )
 
 // freeAddress draws a loopback address that nobody listens at.
 func freeAddress() string {
+	listener := listen()
+	defer listener.Close()
+
+	return listener.Addr().String()
+}
+
+// listen listens at a free loopback address.
+func listen() net.Listener {
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-
-		listener, err := net.Listen("tcp", address)
-		if err != nil || usedAddresses[address] {
+		if usedAddresses[address] {
 			continue
 		}
 
-		listener.Close()
+		if listener, err := net.Listen("tcp", address); err == nil {
+			usedAddresses[address] = true
 
-		usedAddresses[address] = true
-
-		return address
+			return listener
+		}
 	}
 }
 
@@ -114,20 +120,39 @@
 	log, err := os.Create(filepath.Join(fleet.folder, started.name+".log"))
 	check(err)
 
-	started.command = exec.Command("target/limpetrail", role, "--settings", path)
-	started.command.Stdout, started.command.Stderr = log, log
-	started.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started.ended = make(chan struct{})
-	check(started.command.Start())
-
 	fleet.mutex.Lock()
 	fleet.processes = append(fleet.processes, started)
 	fleet.mutex.Unlock()
 
+	// The platform starts a process again that ends at its start, as its port was taken meanwhile.
+	for range startAttempts {
+		fleet.start(started, role, path, log)
+
+		select {
+		case <-started.ended:
+		case <-time.After(startTime):
+			return
+		}
+	}
+}
+
+const (
+	startAttempts = 20
+	// startTime is how long a process runs that has all its ports.
+	startTime = 150 * time.Millisecond
+)
+
+func (fleet *fleet) start(started *process, role, settings string, log *os.File) {
+	command, ended := exec.Command("target/limpetrail", role, "--settings", settings), make(chan struct{})
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started.command, started.ended = command, ended
+	check(command.Start())
+
 	go func() {
-		_ = started.command.Wait()
-		fleet.record.line("process %s has ended: %s", started.name, started.command.ProcessState)
-		close(started.ended)
+		_ = command.Wait()
+		fleet.record.line("process %s has ended: %s", started.name, command.ProcessState)
+		close(ended)
 	}()
 }
 
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -60,8 +60,7 @@
 // newReplica starts a replica at a free loopback address.
 func newReplica(store *store, log *record, service, zone string, number int, firstEvent time.Duration) *replica {
 	created := &replica{store: store, record: log, service: service, zone: zone, number: number, firstEvent: firstEvent, version: "v1", lastHad: map[string]time.Time{}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
+	listener := listen()
 
 	created.address = listener.Addr().String()
 	created.start(listener)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -66,9 +65,7 @@
 
 // open serves the store at a free loopback address.
 func (store *store) open() *door {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-
+	listener := listen()
 	opened := &door{store: store, address: listener.Addr().String(), watches: make(chan string, 1000)}
 	go func() { check(http.Serve(listener, opened)) }()
 
