Hold items until the configuration that accepted their job is known

What callers saw: items of an accepted job were listed as dead_letter a few seconds after the 202, though the route was in force, no server had answered 422 or 500 and the expiry was far away.

Cause: startNextItem gave an item up for good when routeFor found no batch route, and routeFor took a missing configuration for a missing route. A gateway that was handed a job right after its start has no configuration, and one that the store does not answer has an older one than the gateway that accepted the job. The decision was final, the belief behind it was older than the one that accepted the work.

Ruled out: the handover itself (the job arrived whole), the claim (the head was taken over correctly), the clock (give-up times were 60 s ahead).

Change: a job and its head carry the version of the configuration by which the job was accepted. If the route has gone in a version that may judge, the items are given up as before. Jobs that were stored without a version are judged by any configuration.

--- a/batcher/active_job.go
+++ b/batcher/active_job.go
@@ -113,6 +113,9 @@
 	// quarantinedPart is the part of the prompt for which the item may not run; empty if it
 	// may.
 	quarantinedPart string
+	// awaitsConfiguration is set while the item waits for the configuration by which its job
+	// was accepted.
+	awaitsConfiguration bool
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
 }
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -137,16 +137,11 @@
 		return bookkeeper.OK
 	}
 
-	head := bookkeeper.Head{
-		Owner: batcher.ProcessID, Host: job.Host, Total: len(job.Items),
-		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp,
-	}
-
 	// A custodian that delivers the job to the key-value service records this
 	// process as its owner.
 	job.Owner = batcher.ProcessID
 
-	created, outcome, err := batcher.persist(ctx, job, head)
+	created, outcome, err := batcher.persist(ctx, job, bookkeeper.NewHead(job))
 	batcher.Log.WithFields(logrus.Fields{
 		"JobID": job.ID, "Items": len(job.Items), "Outcome": outcome.String(), "Owner": created.Owner, "Error": err,
 	}).Info("Job was submitted.")
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -73,13 +73,22 @@
 		return false
 	}
 
-	route := batcher.routeFor(active, chosen)
+	document := batcher.Configuration.Document()
+	if document == nil || document.Version < active.job.Configuration {
+		batcher.holdForConfiguration(active, chosen, document)
+
+		return true
+	}
+
+	route := routeFor(document, active, chosen)
 	if route == nil {
 		batcher.recordResult(active, chosen, bookkeeper.GivenUp, "No batch route matches the item.")
 
 		return true
 	}
 
+	chosen.awaitsConfiguration = false
+
 	if !batcher.mayRun(active, chosen, route) {
 		return true
 	}
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -210,12 +210,21 @@
 	return fleet.submitJob(gateway, jobID, items)
 }
 
-func (fleet *fleet) submitJob(gateway int, id string, items int) bookkeeper.Outcome {
+// acceptedBy sets the version of the configuration by which a job is accepted.
+func acceptedBy(version int64) func(job *bookkeeper.Job) {
+	return func(job *bookkeeper.Job) { job.Configuration = version }
+}
+
+func (fleet *fleet) submitJob(gateway int, id string, items int, options ...func(job *bookkeeper.Job)) bookkeeper.Outcome {
 	job := bookkeeper.Job{ID: id, Host: host, Submitted: time.Now(), Due: time.Now().Add(18 * time.Second), GiveUp: time.Now().Add(time.Minute)}
 	for number := range items {
 		job.Items = append(job.Items, bookkeeper.Item{ID: itemID(number), Target: "/batch/x", Body: []byte("body of " + itemID(number))})
 	}
 
+	for _, option := range options {
+		option(&job)
+	}
+
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -42,14 +42,9 @@
 	service string
 }
 
-// routeFor returns the destination of an item by the current configuration, or nil if no
-// batch route matches.
-func (batcher *Batcher) routeFor(active *activeJob, pending *task) *destination {
-	document := batcher.Configuration.Document()
-	if document == nil {
-		return nil
-	}
-
+// routeFor returns the destination of an item by a configuration, or nil if no batch route
+// matches.
+func routeFor(document *matcher.Document, active *activeJob, pending *task) *destination {
 	path, _, _ := strings.Cut(pending.item.Target, "?")
 
 	route := document.Match(active.job.Host, path)
--- a/batcher/takeover.go
+++ b/batcher/takeover.go
@@ -252,10 +252,7 @@
 		batcher.Log.WithField("JobID", record.ID).WithError(err).Warn("Partial output could not be read; unfinished items start over.")
 	}
 
-	batcher.startOwned(record, bookkeeper.Job{
-		ID: record.ID, Host: head.Host, Items: items,
-		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp,
-	}, partials)
+	batcher.startOwned(record, head.Job(record.ID, items), partials)
 
 	batcher.Log.WithFields(logrus.Fields{"JobID": record.ID, "Revision": head.Revision, "Items": len(items), "Begun": len(partials)}).Info("Job was taken over.")
 
--- a/bookkeeper/head.go
+++ b/bookkeeper/head.go
@@ -20,12 +20,31 @@
 	Submitted time.Time
 	Due       time.Time
 	GiveUp    time.Time
+	// Configuration is the version of the configuration by which the job was accepted, or 0
+	// if it was stored without it. An older configuration decides nothing about its items.
+	Configuration int64 `json:",omitempty"`
 	// Ended is set when the job was ended: no further item starts.
 	Ended bool
 	// Done is set when all results are committed.
 	Done bool
 }
 
+// NewHead returns the head of a new job that its owner runs.
+func NewHead(job Job) Head {
+	return Head{
+		Owner: job.Owner, Host: job.Host, Total: len(job.Items),
+		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp, Configuration: job.Configuration,
+	}
+}
+
+// Job returns the job of the head with the items. It has no owner.
+func (head Head) Job(id string, items []Item) Job {
+	return Job{
+		ID: id, Host: head.Host, Items: items,
+		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp, Configuration: head.Configuration,
+	}
+}
+
 // IsOpen tells whether items of the job may still run.
 func (head Head) IsOpen() bool {
 	return !head.Ended && !head.Done
--- a/bookkeeper/job.go
+++ b/bookkeeper/job.go
@@ -26,6 +26,9 @@
 	Due time.Time
 	// GiveUp is when unfinished items may be given up.
 	GiveUp time.Time
+	// Configuration is the version of the configuration by which the job was accepted. It is
+	// 0 for jobs that were stored without it.
+	Configuration int64 `json:",omitempty"`
 	// Owner is the process that runs the job while the key-value service is
 	// unavailable. It is empty if none does.
 	Owner string `json:",omitempty"`
--- a/bookkeeper/ledger.go
+++ b/bookkeeper/ledger.go
@@ -219,8 +219,7 @@
 // CreateDelivered creates a job that a custodian delivers, unless it exists. Its owner
 // is the process that accepted it from the caller.
 func CreateDelivered(ctx context.Context, client *keeper.CatalogClient, job Job) Outcome {
-	head := Head{Owner: job.Owner, Host: job.Host, Total: len(job.Items), Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp}
-	_, outcome, _ := Ledger{Client: client}.Create(ctx, job, head)
+	_, outcome, _ := Ledger{Client: client}.Create(ctx, job, NewHead(job))
 
 	return outcome
 }
