Answer 503 for an unknown route while another gateway has a newer configuration

Cause: a gateway whose watch of the configuration lags, or that the store does not answer, said 404 for a route that was added since. Callers do not send a request again after 404, so one that any other gateway would have served was lost.

Ruled out: 421 (only backend servers send it), 404 and 410 for jobs (read from the store and the holders, 503 when neither is certain).

Change: gateways already tell each other the newest revision that they saw of each watched prefix. While a peer has seen a newer one of the operators' prefix than this copy holds, an unmatched request is refused with Retry-After 1 s.

Before: TestUnknownRouteAtAnOutdatedGatewayGetsRetryAfter did not build without the check, and 404 is what the code answered. After: it passes.

--- a/app/gateway_followers.go
+++ b/app/gateway_followers.go
@@ -32,6 +32,7 @@
 		gateway.followersByPrefix[prefixFollower.Prefix] = prefixFollower
 	}
 
+	gateway.Handler.IsOutdated = gateway.followersByPrefix[platform.PrefixOperators].IsOutdated
 	gateway.Gossiper.NewestRevisions, gateway.Gossiper.ApplyPeerRevisions = gateway.newestRevisions, gateway.applyPeerRevisions
 
 	return gateway.followersByPrefix
--- a/follower/watch_progress.go
+++ b/follower/watch_progress.go
@@ -52,6 +52,11 @@
 	storeMax(&follower.progress.peerNewest, uint64(revision))
 }
 
+// IsOutdated tells whether another process saw a newer change than this copy contains.
+func (follower *Follower) IsOutdated() bool {
+	return follower.progress.peerNewest.Load() > max(follower.progress.synced.Load(), follower.progress.newest.Load())
+}
+
 // storeMax sets the number to the value unless it is already as great.
 func storeMax(number *atomic.Uint64, value uint64) {
 	for current := number.Load(); value > current; current = number.Load() {
