Try suspected items by themselves after seconds instead of pausing them for 30 s

What callers saw: an item that met two crashes of servers was kept away from idle servers for 30 to 45 s, doubled at each further one, and was not listed when its time was over (LOST).

Cause: recordServerEnd paused an item for 30 s and more after two ends of servers that nothing quarantined explains. It weighed neither how many other servers ended at the same time, nor whether anything else ran at the server, and idle servers at which the item could be tried did not shorten the pause.

Ruled out: the quarantine of prompt parts (the items had none that was struck twice), the placement (twelve idle servers), the backoff (at most 4 s). A shorter pause alone: an item that does end servers would end one every second.

Change: - The quarantiner remembers which servers ended, also under streams that had begun (one background check for each broken server) and at other entries. - A suspected item is tried by itself: one at a time, at a server at which nothing is known to run, 1 s after its last end, doubled at each further one. If a server ends under it alone, and no other server ended within 2 s, the delay is 12 s, doubled at each further such end, at most 10 minutes. - An item is no longer suspected once a server begins to answer it. - An item avoids the last eight servers at which it was interrupted, not only the last one: with servers still listed after a crash it came back to the same dead ones for seconds.

--- a/batcher/active_job.go
+++ b/batcher/active_job.go
@@ -9,7 +9,6 @@
 
 	"limpetrail/bookkeeper"
 	"limpetrail/librarian"
-	"limpetrail/placer"
 )
 
 // activeJob is a job that this process runs: its items and results that are not
@@ -100,14 +99,13 @@
 	failures int
 	// interruptions counts interrupted attempts that received no event.
 	interruptions int
-	// avoidServer is the backend server to exclude from the next attempt, as the last
-	// one failed or was interrupted there.
-	avoidServer string
-	// endedServers are the backend servers that ended before they began to answer the item, at
-	// most maxEndedServers.
-	endedServers []placer.Server
-	// pausedUntil is when the item may run again even if nothing else explains these ends.
-	pausedUntil time.Time
+	// avoidServers are the backend servers to exclude from the next attempt, at most
+	// maxAvoidedServers: the last ones failed or were interrupted there.
+	avoidServers []string
+	// serverEnds are the backend servers that ended before they began to answer the item.
+	serverEnds serverEnds
+	// trial is set while the item is suspected to end servers, so that it is tried by itself.
+	trial bool
 	// checked is true once a part of the prompt was found to be quarantined.
 	checked bool
 	// quarantinedPart is the part of the prompt for which the item may not run; empty if it
@@ -120,6 +118,15 @@
 	notBefore time.Time
 }
 
+// maxAvoidedServers is more than the servers that usually fail together.
+const maxAvoidedServers = 8
+
+// avoid excludes a server from the next attempts.
+func (task *task) avoid(server string) {
+	task.avoidServers = append(task.avoidServers, server)
+	task.avoidServers = task.avoidServers[max(0, len(task.avoidServers)-maxAvoidedServers):]
+}
+
 // recordFailure counts a failed attempt.
 func (task *task) recordFailure() {
 	task.mutex.Lock()
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -61,7 +61,9 @@
 	takingOver map[string]bool
 	// registered tells whether members contains this process.
 	registered bool
-	leaving    bool
+	// trying is the suspected item that is tried now; nil if there is none.
+	trying  *task
+	leaving bool
 	// dispatchSignal and commitSignal wake the loops that start items and commit results.
 	dispatchSignal chan struct{}
 	commitSignal   chan struct{}
--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -73,55 +73,76 @@
 		return false
 	}
 
-	document := batcher.Configuration.Document()
-	if document == nil || document.Version < active.job.Configuration {
-		batcher.holdForConfiguration(active, chosen, document)
-
+	route := batcher.judgeRoute(active, chosen)
+	if route == nil || !batcher.mayRun(active, chosen, route) {
 		return true
 	}
 
-	route := routeFor(document, active, chosen)
-	if route == nil {
-		batcher.recordResult(active, chosen, bookkeeper.GivenUp, "No batch route matches the item.")
+	work := batcher.workOf(active, chosen, route, now)
 
-		return true
-	}
+	grant, placed := batcher.Placer.PlaceBatch(work)
+	if !placed {
+		chosen.avoidServers = nil
 
-	chosen.awaitsConfiguration = false
+		if work.Idle {
+			chosen.notBefore = now.Add(trialRecheck)
 
-	if !batcher.mayRun(active, chosen, route) {
-		return true
-	}
+			return true
+		}
 
-	work := placer.Work{RequestID: chosen.item.ID, Service: route.service, Due: active.job.Due}
-	if !batcher.sequencerItem(active, chosen).CanMeetDeadline(now) {
-		// The item will be late anyway, so it is preempted first.
-		work.Due = active.job.GiveUp
+		return work.Continues && batcher.holdForSoftware(chosen, route)
 	}
 
-	if chosen.avoidServer != "" {
-		work.Exclude = []string{chosen.avoidServer}
+	chosen.heldSince = time.Time{}
+
+	if chosen.trial {
+		batcher.trying = chosen
 	}
 
-	if chosen.lastEvent >= 0 && !batcher.discardIfGone(active, chosen, route) {
-		work.Continues, work.Software = true, chosen.software
+	active.waiting = slices.DeleteFunc(active.waiting, func(other *task) bool { return other == chosen })
+	active.running++
+
+	batcher.attempts.Go(func() { batcher.runAttempt(ctx, active, chosen, route, grant) })
+
+	return true
+}
+
+// judgeRoute returns the destination of an item. It is nil if the item has to wait for a newer
+// configuration, or was given up because its route has gone. The mutex must be held.
+func (batcher *Batcher) judgeRoute(active *activeJob, pending *task) *destination {
+	document := batcher.Configuration.Document()
+	if document == nil || document.Version < active.job.Configuration {
+		batcher.holdForConfiguration(active, pending, document)
+
+		return nil
 	}
 
-	grant, placed := batcher.Placer.PlaceBatch(work)
-	if !placed {
-		chosen.avoidServer = ""
+	pending.awaitsConfiguration = false
 
-		return work.Continues && batcher.holdForSoftware(chosen, route)
+	route := routeFor(document, active, pending)
+	if route == nil {
+		batcher.recordResult(active, pending, bookkeeper.GivenUp, "No batch route matches the item.")
 	}
 
-	chosen.heldSince = time.Time{}
+	return route
+}
 
-	active.waiting = slices.DeleteFunc(active.waiting, func(other *task) bool { return other == chosen })
-	active.running++
+// workOf describes an item to the placer. The mutex must be held.
+func (batcher *Batcher) workOf(active *activeJob, pending *task, route *destination, now time.Time) placer.Work {
+	work := placer.Work{
+		RequestID: pending.item.ID, Service: route.service, Due: active.job.Due,
+		Exclude: pending.avoidServers, Idle: batcher.waitForIdleServer(pending, route),
+	}
+	if !batcher.sequencerItem(active, pending).CanMeetDeadline(now) {
+		// The item will be late anyway, so it is preempted first.
+		work.Due = active.job.GiveUp
+	}
 
-	batcher.attempts.Go(func() { batcher.runAttempt(ctx, active, chosen, route, grant) })
+	if pending.lastEvent >= 0 && !batcher.discardIfGone(active, pending, route) {
+		work.Continues, work.Software = true, pending.software
+	}
 
-	return true
+	return work
 }
 
 // uncommittedBytes is the size of all results that are not committed yet. The mutex
--- a/batcher/quarantine.go
+++ b/batcher/quarantine.go
@@ -9,30 +9,26 @@
 	"limpetrail/kernel"
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
-	"limpetrail/retrier"
 )
 
 const (
 	// quarantineRecheck is how often it is checked whether an item with a quarantined part
 	// may run again.
 	quarantineRecheck = 2 * time.Second
-	// freeServerEnds is how many backend servers may end under an item before its attempts
-	// are serverEndPause and more apart. One may have ended by itself.
-	freeServerEnds    = 2
-	serverEndPause    = 30 * time.Second
-	maxServerEndPause = 10 * time.Minute
-	// maxEndedServers is more than the pauses tell apart.
-	maxEndedServers = 16
+	// trialRecheck is how often it is checked whether a suspected item may be tried again.
+	trialRecheck = 500 * time.Millisecond
+	// idleServerWait is how long such an item waits for an idle server.
+	idleServerWait = 2 * time.Second
 )
 
 func (batcher *Batcher) quarantineRequest(pending *task, target *destination) quarantiner.Request {
-	return quarantiner.Request{ID: pending.item.ID, Service: target.service, Parts: batcher.Backend.SharedParts(headerOf(pending.item)), Patient: true, Waiting: pending.checked || len(pending.endedServers) > 0}
+	return quarantiner.Request{ID: pending.item.ID, Service: target.service, Parts: batcher.Backend.SharedParts(headerOf(pending.item)), Patient: true, Waiting: pending.checked || len(pending.serverEnds.ends) > 0}
 }
 
 // mayRun reports whether an item may be sent now. One with a quarantined part is kept until
 // its job's time ends: until then the job promises a result. The mutex must be held.
 func (batcher *Batcher) mayRun(active *activeJob, pending *task, target *destination) bool {
-	if (pending.quarantinedPart != "" || len(pending.endedServers) > 0) && !time.Now().Before(active.job.GiveUp) {
+	if (pending.quarantinedPart != "" || len(pending.serverEnds.ends) > 0) && !time.Now().Before(active.job.GiveUp) {
 		batcher.recordResult(active, pending, bookkeeper.GivenUp, "The give-up time of the job has passed, and the item ends backend servers.")
 
 		return false
@@ -50,13 +46,7 @@
 		pending.quarantinedPart = ""
 	}
 
-	if time.Now().Before(pending.pausedUntil) && batcher.unexplainedEnds(pending, target) >= freeServerEnds {
-		batcher.recheckPause(active, pending)
-
-		return false
-	}
-
-	return true
+	return batcher.mayTry(active, pending, target)
 }
 
 // holdItem queues an item again that got a place but may not run.
@@ -65,6 +55,7 @@
 	defer batcher.mutex.Unlock()
 
 	active.running--
+	batcher.endTrial(pending)
 
 	if active.context.Err() != nil || active.committedBefore[pending.item.ID] {
 		return
@@ -89,46 +80,98 @@
 // recordServerEnd records a backend server that ended before it began to answer the item. If
 // neither the prompt nor another request is known to be the cause, further attempts are delayed
 // after several. The mutex must be held.
-func (batcher *Batcher) recordServerEnd(active *activeJob, pending *task, target *destination, server placer.Server) {
-	pending.endedServers = append(pending.endedServers, server)
-	pending.endedServers = pending.endedServers[max(0, len(pending.endedServers)-maxEndedServers):]
+func (batcher *Batcher) recordServerEnd(active *activeJob, pending *task, target *destination, grant *placer.Grant) {
+	pending.serverEnds.add(serverEnd{server: grant.Server, endedAt: time.Now(), alone: grant.Alone})
 
 	if _, blocked := batcher.Quarantiner.Check(batcher.quarantineRequest(pending, target)); blocked {
 		return
 	}
 
-	unexplained := batcher.unexplainedEnds(pending, target)
-	if unexplained < freeServerEnds {
+	delay, unexplained := batcher.trialDelay(pending, target)
+	if delay == 0 {
 		return
 	}
 
-	pause := serverEndPause
-	for range unexplained - freeServerEnds {
-		pause = min(2*pause, maxServerEndPause)
-	}
-
-	pending.pausedUntil = time.Now().Add(retrier.AddJitter(pause))
-	batcher.Log.WithFields(logrus.Fields{"JobID": active.job.ID, "RequestID": pending.item.ID, "Servers": len(pending.endedServers), "Unexplained": unexplained, "RetryAfter": pause}).Info("Item is delayed: backend servers ended under it and nothing else is known to be the cause.")
-	batcher.recheckPause(active, pending)
+	batcher.Log.WithFields(logrus.Fields{
+		"JobID": active.job.ID, "RequestID": pending.item.ID, "Servers": len(pending.serverEnds.ends), "Unexplained": unexplained, "Alone": grant.Alone, "RetryAfter": delay,
+	}).Info("Item is delayed: backend servers ended under it and nothing else is known to be the cause.")
+	batcher.recheckTrial(active, pending, delay)
 }
 
-// unexplainedEnds counts the servers that ended under the item and under nothing that is known to
-// end servers. What ran beside the item may be found later than the end.
-func (batcher *Batcher) unexplainedEnds(pending *task, target *destination) int {
-	unexplained := 0
+// trialDelay returns how long after the last end of a server the item may be tried again, and how
+// many ends nothing that is quarantined explains. What ran beside the item, and which other
+// servers ended, may be found later than the end. The delay is 0 if the item is not suspected.
+func (batcher *Batcher) trialDelay(pending *task, target *destination) (time.Duration, int) {
+	unexplained, alone := 0, 0
+
+	for _, end := range pending.serverEnds.ends {
+		if batcher.Quarantiner.Explains(target.service, end.server) {
+			continue
+		}
+
+		unexplained++
 
-	for _, server := range pending.endedServers {
-		if !batcher.Quarantiner.Explains(target.service, server) {
-			unexplained++
+		if end.alone && unexplained > 1 && !batcher.Quarantiner.EndedBeside(target.service, end.server, end.endedAt, pending.serverEnds.servers()) {
+			alone++
 		}
 	}
 
-	return unexplained
+	return pending.serverEnds.delay(unexplained, alone), unexplained
 }
 
-// recheckPause sets when it is checked again whether a delayed item may run. The mutex must be
+// recheckTrial sets when it is checked again whether a delayed item may run. The mutex must be
 // held.
-func (batcher *Batcher) recheckPause(active *activeJob, pending *task) {
-	recheck := kernel.Earliest(pending.pausedUntil, time.Now().Add(quarantineRecheck))
+func (batcher *Batcher) recheckTrial(active *activeJob, pending *task, delay time.Duration) {
+	recheck := kernel.Earliest(pending.serverEnds.last().Add(delay), time.Now().Add(trialRecheck))
 	pending.notBefore = kernel.Earliest(recheck, active.job.GiveUp)
 }
+
+// mayTry reports whether a suspected item may be tried now: after its delay, and while no other
+// one is tried. The mutex must be held.
+func (batcher *Batcher) mayTry(active *activeJob, pending *task, target *destination) bool {
+	delay, _ := batcher.trialDelay(pending, target)
+	pending.trial = delay > 0
+
+	if !pending.trial {
+		return true
+	}
+
+	if batcher.trying == nil && !time.Now().Before(pending.serverEnds.last().Add(delay)) {
+		return true
+	}
+
+	batcher.recheckTrial(active, pending, max(delay, time.Since(pending.serverEnds.last())+trialRecheck))
+
+	return false
+}
+
+// waitForIdleServer reports whether an item that is tried again should wait for a server at which
+// nothing else runs. If no server becomes idle for a while, it runs beside others. The mutex must
+// be held.
+func (batcher *Batcher) waitForIdleServer(pending *task, target *destination) bool {
+	delay, _ := batcher.trialDelay(pending, target)
+
+	return pending.trial && time.Since(pending.serverEnds.last()) < delay+idleServerWait
+}
+
+// clearSuspicion records that a server began to answer the item, so that the item has not ended
+// those before.
+func (batcher *Batcher) clearSuspicion(pending *task) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	if !pending.trial && len(pending.serverEnds.ends) == 0 {
+		return
+	}
+
+	pending.serverEnds, pending.trial = serverEnds{}, false
+	batcher.endTrial(pending)
+	signal(batcher.dispatchSignal)
+}
+
+// endTrial lets another suspected item be tried. The mutex must be held.
+func (batcher *Batcher) endTrial(pending *task) {
+	if batcher.trying == pending {
+		batcher.trying = nil
+	}
+}
--- a/batcher/quarantine_test.go
+++ b/batcher/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,6 +97,105 @@
 	}
 }
 
+// crashRunning crashes all servers at which a request runs, once there are two of them.
+func (fleet *fleet) crashRunning() {
+	running := []*emulator.EventServer{}
+
+	require.Eventually(fleet.t, func() bool {
+		running = slices.DeleteFunc(slices.Clone(fleet.servers), func(server *emulator.EventServer) bool { return server.InFlight() == 0 })
+
+		return len(running) == 2
+	}, 10*time.Second, 10*time.Millisecond)
+
+	for _, server := range running {
+		server.Crash()
+	}
+
+	// The handlers of the servers notice that their connections are closed.
+	time.Sleep(50 * time.Millisecond)
+}
+
+// Servers that crash two at a time, twice, ended under two items that were sound. Both items were
+// kept away from idle servers for 30 s and more.
+func TestSoundItemsAreKeptAwayAfterServersCrashedTogether(t *testing.T) {
+	newFleet(t, 1, 12, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			server.FirstEventDelay = 500 * time.Millisecond
+		}
+
+		fleet.submitPrompts([]string{"", ""})
+		fleet.crashRunning()
+		fleet.crashRunning()
+
+		before := map[string]int{}
+		for number := range 2 {
+			before[itemID(number)] = fleet.startedCount(itemID(number))
+		}
+
+		// An item that no server had for 5 s, with idle ones there, counts as left.
+		time.Sleep(5 * time.Second)
+
+		for id, count := range before {
+			_, listed := fleet.states()[id]
+			require.True(t, listed || fleet.startedCount(id) > count, "item %s was left", id)
+		}
+
+		time.Sleep(5 * time.Second)
+		require.Equal(t, map[string]bookkeeper.State{itemID(0): bookkeeper.Completed, itemID(1): bookkeeper.Completed}, fleet.states())
+	})
+}
+
+// Items that each end servers by themselves look like servers that crash together. Later than
+// three seconds after the third end by an item, it reaches at most three servers within its time.
+func TestSeveralItemsThatEndServersAreSentAgainWithoutEnd(t *testing.T) {
+	const (
+		items   = 4
+		settled = 3 * time.Second
+	)
+
+	newFleet(t, 2, 12, func(fleet *fleet) {
+		own, prompts := []string{}, []string{}
+		for number := range items {
+			own, prompts = append(own, itemID(number)), append(prompts, "")
+		}
+
+		for _, server := range fleet.servers {
+			server.SetDeadlyParts(own...)
+		}
+
+		fleet.submitPrompts(prompts)
+
+		time.Sleep(time.Minute)
+
+		for _, id := range own {
+			require.LessOrEqual(t, fleet.lateRuns(id, settled), 3, "item %s", id)
+		}
+	})
+}
+
+// lateRuns returns how often an item with a deadly part reached servers later than the duration
+// after it ended the third one.
+func (fleet *fleet) lateRuns(id string, settled time.Duration) int {
+	runs := []time.Time{}
+
+	for _, server := range fleet.servers {
+		for _, run := range server.DeadlyRuns() {
+			if run.RequestID == id {
+				runs = append(runs, run.At)
+			}
+		}
+	}
+
+	slices.SortFunc(runs, time.Time.Compare)
+	fleet.t.Log(id, runs)
+
+	if len(runs) < 3 {
+		return 0
+	}
+
+	return len(slices.DeleteFunc(runs, func(at time.Time) bool { return at.Before(runs[2].Add(settled)) }))
+}
+
 // Items that were kept away run as soon as the part is sound again.
 func TestKeptItemsRunOnceTheirPartIsSound(t *testing.T) {
 	states, runs := map[string]bookkeeper.State{}, 0
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -126,6 +126,7 @@
 	defer batcher.mutex.Unlock()
 
 	active.running--
+	batcher.endTrial(pending)
 
 	if active.context.Err() != nil {
 		return
@@ -147,7 +148,7 @@
 		return
 	case failed:
 		pending.recordFailure()
-		pending.avoidServer = grant.Server.ID
+		pending.avoid(grant.Server.ID)
 		pending.notBefore = time.Now().Add(backoff(pending.failures))
 
 		if pending.failures >= target.route.AttemptLimit {
@@ -158,7 +159,12 @@
 	default:
 		// Preemption by online work is no fault of the server.
 		if !isPreempted(grant) {
-			pending.avoidServer = grant.Server.ID
+			if newEvents > 0 {
+				pending.avoidServers = nil
+			}
+
+			pending.avoid(grant.Server.ID)
+
 			if newEvents == 0 {
 				pending.interruptions++
 				pending.notBefore = time.Now().Add(backoff(pending.interruptions))
@@ -166,7 +172,7 @@
 		}
 
 		if run.ServerEnded() {
-			batcher.recordServerEnd(active, pending, target, grant.Server)
+			batcher.recordServerEnd(active, pending, target, grant)
 		}
 	}
 
@@ -314,6 +320,7 @@
 			lastEventAt, eventsBefore = time.Now(), pending.eventCount
 
 			run.Begin()
+			batcher.clearSuspicion(pending)
 		}
 
 		switch {
--- a/placer/grant.go
+++ b/placer/grant.go
@@ -12,6 +12,8 @@
 	Server Server
 	// Batch grants can be preempted.
 	Batch bool
+	// Alone is true if nothing else was known to run at the server when the grant was given.
+	Alone bool
 	// Due is when the result of batch work is due.
 	Due time.Time
 	// Preempted is closed when batch work is preempted and has to stop.
--- a/placer/place.go
+++ b/placer/place.go
@@ -45,6 +45,7 @@
 // newGrant grants a place on the server and records the run. The mutex is held.
 func (placer *Placer) newGrant(server *serverState, batch bool) *Grant {
 	grant := &Grant{Server: server.Server, Batch: batch, Preempted: make(chan struct{}), placer: placer, grantedAt: time.Now()}
+	grant.Alone = server.total() == 0
 	server.take(grant.grantedAt)
 
 	if batch {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -219,7 +219,7 @@
 	server := cheapest(service.servers, func(server *serverState) (float64, bool) {
 		capacity := batchCapacity(server, placer.reportMissing, chooser.now)
 
-		return -float64(capacity), chooser.canSend(server) && capacity > 0
+		return -float64(capacity), chooser.canSend(server) && capacity > 0 && (!work.Idle || server.total() == 0)
 	})
 	if server == nil {
 		return nil, false
--- a/placer/work.go
+++ b/placer/work.go
@@ -21,6 +21,8 @@
 	// servers of that version can take it.
 	Continues bool
 	Software  string
+	// Idle restricts batch work to servers at which nothing is known to run.
+	Idle bool
 	// Exclude holds the IDs of servers that were tried already.
 	Exclude []string
 }
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -15,6 +15,7 @@
 	quarantiner.mutex.Lock()
 	defer quarantiner.mutex.Unlock()
 
+	quarantiner.recordEnding(request.Service, added.server, added.endedAt)
 	quarantiner.update("end of "+added.server.Server, func() {
 		quarantiner.addStrikes(request, added)
 		quarantiner.addStrikesOfAbandoned(added.server, added.endedAt)
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -157,6 +157,10 @@
 
 		quarantiner.hear(finding, now)
 
+		for _, struck := range finding.Strikes {
+			quarantiner.recordEnding(finding.Service, struck.Incarnation, now.Add(-struck.EndedAge))
+		}
+
 		if quarantiner.isNews(finding, now) {
 			news = append(news, finding)
 		}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -28,6 +28,9 @@
 	firstRuns map[Subject]int
 	// abandoned are in the order in which they were given up.
 	abandoned []abandonedRun
+	// endings are the ends of servers. checkingEndings holds the servers that are being checked.
+	endings         map[Incarnation]ending
+	checkingEndings map[Incarnation]bool
 	// revision counts the changes of the evidence.
 	revision int
 	// findingsCursor and findingsAt are of the last findings with all quarantined parts.
@@ -50,12 +53,16 @@
 func NewQuarantiner(common kernel.Common, liveness Liveness, options ...Option) *Quarantiner {
 	common = common.ForPart("quarantiner")
 	quarantiner := &Quarantiner{
-		Common:      common,
-		Liveness:    liveness,
-		Peers:       func() []string { return nil },
-		suspects:    map[Subject]*suspect{},
-		answered:    newAnswerLog(),
-		firstRuns:   map[Subject]int{},
+		Common:    common,
+		Liveness:  liveness,
+		Peers:     func() []string { return nil },
+		suspects:  map[Subject]*suspect{},
+		answered:  newAnswerLog(),
+		firstRuns: map[Subject]int{},
+
+		endings:         map[Incarnation]ending{},
+		checkingEndings: map[Incarnation]bool{},
+
 		strikes:     common.Metrics.Counter("strikes"),
 		refusals:    common.Metrics.Counter("refusals"),
 		trials:      common.Metrics.Counter("trials"),
--- a/quarantiner/run.go
+++ b/quarantiner/run.go
@@ -41,7 +41,13 @@
 // server that had not begun to answer may have ended because of the request, so it is
 // checked whether its process still listens.
 func (run *Run) BreakOff(ctx context.Context, reason string) placer.Observation {
-	if run.begun || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return placer.Broken
+	}
+
+	if run.begun {
+		run.quarantiner.checkEnding(ctx, run.request.Service, run.server)
+
 		return placer.Broken
 	}
 
