Tell a call that the store rejects from an outage

It is an answer of the service: no failure for the breaker, no relay. Relays pass it on. [Calls] ValueBytes is the longest value, from the platform's settings. The stand-in rejects values, keys and transactions over the limits, with a status that tests choose.

--- a/emulator/catalog.go
+++ b/emulator/catalog.go
@@ -18,6 +18,9 @@
 // one page.
 const pageItems = 50
 
+// maxKeyBytes is the longest key that is accepted.
+const maxKeyBytes = 200
+
 // Catalog emulates a key-value service with ranges, leases and transactions. Each view
 // has its own faults, so that the service can fail for some of its clients only.
 type Catalog struct {
@@ -43,6 +46,8 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	calls   map[string]int
+	// valueBytes is the longest value that is accepted.
+	valueBytes int
 }
 
 // catalogLease is a lease that has not expired.
@@ -59,9 +64,19 @@
 		leases:   map[keeper.LeaseID]*catalogLease{},
 		changed:  make(chan struct{}),
 		calls:    map[string]int{},
+
+		valueBytes: keeper.MaxValueBytes,
 	}}
 }
 
+// SetValueBytes sets the longest value that is accepted from now on.
+func (catalog *Catalog) SetValueBytes(limit int) {
+	catalog.state.mutex.Lock()
+	defer catalog.state.mutex.Unlock()
+
+	catalog.state.valueBytes = limit
+}
+
 // NewClient returns a view of the same catalog for another client.
 func (catalog *Catalog) NewClient() *Catalog {
 	return &Catalog{Faults: NewFaults(), state: catalog.state}
@@ -177,8 +192,8 @@
 		return keeper.TransactionResult{Applied: keeper.WriteRefused}, err
 	}
 
-	if transaction.EntryCount() > keeper.MaxTransactionEntries {
-		return keeper.TransactionResult{Applied: keeper.WriteRefused}, errors.NotValidf("transaction of %d entries", transaction.EntryCount())
+	if err := catalog.state.reject(transaction); err != nil {
+		return keeper.TransactionResult{Applied: keeper.WriteRefused}, err
 	}
 
 	if catalog.Faults.ConsumeDroppedAnswer() {
@@ -284,6 +299,28 @@
 	return changes, state.changed, nil
 }
 
+// reject returns an error if a transaction asks for something that is not allowed.
+func (state *catalogState) reject(transaction keeper.Transaction) error {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+
+	if transaction.EntryCount() > keeper.MaxTransactionEntries {
+		return errors.Annotatef(keeper.ErrRejected, "transaction of %d entries", transaction.EntryCount())
+	}
+
+	for _, put := range transaction.Puts {
+		if len(put.Value) > state.valueBytes {
+			return errors.Annotatef(keeper.ErrRejected, "value of %d bytes", len(put.Value))
+		}
+
+		if len(put.Key) > maxKeyBytes {
+			return errors.Annotatef(keeper.ErrRejected, "key of %d bytes", len(put.Key))
+		}
+	}
+
+	return nil
+}
+
 func (state *catalogState) transact(transaction keeper.Transaction) (keeper.TransactionResult, error) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -56,6 +56,8 @@
 	// Unframed sends answers with neither a length nor chunks, which end with their
 	// connection.
 	Unframed bool
+	// Padding is appended to the data of each event.
+	Padding string
 	// SlowFactor multiplies the delays between events; 0 for normal speed.
 	SlowFactor int
 }
@@ -292,7 +294,7 @@
 		}
 
 		if faults.SkipEvent == 0 || number != faults.SkipEvent {
-			fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, SoftwareText(number, software))
+			fmt.Fprintf(writer, "id: %d\ndata: %s%s\n\n", number, SoftwareText(number, software), faults.Padding)
 		}
 
 		if control.Flush() != nil {
--- a/emulator/platform_store.go
+++ b/emulator/platform_store.go
@@ -18,11 +18,14 @@
 	// Status is the status of all answers; 0 for normal answers. It must not be changed
 	// while requests are in flight.
 	Status int
+	// RejectStatus is the status of calls that ask for something that is not allowed. With 200
+	// the error is in the body.
+	RejectStatus int
 }
 
 // NewPlatformStore returns a store over an empty catalog.
 func NewPlatformStore() *PlatformStore {
-	return &PlatformStore{Catalog: NewCatalog()}
+	return &PlatformStore{Catalog: NewCatalog(), RejectStatus: http.StatusBadRequest}
 }
 
 type platformItem struct {
@@ -49,6 +52,10 @@
 		writer.WriteHeader(http.StatusGone)
 	case errors.Is(err, keeper.ErrLeaseEnded):
 		writer.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, keeper.ErrRejected):
+		writer.Header().Set("Content-Type", "application/json")
+		writer.WriteHeader(store.RejectStatus)
+		_ = json.NewEncoder(writer).Encode(map[string]any{"error": err.Error()})
 	default:
 		panic(http.ErrAbortHandler)
 	}
--- a/keeper/catalog.go
+++ b/keeper/catalog.go
@@ -122,6 +122,10 @@
 // ErrLeaseEnded is the cause if a call's lease has expired or was revoked.
 var ErrLeaseEnded = errors.New("the lease has ended")
 
+// ErrRejected is the cause if a working service rejected a call for what it asks, such as a value
+// that is too long. The same call never succeeds.
+var ErrRejected = errors.New("the key-value service rejects the call")
+
 // CatalogAdapterFactory creates a Catalog for an address from the settings.
 type CatalogAdapterFactory func(common kernel.Common, address string) (Catalog, error)
 
--- a/keeper/catalog_client.go
+++ b/keeper/catalog_client.go
@@ -274,7 +274,7 @@
 
 // isServiceAnswer returns whether an error is a regular answer of a working service.
 func isServiceAnswer(err error) bool {
-	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrLeaseEnded)
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrLeaseEnded) || errors.Is(err, ErrRejected)
 }
 
 func (client *CatalogClient) recordResult(breaker *Breaker, began time.Time, err error) {
--- a/keeper/settings.go
+++ b/keeper/settings.go
@@ -12,6 +12,8 @@
 	CallsPerSecond float64
 	// Burst is how many calls may be made at once.
 	Burst int
+	// ValueBytes is the longest value that the service accepts, in bytes.
+	ValueBytes int
 	// Failures is how many failures in a row stop the calls until a probe succeeds.
 	Failures int
 	// FirstProbe is the mean pause before the first probe; it doubles with each
@@ -28,6 +30,7 @@
 		WatchTimeout:   30 * time.Second,
 		CallsPerSecond: 50,
 		Burst:          100,
+		ValueBytes:     MaxValueBytes,
 		Failures:       5,
 		FirstProbe:     500 * time.Millisecond,
 		LastProbe:      5 * time.Second,
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -46,6 +46,7 @@
 	causeNone       cause = ""
 	causeCompacted  cause = "Compacted"
 	causeLeaseEnded cause = "LeaseEnded"
+	causeRejected   cause = "Rejected"
 	// causeFailed is any other error. For a write, Committed.Applied tells whether it took effect.
 	causeFailed cause = "Failed"
 )
@@ -71,6 +72,8 @@
 		return errors.Trace(keeper.ErrCompacted)
 	case causeLeaseEnded:
 		return errors.Trace(keeper.ErrLeaseEnded)
+	case causeRejected:
+		return errors.Annotate(keeper.ErrRejected, reply.Error)
 	default:
 		return errors.New(reply.Error)
 	}
@@ -89,6 +92,8 @@
 		reply.Cause = causeCompacted
 	case errors.Is(err, keeper.ErrLeaseEnded):
 		reply.Cause = causeLeaseEnded
+	case errors.Is(err, keeper.ErrRejected):
+		reply.Cause = causeRejected
 	default:
 		reply.Cause = causeFailed
 	}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxCallBytes bounds a call: a transaction holds at most about a megabyte
-	// of values, which base64 makes a third longer.
-	maxCallBytes = 8 << 20
+	// maxCallBytes bounds a call: a transaction that creates a job holds all its items,
+	// some megabytes, which base64 makes a third longer.
+	maxCallBytes = 32 << 20
 	// maxConcurrentCalls bounds the concurrent calls for other gateways, each of
 	// which makes four watches and a few other calls at a time.
 	maxConcurrentCalls = 64
