Bound results by their encoded size, and let a rejected value keep no job out

What callers saw: after an outage of the store no result that a gateway ran was listed again, of any of its jobs (LOST).

Cause: a segment was bounded by the bytes of its outputs, 500 KB, and not by its JSON, in which <, > and & take six bytes. The store rejected the value, the gateway proposed the same segment unchanged for ever, and one transaction held the segments of several jobs, so that none of them was committed.

Ruled out: the outage itself (the store answered all further calls), the claim and the head (unchanged), the size of the transaction (32 entries at most).

Change: - Segments are built from encoded results and never exceed 9/16 of the longest value, as base64 makes it a third longer. A result that does not fit into one value is committed in fragments, one segment each; it counts from the last one on. Fragments that a lost owner left are replaced by the next owner's. Results keep their position: the number of results only grows with whole ones. - A rejection withdraws the proposal. Jobs that shared a transaction commit alone next; a job that is rejected alone halves its values, down to 4 KB, and is then left out for 5 s while the others go on. - Partial output is bounded in the same way. Items with the least output are left out if it does not fit, and start over after a takeover. A rejected save is split by job.

--- a/batcher/active_job.go
+++ b/batcher/active_job.go
@@ -39,9 +39,17 @@
 	running int
 	// uncommitted holds finished results that are not in proposed.
 	uncommitted []bookkeeper.Result
-	// proposed is the segment whose commit is in progress or has an unknown outcome.
-	// It is retried unchanged until the outcome is known.
-	proposed *bookkeeper.Segment
+	// proposed is the segment whose commit is in progress or has an unknown outcome, with
+	// the number proposedNumber. It is retried unchanged until the outcome is known, or
+	// until the key-value service rejects it.
+	proposed       *bookkeeper.EncodedSegment
+	proposedNumber int
+	// fragments are the segments to propose next, the rest of a result that is too long for
+	// one value. That result is the first of uncommitted until the last fragment is
+	// committed.
+	fragments []bookkeeper.EncodedSegment
+	// rejections limits the segments of a job whose values the key-value service rejected.
+	rejections rejections
 }
 
 // newActiveJob returns a job with the items that have no committed result. They continue
--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,7 +16,8 @@
 )
 
 const (
-	// maxCommitBytes bounds the output in one transaction.
+	// maxCommitBytes bounds each value and, but for the last one, all values in one
+	// transaction.
 	maxCommitBytes = 500 << 10
 	// commitRetryPause is the pause after a failed commit.
 	commitRetryPause = 100 * time.Millisecond
@@ -46,6 +48,8 @@
 	segmentNumber int
 	segment       bookkeeper.Segment
 	value         []byte
+	// alone tells that the segment gets a transaction of its own.
+	alone bool
 	// final tells that this segment completes the job.
 	final bool
 }
@@ -80,6 +84,10 @@
 	case committed.Applied == keeper.WriteRefused && err == nil:
 		batcher.resolveConflicts(ctx, proposals, committed.Present)
 
+		return true
+	case errors.Is(err, keeper.ErrRejected):
+		batcher.applyRejection(ctx, proposals, err)
+
 		return true
 	default:
 		batcher.Log.WithField("Jobs", len(proposals)).WithError(err).Info("Results could not be committed to the key-value service; retrying.")
@@ -106,35 +114,52 @@
 
 		// The record may already have the head of another owner while the job is
 		// not stopped here yet.
-		if !active.claimed || !batcher.isHeadOwner(active.record) {
+		if !active.claimed || !batcher.isHeadOwner(active.record) || time.Now().Before(active.rejections.pausedUntil) {
 			continue
 		}
 
-		active.rebase()
-		active.proposeSegment(maxCommitBytes - size)
-
-		if active.proposed == nil {
+		if active.rejections.alone && len(proposals) > 0 {
 			continue
 		}
 
-		value, err := json.Marshal(active.proposed)
-		if err != nil {
-			return nil, errors.Trace(err)
+		active.rebase()
+
+		if err := active.proposeSegment(active.rejections.limit(min(maxCommitBytes, batcher.ledger.ChunkBytes()))); err != nil {
+			return nil, err
 		}
 
-		end := active.record.NextSegment()
-		next := proposal{
-			active: active, head: end.Head, segmentNumber: end.Number, segment: *active.proposed, value: value,
-			final: end.Position+len(active.proposed.Results) == end.Head.Total,
+		if active.proposed == nil {
+			continue
 		}
+
+		next := active.proposal()
 		proposals = append(proposals, next)
-		size += len(value)
+		size += len(next.value)
 		entries += next.entries()
+
+		if next.alone {
+			break
+		}
 	}
 
 	return proposals, nil
 }
 
+// proposal returns the proposed segment of the job.
+func (active *activeJob) proposal() proposal {
+	end, proposed := active.record.NextSegment(), active.proposed
+	finished := len(proposed.Results)
+
+	if proposed.Fragment != nil && proposed.Fragment.Ends {
+		finished = 1
+	}
+
+	return proposal{
+		active: active, head: end.Head, segmentNumber: end.Number, segment: proposed.Segment, value: proposed.Value,
+		alone: active.rejections.alone, final: finished > 0 && end.Position+finished == end.Head.Total,
+	}
+}
+
 const (
 	// proposalEntries counts two conditions and the segment.
 	proposalEntries = 3
@@ -152,22 +177,40 @@
 	return proposalEntries
 }
 
-// proposeSegment builds a segment from uncommitted results, unless one is already
-// proposed.
-func (active *activeJob) proposeSegment(remainingBytes int) {
+// proposeSegment proposes the next fragment or a segment of uncommitted results whose value is
+// not longer than the limit, unless one is already proposed.
+func (active *activeJob) proposeSegment(limit int) error {
 	if active.proposed != nil || len(active.uncommitted) == 0 {
-		return
+		return nil
 	}
 
-	segment := &bookkeeper.Segment{First: active.record.NextSegment().Position}
+	end := active.record.NextSegment()
+
+	if len(active.fragments) == 0 {
+		segments, err := bookkeeper.EncodeSegments(end.Position, active.uncommitted, limit)
+		if err != nil {
+			return errors.Trace(err)
+		}
 
-	for len(active.uncommitted) > 0 && (len(segment.Results) == 0 || remainingBytes > 0) {
-		remainingBytes -= len(active.uncommitted[0].Output)
-		segment.Results = append(segment.Results, active.uncommitted[0])
-		active.uncommitted = active.uncommitted[1:]
+		active.fragments = segments
+		active.uncommitted = active.uncommitted[len(segments[0].Results):]
 	}
 
-	active.proposed = segment
+	active.proposed, active.proposedNumber = &active.fragments[0], end.Number
+	active.fragments = active.fragments[1:]
+
+	return nil
+}
+
+// withdraw returns the results of the proposed segment to the uncommitted ones, so that they are
+// proposed in another way.
+func (active *activeJob) withdraw() {
+	if active.proposed == nil {
+		return
+	}
+
+	active.uncommitted = append(slices.Clone(active.proposed.Results), active.uncommitted...)
+	active.proposed, active.fragments = nil, nil
 }
 
 // newTransaction commits all proposals or none. It requires that each job still has
@@ -211,7 +254,10 @@
 
 func (batcher *Batcher) applySegment(proposal proposal, revision keeper.Revision) {
 	active := proposal.active
-	active.record.AddSegments(proposal.segmentNumber, []bookkeeper.Segment{proposal.segment})
+
+	if err := active.record.AddSegments(proposal.segmentNumber, []bookkeeper.Segment{proposal.segment}); err != nil {
+		batcher.Log.WithField("JobID", active.job.ID).WithError(err).Error("Committed results cannot be read.")
+	}
 
 	if proposal.final {
 		head := proposal.head
@@ -222,7 +268,10 @@
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
 
-	active.proposed = nil
+	active.proposed, active.rejections.alone = nil, false
+	if proposal.segment.Fragment != nil {
+		active.uncommitted = withoutCommitted(active.uncommitted, active.record.CommittedIDs())
+	}
 
 	batcher.Log.WithFields(logrus.Fields{
 		"JobID": active.job.ID, "First": proposal.segment.First, "Results": len(proposal.segment.Results),
@@ -291,17 +340,22 @@
 // earlier owner. Results that are committed by now are dropped. The batcher's mutex
 // must be held.
 func (active *activeJob) rebase() {
-	if active.proposed == nil || active.proposed.First == active.record.NextSegment().Position {
+	if active.proposed == nil && len(active.fragments) == 0 {
 		return
 	}
 
-	committed := active.record.CommittedIDs()
-	results := append(append([]bookkeeper.Result{}, active.proposed.Results...), active.uncommitted...)
-	active.proposed, active.uncommitted = nil, nil
+	expected := active.proposedNumber
+	if active.proposed == nil {
+		// The fragment before was committed.
+		expected++
+	}
 
-	for _, result := range results {
-		if !committed[result.ID] {
-			active.uncommitted = append(active.uncommitted, result)
-		}
+	if active.record.NextSegment().Number == expected {
+		return
 	}
+
+	active.withdraw()
+
+	active.fragments = nil
+	active.uncommitted = withoutCommitted(active.uncommitted, active.record.CommittedIDs())
 }
--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -31,6 +31,9 @@
 	host          = "host"
 	serviceName   = "model"
 	eventsPerItem = 20
+	// valueBytes is the longest value of the key-value service, less than in production so that
+	// tests reach it with little output.
+	valueBytes = 64 << 10
 	// jobID is the job that most scenarios submit.
 	jobID = "job"
 	// completionTimeout is far more than a job needs without faults.
@@ -82,6 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet := &fleet{t: t, network: emulator.NewNetwork(), catalog: emulator.NewCatalog(), configuration: matcher.NewCurrentDocument(kernel.NewDiscardCommon("fleet"))}
 		fleet.configure(1, true)
+		fleet.catalog.SetValueBytes(valueBytes)
 
 		for index := range servers {
 			server := emulator.NewEventServer(fmt.Sprintf("server-%d", index+1), emulator.DefaultEventHeaders())
@@ -135,7 +139,7 @@
 	common := kernel.NewDiscardCommon(name)
 	catalogClient := fleet.catalog.NewClient()
 	settings := keeper.DefaultSettings()
-	settings.CallTimeout = time.Second
+	settings.CallTimeout, settings.ValueBytes = time.Second, valueBytes
 	// Gateways use the same probe intervals in production.
 	settings.FirstProbe, settings.LastProbe = 200*time.Millisecond, time.Second
 	client := keeper.NewCatalogClient(common, catalogClient, settings)
--- a/batcher/partial.go
+++ b/batcher/partial.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"limpetrail/bookkeeper"
 	"limpetrail/keeper"
@@ -39,6 +39,8 @@
 // partialSave saves the partial output of some jobs in one transaction.
 type partialSave struct {
 	transaction keeper.Transaction
+	// jobs are in the order of the conditions and values in the transaction.
+	jobs []*activeJob
 	// progress is the progress of each job at this save; see activeJob.savedProgress.
 	progress map[*activeJob]int
 	size     int
@@ -54,8 +56,23 @@
 		return
 	}
 
-	for _, save := range saves {
+	for len(saves) > 0 {
+		save := saves[0]
+		saves = saves[1:]
+
 		committed, err := batcher.ledger.Client.Transact(ctx, save.transaction)
+		if errors.Is(err, keeper.ErrRejected) {
+			saves = append(save.split(), saves...)
+
+			if len(save.progress) == 1 {
+				// Without further progress the same value would be rejected again.
+				batcher.recordSaved(save)
+				batcher.Log.WithField("Bytes", save.size).WithError(err).Warn("Key-value service rejected partial output of a job; its items start over after a takeover.")
+			}
+
+			continue
+		}
+
 		if err != nil || committed.Applied != keeper.WriteApplied {
 			batcher.Log.WithField("Jobs", len(save.progress)).WithError(err).Info("Partial output could not be saved; retrying with the next save.")
 
@@ -66,6 +83,37 @@
 	}
 }
 
+// split returns a save for each job, so that a rejected value keeps no other one out. It returns
+// none for a single job.
+func (save *partialSave) split() []*partialSave {
+	if len(save.jobs) < 2 {
+		return nil
+	}
+
+	saves := []*partialSave{}
+
+	for index, active := range save.jobs {
+		single := newPartialSave()
+		single.add(active, save.progress[active], save.transaction.Conditions[index], save.transaction.Puts[index])
+		saves = append(saves, single)
+	}
+
+	return saves
+}
+
+// add adds the partial output of a job.
+func (save *partialSave) add(active *activeJob, progress int, condition keeper.Condition, put keeper.Put) {
+	save.size += len(put.Value)
+	save.jobs = append(save.jobs, active)
+	save.progress[active] = progress
+	save.transaction.Conditions = append(save.transaction.Conditions, condition)
+	save.transaction.Puts = append(save.transaction.Puts, put)
+}
+
+func newPartialSave() *partialSave {
+	return &partialSave{progress: map[*activeJob]int{}}
+}
+
 func (batcher *Batcher) recordSaved(save *partialSave) {
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
@@ -88,20 +136,22 @@
 			continue
 		}
 
-		value, err := json.Marshal(partials)
+		value, omitted, err := bookkeeper.EncodePartials(partials, batcher.ledger.ChunkBytes())
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 
+		if omitted > 0 {
+			batcher.Log.WithFields(logrus.Fields{"JobID": id, "Items": len(partials), "Omitted": omitted}).Info("Partial output does not fit into one value; the items with the least start over after a takeover.")
+		}
+
 		if current == nil || len(current.progress) == maxSavedJobs || current.size > maxSaveBytes {
-			current = &partialSave{progress: map[*activeJob]int{}}
+			current = newPartialSave()
 			saves = append(saves, current)
 		}
 
-		current.size += len(value)
-		current.progress[active] = progress
-		current.transaction.Conditions = append(current.transaction.Conditions, keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: active.record.Head().Revision})
-		current.transaction.Puts = append(current.transaction.Puts, keeper.Put{Key: bookkeeper.PartialsKey(id), Value: value})
+		current.add(active, progress,
+			keeper.Condition{Key: bookkeeper.HeadKey(id), Revision: active.record.Head().Revision}, keeper.Put{Key: bookkeeper.PartialsKey(id), Value: value})
 	}
 
 	return saves, nil
--- a/bookkeeper/partial.go
+++ b/bookkeeper/partial.go
@@ -1,9 +1,12 @@
 package bookkeeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/url"
+	"slices"
 
 	"github.com/juju/errors"
 )
@@ -23,6 +26,40 @@
 	Failures int
 }
 
+// EncodePartials returns the value that stores partial output by item ID, not longer than the
+// limit. Items with the least output are left out if it would be, and counted.
+func EncodePartials(partials map[string]Partial, limit int) ([]byte, int, error) {
+	ids := slices.SortedFunc(maps.Keys(partials), func(one, other string) int {
+		return cmp.Or(cmp.Compare(partials[other].Events, partials[one].Events), cmp.Compare(one, other))
+	})
+	encoded, size, omitted := map[string]json.RawMessage{}, fragmentSyntax, 0
+
+	for _, id := range ids {
+		value, err := json.Marshal(partials[id])
+		if err != nil {
+			return nil, 0, errors.Trace(err)
+		}
+
+		key, err := json.Marshal(id)
+		if err != nil {
+			return nil, 0, errors.Trace(err)
+		}
+
+		if size+len(key)+len(value)+2 > limit {
+			omitted++
+
+			continue
+		}
+
+		encoded[id] = value
+		size += len(key) + len(value) + 2
+	}
+
+	value, err := json.Marshal(encoded)
+
+	return value, omitted, errors.Trace(err)
+}
+
 // PartialsKey returns the key of a job's partial output.
 func PartialsKey(id string) string {
 	return prefixPartials + url.QueryEscape(id)
--- a/bookkeeper/result.go
+++ b/bookkeeper/result.go
@@ -17,10 +17,3 @@
 	State  State
 	Output string
 }
-
-// Segment is a group of results that are committed together, in one key.
-type Segment struct {
-	// First is the position of the first result among all results of the job.
-	First   int
-	Results []Result
-}
--- a/librarian/record.go
+++ b/librarian/record.go
@@ -18,6 +18,8 @@
 	items []bookkeeper.Item
 	// results are the committed results by position, without gaps.
 	results []bookkeeper.Result
+	// joiner holds the fragments of the next result, if some of them were read.
+	joiner bookkeeper.Joiner
 	// segmentCount is the number of segments that the results were read from.
 	segmentCount int
 	// changed is closed and replaced when results are added or the head changes.
@@ -83,7 +85,7 @@
 
 // AddSegments appends segments, the first of which has the number from. It skips those
 // that do not follow directly on the results in the record.
-func (record *Record) AddSegments(from int, segments []bookkeeper.Segment) {
+func (record *Record) AddSegments(from int, segments []bookkeeper.Segment) error {
 	record.mutex.Lock()
 	defer record.mutex.Unlock()
 
@@ -92,11 +94,18 @@
 			continue
 		}
 
-		record.results = append(record.results, segment.Results...)
+		results, err := record.joiner.Results(segment)
+		if err != nil {
+			return err
+		}
+
+		record.results = append(record.results, results...)
 		record.segmentCount++
 	}
 
 	record.notify()
+
+	return nil
 }
 
 // notify wakes waiting readers. The caller holds the mutex.
@@ -136,7 +145,10 @@
 		return err
 	}
 
-	record.AddSegments(from, segments)
+	if err := record.AddSegments(from, segments); err != nil {
+		return err
+	}
+
 	record.lastReadStarted = started
 
 	return nil
