Store items longer than a value, and refuse a job that cannot be stored

What callers saw: a job with one item of 900,000 bytes got 202. Its result was never listed, and every read got 503 (LOST).

Cause: splitItems never split an item, so that its value could exceed the store's limit. The store rejected the job, the gateway took that for an outage and put the job to the holders, which could never deliver it either; each of their rounds ended with it.

Change: items are packed by their JSON. One that does not fit into a value is stored in fragments of its JSON, in the same transaction. Older processes cannot decode a fragment and leave the job alone, so that a mixed fleet runs no truncated body. A job over 30 values, or one that the store rejects for another reason, is refused before the 202 with 413 and the remedy, and is not put to the holders. A job that a holder cannot deliver is kept, offered again every 10 s, and ends no round. IDs whose keys would exceed 200 bytes are refused with 400.

--- a/batcher/depositor.go
+++ b/batcher/depositor.go
@@ -38,8 +38,9 @@
 	defer cancel()
 
 	created, outcome, err := batcher.ledger.Create(callCtx, job, head)
-	if outcome == bookkeeper.OK {
-		return created, bookkeeper.OK, nil
+	if outcome == bookkeeper.OK || outcome == bookkeeper.Rejected {
+		// Custodians could never deliver a job that is rejected.
+		return created, outcome, err
 	}
 
 	deposited := batcher.Depositor.Deposit(ctx, job)
--- a/bookkeeper/job.go
+++ b/bookkeeper/job.go
@@ -1,6 +1,7 @@
 package bookkeeper
 
 import (
+	"net/url"
 	"strings"
 	"time"
 
@@ -34,9 +35,13 @@
 	Owner string `json:",omitempty"`
 }
 
-// maxIDLength is the maximum length of a job's ID, which becomes part of a key of at
-// most 200 bytes.
-const maxIDLength = 64
+const (
+	// maxIDLength is the maximum length of a job's ID.
+	maxIDLength = 64
+	// maxEscapedIDLength is its maximum length with escapes, as a part of a key of at most
+	// 200 bytes.
+	maxEscapedIDLength = 160
+)
 
 // Validate returns an error if a submitted job is not valid. The error says how to
 // correct the job.
@@ -45,6 +50,10 @@
 		return errors.NotValidf("ID of the job: give one of 1 to %d characters; %q", maxIDLength, job.ID)
 	}
 
+	if len(url.QueryEscape(job.ID)) > maxEscapedIDLength {
+		return errors.NotValidf("ID of the job: give one of at most %d bytes in URL encoding; %q", maxEscapedIDLength, job.ID)
+	}
+
 	if len(job.Items) == 0 {
 		return errors.NotValidf("items: give at least one; no item")
 	}
--- a/bookkeeper/ledger.go
+++ b/bookkeeper/ledger.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// maxChunkBytes is the maximum size of the encoded items in one key. The key-value
-	// service accepts values of up to 1 MiB.
-	maxChunkBytes = 600 << 10
 	// retryPause is the mean pause before a transaction with an unknown outcome is
 	// tried again.
 	retryPause = 100 * time.Millisecond
@@ -42,12 +39,16 @@
 
 	transaction.Puts = append(transaction.Puts, keeper.Put{Key: HeadKey(job.ID), Value: encoded})
 
-	for number, chunk := range splitItems(job.Items) {
-		value, err := json.Marshal(chunk)
-		if err != nil {
-			return VersionedHead{}, NotDone, errors.Trace(err)
-		}
+	chunks, err := encodeItems(job.Items, ledger.ChunkBytes())
+	if err != nil {
+		return VersionedHead{}, NotDone, errors.Trace(err)
+	}
+
+	if len(chunks) > maxChunks {
+		return VersionedHead{}, Rejected, errors.NotValidf("items: give at most %d bytes in all, as JSON; job", maxChunks*ledger.ChunkBytes())
+	}
 
+	for number, value := range chunks {
 		transaction.Puts = append(transaction.Puts, keeper.Put{Key: NumberedKey(ItemsPrefix(job.ID), number), Value: value})
 	}
 
@@ -61,7 +62,10 @@
 	default:
 	}
 
-	if err != nil {
+	switch {
+	case errors.Is(err, keeper.ErrRejected):
+		return VersionedHead{}, Rejected, errors.Trace(err)
+	case err != nil:
 		return VersionedHead{}, NotDone, errors.Trace(err)
 	}
 
@@ -80,6 +84,13 @@
 		result, err := ledger.Client.Transact(ctx, transaction)
 
 		switch {
+		case errors.Is(err, keeper.ErrRejected):
+			// The same call never succeeds. An earlier attempt may have, in spite of that.
+			if mayBeApplied {
+				result.Applied = keeper.WriteUnknown
+			}
+
+			return result, errors.Trace(err)
 		case result.Applied == keeper.WriteUnknown:
 			mayBeApplied = true
 		case err == nil:
@@ -142,18 +153,7 @@
 		return nil, errors.Trace(err)
 	}
 
-	items := []Item{}
-
-	for _, item := range stored {
-		chunk := []Item{}
-		if err := json.Unmarshal(item.Value, &chunk); err != nil {
-			return nil, errors.Annotatef(err, "reading %s", item.Key)
-		}
-
-		items = append(items, chunk...)
-	}
-
-	return items, nil
+	return decodeItems(stored)
 }
 
 // Segments reads a job's segments, starting with the one of the given number.
@@ -185,32 +185,6 @@
 	}
 }
 
-// splitItems splits items into chunks that fit into one key each.
-func splitItems(items []Item) [][]Item {
-	chunks := [][]Item{{}}
-	chunkSize := 0
-
-	for _, item := range items {
-		// Bodies are base64 in JSON. 512 bytes allow for the ID and the JSON syntax.
-		itemSize := len(item.Body)*4/3 + len(item.Target) + 512
-		for name, value := range item.Header {
-			itemSize += len(name) + len(value)
-		}
-
-		if last := len(chunks) - 1; chunkSize+itemSize <= maxChunkBytes || len(chunks[last]) == 0 {
-			chunks[last] = append(chunks[last], item)
-			chunkSize += itemSize
-
-			continue
-		}
-
-		chunks = append(chunks, []Item{item})
-		chunkSize = itemSize
-	}
-
-	return chunks
-}
-
 // NumberedKey returns a key that ends in the number, padded so that keys sort by number.
 func NumberedKey(prefix string, number int) string {
 	return fmt.Sprintf("%s%0*d", prefix, numberWidth, number)
--- a/bookkeeper/outcome.go
+++ b/bookkeeper/outcome.go
@@ -13,9 +13,11 @@
 	NotDone
 	// Unknown means that the call may have taken effect.
 	Unknown
+	// Rejected means that the call had no effect, and never will as it is.
+	Rejected
 )
 
 // String returns the name of the outcome in logs.
 func (outcome Outcome) String() string {
-	return [...]string{"OK", "NotFound", "NotDone", "Unknown"}[outcome]
+	return [...]string{"OK", "NotFound", "NotDone", "Unknown", "Rejected"}[outcome]
 }
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -19,6 +19,8 @@
 	deliverInterval = 200 * time.Millisecond
 	// deliverTimeout bounds the delivery of one job.
 	deliverTimeout = 2 * time.Second
+	// rejectedPause is how long a job that the key-value service rejects is not offered again.
+	rejectedPause = 10 * time.Second
 	// folderOwner is the owner under which the folder stores the files of jobs.
 	folderOwner = "custodian"
 )
@@ -37,6 +39,8 @@
 	mutex sync.Mutex
 	// fileNames maps the IDs of the held jobs to the names of their files.
 	fileNames map[string]string
+	// rejectedUntil holds when the jobs that the key-value service rejected are offered again.
+	rejectedUntil map[string]time.Time
 	// leaving is set when the custodian no longer accepts jobs.
 	leaving bool
 	// wake signals Run that a job was accepted.
@@ -52,7 +56,10 @@
 		CreateJob: createJob,
 		MaxAge:    maxAge,
 		fileNames: map[string]string{},
-		wake:      make(chan struct{}, 1),
+
+		rejectedUntil: map[string]time.Time{},
+
+		wake: make(chan struct{}, 1),
 	}
 
 	names, err := folder.Names()
@@ -169,7 +176,9 @@
 
 	fileNames := map[string]string{}
 	for id, name := range custodian.fileNames {
-		fileNames[id] = name
+		if !time.Now().Before(custodian.rejectedUntil[id]) {
+			fileNames[id] = name
+		}
 	}
 
 	custodian.mutex.Unlock()
@@ -182,7 +191,8 @@
 }
 
 // deliverJob delivers one job, or drops one that is unreadable or too old. It returns false
-// if the key-value service did not confirm the job; it is probably unavailable then.
+// if the key-value service is probably unavailable. A rejected job does not keep the others from
+// being delivered.
 func (custodian *Custodian) deliverJob(ctx context.Context, id, name string) bool {
 	job, err := custodian.readFile(name)
 	if err != nil {
@@ -202,7 +212,16 @@
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 
-	if custodian.CreateJob(ctx, job) != bookkeeper.OK {
+	switch custodian.CreateJob(ctx, job) {
+	case bookkeeper.OK:
+	case bookkeeper.Rejected:
+		custodian.mutex.Lock()
+		custodian.rejectedUntil[id] = time.Now().Add(rejectedPause)
+		custodian.mutex.Unlock()
+		custodian.Log.WithField("JobID", id).Error("Key-value service rejects a held job; it is offered again later.")
+
+		return true
+	default:
 		return false
 	}
 
@@ -239,5 +258,6 @@
 
 	if custodian.fileNames[id] == name {
 		delete(custodian.fileNames, id)
+		delete(custodian.rejectedUntil, id)
 	}
 }
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +24,8 @@
 	mutex       sync.Mutex
 	unavailable bool
 	created     map[string]int
+	// rejected is the ID of a job that can never be created.
+	rejected string
 }
 
 func (service *fakeKeyValue) create(_ context.Context, job bookkeeper.Job) bookkeeper.Outcome {
@@ -33,16 +36,22 @@
 		return bookkeeper.NotDone
 	}
 
+	if job.ID == service.rejected {
+		service.created[job.ID]++
+
+		return bookkeeper.Rejected
+	}
+
 	service.created[job.ID]++
 
 	return bookkeeper.OK
 }
 
-func (service *fakeKeyValue) setUnavailable(unavailable bool) {
+func (service *fakeKeyValue) setAvailable() {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 
-	service.unavailable = unavailable
+	service.unavailable = false
 }
 
 func (service *fakeKeyValue) createCount(id string) int {
@@ -105,7 +114,7 @@
 	require.True(t, disk.holder.Holds("a"))
 	require.Zero(t, service.createCount("a"))
 
-	service.setUnavailable(false)
+	service.setAvailable()
 	require.Eventually(t, disk.holder.IsEmpty, 10*time.Second, time.Millisecond)
 	require.Equal(t, 1, service.createCount("a"))
 
@@ -140,7 +149,7 @@
 	require.Error(t, disk.holder.Accept(newJob("b")))
 	require.False(t, disk.holder.IsEmpty())
 
-	service.setUnavailable(false)
+	service.setAvailable()
 	require.Eventually(t, disk.holder.IsEmpty, 10*time.Second, time.Millisecond)
 }
 
@@ -239,7 +248,7 @@
 	running := sync.WaitGroup{}
 	running.Go(func() { holder.Run(ctx) })
 
-	service.setUnavailable(false)
+	service.setAvailable()
 	require.Eventually(t, holder.IsEmpty, 10*time.Second, time.Millisecond)
 	require.Equal(t, 1, service.createCount("large"))
 	require.Zero(t, service.createCount("late"))
@@ -248,3 +257,28 @@
 	cancel()
 	running.Wait()
 }
+
+// A held job that the key-value service rejects ended each round of deliveries, so that the jobs
+// after it were not delivered either.
+func TestRejectedJobKeepsNoOtherJobsFromDelivery(t *testing.T) {
+	service := &fakeKeyValue{created: map[string]int{}, unavailable: true, rejected: "job-0"}
+	holder := &disk{path: t.TempDir()}
+	holder.start(t, service)
+
+	const jobs = 40
+
+	for number := range jobs {
+		require.NoError(t, holder.holder.Accept(newJob("job-"+strconv.Itoa(number))))
+	}
+
+	service.setAvailable()
+
+	for number := 1; number < jobs; number++ {
+		id := "job-" + strconv.Itoa(number)
+		require.Eventually(t, func() bool { return service.createCount(id) == 1 }, 5*time.Second, time.Millisecond)
+	}
+
+	// The job is offered in one round, and all others are delivered in it and the next one.
+	require.LessOrEqual(t, service.createCount("job-0"), 2)
+	require.True(t, holder.holder.Holds("job-0"), "an accepted job is kept")
+}
--- a/custodian/server.go
+++ b/custodian/server.go
@@ -11,9 +11,9 @@
 const (
 	// Path is the path of both calls: POST stores a job, GET tells whether it is held.
 	Path = "/v1/held"
-	// maxJobBytes is the maximum size of an encoded job: bodies of some megabytes, in
-	// base64.
-	maxJobBytes = 16 << 20
+	// maxJobBytes is the maximum size of an encoded job: more than the key-value service
+	// stores of one.
+	maxJobBytes = 24 << 20
 )
 
 // Register adds the handlers of the custodian's calls to a mux.
