Take a stream's software version from the server that answers, not from the list

Cause: the version at which a stream or an item begins was that of the list at the moment of the placement. Only the server of a continuation was asked for its start.

Change: package attester asks a server for its start, in its report. A process that ends takes its connections along, so that an answer holds for each connection that was open when it was asked for; streams on kept connections ask nothing. Before the first event of a stream that may be repeated is passed on, and before the first event of an item is read, the start is confirmed, for at most 60 ms for a stream. If it is another one, or not known, the origin has no version: the stream ends where it would have gone on, take-ups are refused as not run, and an item begins anew. A continuation does not go on at a server that turns out to be another start, also if that was started between the question and the connection. The check of idle connections also works without a descriptor now, so that the in-memory network shows closed ones.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/attester"
 	"limpetrail/batcher"
 	"limpetrail/conveyer"
 	"limpetrail/custodian"
@@ -115,8 +116,8 @@
 	return resumer.NewResumer(common, resumer.WithSeeds(parseSeeds(settings.Listen.Seeds, settings.Listen.Operations)))
 }
 
-func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer) *forwarder.Forwarder {
-	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins))
+func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer, starts *attester.Attester) *forwarder.Forwarder {
+	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts))
 }
 
 func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
@@ -148,8 +149,8 @@
 	return conveyer.NewConveyer(common, relay.Client)
 }
 
-func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, configuration *matcher.CurrentDocument, depositor batcher.Depositor, member registrar.Member, registration *registrar.Registrar, inquiries *inquirer.Inquirer, handovers *conveyer.Conveyer, reports *gossiper.Gossiper, settings loader.Gateway) *batcher.Batcher {
-	return batcher.NewBatcher(common, client, places, backend, quarantine, configuration, depositor, member.ProcessID(), registration.RegistrationValid, settings.Jobs, batcher.WithInquirer(inquiries), batcher.WithConveyer(handovers), batcher.WithSilenceCheck(reports.IsSilent))
+func newBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, starts *attester.Attester, configuration *matcher.CurrentDocument, depositor batcher.Depositor, member registrar.Member, registration *registrar.Registrar, inquiries *inquirer.Inquirer, handovers *conveyer.Conveyer, reports *gossiper.Gossiper, settings loader.Gateway) *batcher.Batcher {
+	return batcher.NewBatcher(common, client, places, backend, quarantine, configuration, depositor, member.ProcessID(), registration.RegistrationValid, settings.Jobs, batcher.WithInquirer(inquiries), batcher.WithConveyer(handovers), batcher.WithSilenceCheck(reports.IsSilent), batcher.WithAttester(starts))
 }
 
 func newGatewayHandler(common kernel.Common, configuration *matcher.CurrentDocument, forwards *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
--- a/app/wire.go
+++ b/app/wire.go
@@ -9,6 +9,7 @@
 
 	"limpetrail/admitter"
 	"limpetrail/archiver"
+	"limpetrail/attester"
 	"limpetrail/batcher"
 	"limpetrail/custodian"
 	"limpetrail/forwarder"
@@ -120,6 +121,8 @@
 		wire.Bind(new(forwarder.Backend), new(*platform.Backend)),
 		wire.Bind(new(quarantiner.Liveness), new(*platform.Backend)),
 		newQuarantiner,
+		wire.Bind(new(attester.Reporter), new(*platform.Backend)),
+		attester.NewAttester,
 		newForwarder,
 		newResumer,
 		newBatcher,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"limpetrail/archiver"
+	"limpetrail/attester"
 	"limpetrail/handler"
 	"limpetrail/limiter"
 	"limpetrail/loader"
@@ -162,11 +163,12 @@
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
 	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
+	attesterAttester := attester.NewAttester(common, platformBackend)
 	inquirer := newInquirer(common, relay)
 	conveyer := newConveyer(common, relay)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantiner, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
+	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantiner, attesterAttester, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
 	resumer := newResumer(common, settings)
-	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer)
+	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer, attesterAttester)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/attester"
 	"limpetrail/bookkeeper"
 	"limpetrail/forwarder"
 	"limpetrail/keeper"
@@ -28,6 +29,7 @@
 	Placer        *placer.Placer
 	Backend       forwarder.Backend
 	Quarantiner   *quarantiner.Quarantiner
+	Attester      *attester.Attester
 	Configuration *matcher.CurrentDocument
 	// RegistrationValid tells whether all other processes still see this one as registered.
 	RegistrationValid func() bool
@@ -101,6 +103,11 @@
 	return func(batcher *Batcher) { batcher.IsSilent = isSilent }
 }
 
+// WithAttester shares the inquiries for the starts of servers with others.
+func WithAttester(starts *attester.Attester) Option {
+	return func(batcher *Batcher) { batcher.Attester = starts }
+}
+
 // NewBatcher returns a batcher without jobs.
 func NewBatcher(common kernel.Common, client *keeper.CatalogClient, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, configuration *matcher.CurrentDocument, depositor Depositor, processID string, registrationValid func() bool, settings Settings, options ...Option) *Batcher {
 	batcher := &Batcher{
@@ -110,6 +117,7 @@
 		Placer:            places,
 		Backend:           backend,
 		Quarantiner:       quarantine,
+		Attester:          attester.NewAttester(common, backend),
 		Configuration:     configuration,
 		Depositor:         depositor,
 		RegistrationValid: registrationValid,
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -95,10 +95,6 @@
 	grant.SetProgress(pending.eventCount)
 
 	eventsBefore, started := pending.eventCount, time.Now()
-	if eventsBefore == 0 {
-		pending.begins(grant.Server.Software)
-	}
-
 	run, block, blocked := batcher.Quarantiner.Start(batcher.quarantineRequest(pending, target), grant.Server)
 	if blocked {
 		grant.Release()
@@ -261,6 +257,10 @@
 	case http.StatusOK:
 		grant.Observe(placer.Answered, time.Since(started))
 
+		if !batcher.attestStart(ctx, active, pending, grant, reply.Answer) {
+			return interrupted, "The backend server has started again; the item does not go on there."
+		}
+
 		return batcher.readEvents(ctx, pending, grant, run, reply.Answer)
 	case http.StatusUnprocessableEntity:
 		return impossible, "The backend server reported that the item cannot be processed."
--- a/batcher/software.go
+++ b/batcher/software.go
@@ -1,9 +1,14 @@
 package batcher
 
 import (
+	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+
+	"limpetrail/exchanger"
+	"limpetrail/placer"
 )
 
 const (
@@ -45,3 +50,31 @@
 
 	return true
 }
+
+// attestStart records the software version of the server that an item begins at. It is unknown
+// unless the server is certainly the start that is listed; the item begins anew then if it has to go
+// on elsewhere. It returns false if an item must not go on at this server.
+func (batcher *Batcher) attestStart(ctx context.Context, active *activeJob, pending *task, grant *placer.Grant, answer *exchanger.Answer) bool {
+	err, software := error(nil), grant.Server.Software
+	if software != "" {
+		err = batcher.Attester.Confirm(ctx, grant.Server, answer.ConnectedAt)
+	}
+
+	continues := pending.eventCount > 0
+
+	if err != nil {
+		batcher.Log.WithFields(logrus.Fields{
+			"JobID": active.job.ID, "RequestID": pending.item.ID, "BackendServer": grant.Server.ID, "Software": software, "Continues": continues, "Reason": err.Error(),
+		}).Info("The software version of the server that answers is not certain.")
+
+		software = ""
+	}
+
+	if continues {
+		return !errors.Is(err, exchanger.ErrRestarted)
+	}
+
+	pending.begins(software)
+
+	return true
+}
--- a/batcher/software_test.go
+++ b/batcher/software_test.go
@@ -105,3 +105,36 @@
 		})
 	}
 }
+
+// A server that had started again under its ID, with other software, took items before the list
+// showed it and crashed. The items went on at servers of the version in the list.
+func TestItemOfARestartedServerJoinsTwoVersions(t *testing.T) {
+	const (
+		items                 = 6
+		listedStart, ownStart = 1000, 2000
+	)
+
+	newFleet(t, 2, 4, func(fleet *fleet) {
+		list := []placer.Server{}
+
+		for _, server := range fleet.servers {
+			server.EventInterval = 100 * time.Millisecond
+			server.SetStart("v1", listedStart)
+			list = append(list, placer.Server{ID: server.ID, Incarnation: listedStart, Software: "v1", Address: server.ID, Service: serviceName, Places: server.Places})
+		}
+
+		for _, gateway := range fleet.gateways {
+			gateway.placer.UpdateServers(list)
+		}
+
+		fleet.servers[0].SetStart("v2", ownStart)
+		fleet.servers[1].SetStart("v3", ownStart)
+		require.Equal(t, bookkeeper.OK, fleet.submit(0, items))
+		time.Sleep(500 * time.Millisecond)
+		fleet.servers[0].Crash()
+		fleet.servers[1].Crash()
+		fleet.servers[0].SetStart("v1", listedStart)
+		fleet.servers[1].SetStart("v1", listedStart)
+		fleet.requireOneVersion(items)
+	})
+}
--- a/emulator/event_backend.go
+++ b/emulator/event_backend.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -73,3 +75,21 @@
 func (backend *EventBackend) HasEnded(ctx context.Context, server placer.Server) bool {
 	return backend.Exchanger.Refuses(ctx, server.Address)
 }
+
+// ReportStart implements forwarder.Backend.
+func (backend *EventBackend) ReportStart(ctx context.Context, server placer.Server) (int64, error) {
+	answer, err := backend.Exchanger.Exchange(ctx, server.Address,
+		exchanger.Request{Method: http.MethodGet, Target: reportPath, Host: server.Address, Header: http.Header{}}, exchanger.ExchangeOptions{HeadDeadline: time.Now().Add(time.Second)})
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer answer.Close()
+
+	report := struct {
+		Born int64 `json:"born"`
+	}{}
+
+	err = json.NewDecoder(answer).Decode(&report)
+
+	return report.Born, errors.Trace(err)
+}
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -24,6 +24,8 @@
 	// Reused is true if the connection was used for an earlier request, of which the server
 	// may still send an answer.
 	Reused bool
+	// ConnectedAt is when the connection had been established.
+	ConnectedAt time.Time
 
 	exchanger           *Exchanger
 	address             string
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -27,6 +28,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// openedAt is when the connection had been established.
+	openedAt time.Time
 	// bytesAllowed is how many more bytes may be read for the current answer.
 	bytesAllowed int
 	// usableUntil is when an idle connection may no longer be reused.
@@ -36,7 +39,7 @@
 }
 
 func newConn(connection net.Conn) *conn {
-	wrapped := &conn{Conn: connection}
+	wrapped := &conn{Conn: connection, openedAt: time.Now()}
 	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferBytes)
 
 	return wrapped
@@ -85,6 +88,18 @@
 	return keepFor > 0
 }
 
+// isSilent is hasNoInput for a connection without a descriptor: a read whose deadline has passed
+// returns only what is there.
+func (conn *conn) isSilent() bool {
+	if err := conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+
+	_, err := conn.Conn.Read(make([]byte, 1))
+
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // hasNoInput reports whether nothing has arrived on an idle connection. Unsolicited
 // bytes, such as a late second answer, belong to no request, and EOF means that the
 // server closed the connection.
@@ -95,7 +110,7 @@
 
 	systemConn, ok := conn.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return conn.isSilent()
 	}
 
 	rawConn, err := systemConn.SyscallConn()
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -112,7 +112,7 @@
 		return nil, FailureError{Kind: Unsent, Cause: ErrWithdrawn}
 	}
 
-	answer := &Answer{exchanger: exchanger, address: address, conn: conn, context: ctx, Reused: !conn.idleSince.IsZero()}
+	answer := &Answer{exchanger: exchanger, address: address, conn: conn, context: ctx, Reused: !conn.idleSince.IsZero(), ConnectedAt: conn.openedAt}
 	answer.stopWatchingContext = context.AfterFunc(ctx, func() { conn.Close() })
 
 	if err := answer.roundTrip(request, options); err != nil {
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -80,4 +80,6 @@
 	// HasEnded reports whether the server's process has certainly ended: nothing listens
 	// at its address.
 	HasEnded(ctx context.Context, server placer.Server) bool
+	// ReportStart returns the start that the server names, or 0 if it names none.
+	ReportStart(ctx context.Context, server placer.Server) (int64, error)
 }
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -110,6 +110,10 @@
 func (delivery *delivery) forwardStream(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
 	delivery.streamStarted = true
 
+	if !delivery.attestStart(ctx, grant.Server, answer) {
+		return delivery.retryOrEnd(grant, "The backend server has started again; the stream does not go on there.", lastAttempt)
+	}
+
 	parser := answer.EventParser()
 	buffer := make([]byte, readBufferBytes)
 	// lastEventAt is when the last complete event was passed on. Bytes that do not
--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -8,7 +8,9 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/exchanger"
 	"limpetrail/matcher"
+	"limpetrail/placer"
 	"limpetrail/resumer"
 )
 
@@ -21,6 +23,9 @@
 	// soleSoftwareTimeouts is for how many times the route's timeout all servers must have had one
 	// version, for a stream of unknown origin to have begun there.
 	soleSoftwareTimeouts = 2
+	// attestTimeout bounds how long a stream waits for its server's start. Servers answer within a
+	// few milliseconds.
+	attestTimeout = 60 * time.Millisecond
 	// defaultStreamTime applies to routes without a timeout.
 	defaultStreamTime = 30 * time.Second
 )
@@ -106,6 +111,34 @@
 	return Result{Outcome: Refused, RetryAfter: retryAfter, Reason: reason}, false
 }
 
+// attestStart finds out whether the server that answers is the start that is listed, and so has the
+// software version of the list. If it is not certain, a new stream may not go on elsewhere later,
+// as what began it is not known. It returns false if a stream must not go on at this server.
+func (delivery *delivery) attestStart(ctx context.Context, server placer.Server, answer *exchanger.Answer) bool {
+	if !delivery.call.Route.Repeatable() || server.Software == "" {
+		return true
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
+	defer cancel()
+
+	err := delivery.forwarder.Attester.Confirm(ctx, server, answer.ConnectedAt)
+	if err == nil {
+		return true
+	}
+
+	continues, restarted := delivery.isContinuation(), errors.Is(err, exchanger.ErrRestarted)
+	delivery.forwarder.log(delivery.call, logrus.Fields{
+		"BackendServer": server.ID, "Software": server.Software, "Restarted": restarted, "Continues": continues, "Reason": err.Error(),
+	}).Info("The software version of the server that answers is not certain.")
+
+	if !continues {
+		delivery.software = ""
+	}
+
+	return !continues || !restarted
+}
+
 // recordOrigin records where the stream began, before its first event is passed on.
 func (delivery *delivery) recordOrigin() {
 	delivery.origin = resumer.Origin{Service: delivery.call.Service, Software: delivery.software}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"limpetrail/attester"
 	"limpetrail/kernel"
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
@@ -20,6 +21,7 @@
 	Backend     Backend
 	Quarantiner *quarantiner.Quarantiner
 	Origins     Origins
+	Attester    *attester.Attester
 
 	// budgets limit the retries of attempts that a silent server did not answer in
 	// time, by service.
@@ -47,6 +49,11 @@
 	return func(forwarder *Forwarder) { forwarder.Origins = origins }
 }
 
+// WithAttester shares the inquiries for the starts of servers with others.
+func WithAttester(starts *attester.Attester) Option {
+	return func(forwarder *Forwarder) { forwarder.Attester = starts }
+}
+
 // NewForwarder returns a forwarder that gets places from the placer.
 func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend, quarantine *quarantiner.Quarantiner, options ...Option) *Forwarder {
 	common = common.ForPart("forwarder")
@@ -58,6 +65,7 @@
 		Placer:      requestPlacer,
 		Backend:     backend,
 		Quarantiner: quarantine,
+		Attester:    attester.NewAttester(common, backend),
 		Origins:     resumer.NewResumer(common),
 		budgets:     retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
 	}
