Refuse items whose path holds spaces or control characters

Cause: an item's path went into the request line as it was.

Ruled out: headers (net/http writes them without line breaks) and bodies (framed by their length).

Change: such a job is refused with 400, the item's ID and the remedy, before it is accepted.

Before: the two new cases of TestValidateJob fail. After: they pass, as does a path with escapes.

Conclusion: jobs that an older process had stored are not checked again.

--- a/bookkeeper/job.go
+++ b/bookkeeper/job.go
@@ -69,6 +69,11 @@
 			return errors.NotValidf("items: give each a path that begins with a slash; item %q with %q", item.ID, item.Target)
 		}
 
+		// Another character would end the request line.
+		if strings.ContainsFunc(item.Target, func(char rune) bool { return char <= ' ' || char == 0x7f }) {
+			return errors.NotValidf("items: escape spaces and control characters in each path; item %q with %q", item.ID, item.Target)
+		}
+
 		seen[item.ID] = true
 	}
 
--- a/bookkeeper/job_test.go
+++ b/bookkeeper/job_test.go
@@ -25,6 +25,11 @@
 		"item without ID":    {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{Target: "/x"}}}, "an ID of its own"},
 		"duplicate ID":       {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{item, item}}, "an ID of its own"},
 		"path without slash": {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{ID: "a", Target: "x"}}}, "begins with a slash"},
+		// The rest of the path became a second request to the backend server.
+		"path with a line break":   {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{ID: "a", Target: "/x HTTP/1.1\r\n\r\nGET /y"}}}, "escape spaces and control characters"},
+		"path with a space":        {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{ID: "a", Target: "/x y"}}}, "escape spaces and control characters"},
+		"path with escapes":        {bookkeeper.Job{ID: "j", Items: []bookkeeper.Item{{ID: "a", Target: "/x%0D%0A?q=ä"}}}, ""},
+		"ID whose key is too long": {bookkeeper.Job{ID: strings.Repeat("/", 60), Items: []bookkeeper.Item{item}}, "in URL encoding"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			err := scenario.job.Validate()
