Write a holder's entry again that the platform removed from the list of members

Cause: only gateways watched the list of members, so that only they noticed that their own entry was gone while its lease went on.

Ruled out: the lease (its renewal succeeds without the key).

Change: a holder follows its own key and checks it as gateways do, with watches of 20 s.

Conclusion: one more watch in 20 s for each holder.

--- a/app/holder.go
+++ b/app/holder.go
@@ -61,6 +61,9 @@
 	tasks.Go(func() {
 		follower.NewFollower(holder.Common, holder.Client, platform.PrefixRetirements, holder.applyRetirements(ctx)).Run(ctx)
 	})
+	tasks.Go(func() {
+		follower.NewFollower(holder.Common, holder.Client, registrar.MembersPrefix+holder.Registrar.Member.Name, holder.checkOwnEntry, follower.WithWatchWait(ownEntryWatchWait)).Run(ctx)
+	})
 	tasks.Go(func() {
 		reloadLogLevelOnHangup(ctx, holder.Log.Logger, func() (loader.Log, error) {
 			settings, err := holder.ReloadSettings()
@@ -108,6 +111,26 @@
 // may stall.
 const holderStopTimeout = 3 * time.Second
 
+// ownEntryWatchWait is how long a holder waits for changes of its own entry. The platform rarely
+// removes one.
+const ownEntryWatchWait = 20 * time.Second
+
+// checkOwnEntry lets a missing or different entry of this process in the list of members be written
+// again. Entries of members whose names begin with this one's are in the copy too.
+func (holder *Holder) checkOwnEntry(current follower.Copy) {
+	own := follower.Copy{}
+	if item, found := current[""]; found {
+		own[holder.Registrar.Member.Name] = item
+	}
+
+	members, err := registrar.DecodeMembers(own)
+	if err != nil {
+		holder.Log.WithError(err).Warn("The record of this member cannot be decoded and is written again.")
+	}
+
+	holder.Registrar.CheckEntry(members)
+}
+
 // applyRetirements retires the holder once operators have requested it.
 func (holder *Holder) applyRetirements(ctx context.Context) func(follower.Copy) {
 	return func(current follower.Copy) {
