Answer 504 to the end of a job whose write may still take effect

Ruled out: the read before the write, which has no effect.

Change: Replace tells a write with an unknown outcome apart; EndJob returns Unknown, and the caller gets 504 with the advice to send the call again, which is harmless.

Before: TestEndOfAJobWithALostAnswerIsUnknown fails (NotDone). After: passes.

Conclusion: 503 is left for what was certainly not written.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -232,6 +232,10 @@
 		if err != nil {
 			batcher.Log.WithField("JobID", id).WithError(err).Info("Job could not be marked as ended.")
 
+			if errors.Is(err, bookkeeper.ErrUnknown) {
+				return bookkeeper.Unknown
+			}
+
 			return bookkeeper.NotDone
 		}
 
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -397,6 +397,22 @@
 	}
 }
 
+// A call that ends a job was refused as not done although its write was to take effect later.
+func TestEndOfAJobWithALostAnswerIsUnknown(t *testing.T) {
+	newFleet(t, 1, 1, func(fleet *fleet) {
+		fleet.setServerFaults(emulator.EventFaults{StallAfter: 1})
+		require.Equal(t, bookkeeper.OK, fleet.submit(0, 1))
+		fleet.gateways[0].catalog.Faults.Set(emulator.FaultSwitches{DropAnswers: 1000})
+
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+
+		require.Equal(t, bookkeeper.Unknown, fleet.gateways[0].batcher.EndJob(ctx, jobID))
+		fleet.gateways[0].catalog.Faults.Set(emulator.FaultSwitches{Outage: true})
+		require.Equal(t, bookkeeper.NotDone, fleet.gateways[0].batcher.EndJob(context.Background(), "other"))
+	})
+}
+
 // A job that was ended at any gateway starts no further item.
 func TestEndedJobStops(t *testing.T) {
 	newFleet(t, 3, 1, func(fleet *fleet) {
--- a/bookkeeper/ledger.go
+++ b/bookkeeper/ledger.go
@@ -121,6 +121,8 @@
 	})
 
 	switch {
+	case err != nil && result.Applied == keeper.WriteUnknown:
+		return read, false, errors.Annotate(ErrUnknown, err.Error())
 	case err != nil:
 		return read, false, errors.Trace(err)
 	case result.Applied == keeper.WriteApplied:
@@ -136,6 +138,9 @@
 	return present, applied, errors.Trace(err)
 }
 
+// ErrUnknown is the cause if a write may take effect, though its answer did not come.
+var ErrUnknown = errors.New("the outcome of the write is not known")
+
 // Head reads a job's head. Its revision is 0 if the job does not exist.
 func (ledger Ledger) Head(ctx context.Context, id string) (VersionedHead, error) {
 	item, err := ledger.Client.Get(ctx, HeadKey(id))
