Soak compound faults: stale handovers, rejected values, crashes in a row

Seeds from 600 on draw: a planned stop while another gateway lacks the newest configuration, on which half of the jobs depend; a store that rejects values over 5,000 or 700 bytes for a while; two servers that crash at a time, four times; a server that is replaced under its ID and crashes before the list shows it. Nothing may be lost, joined or given up; servers answer no 500 there, so that no item may be.

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -109,13 +109,24 @@
 // ReplaceServer ends the process of a backend server and starts one with the software version under
 // its ID. The store's entry follows a moment later.
 func (deployment *Deployment) ReplaceServer(index int, software string) {
+	if deployment.ReplaceUnlisted(index, software) {
+		deployment.MarkServerReady(index)
+	}
+}
+
+// ReplaceUnlisted is ReplaceServer for a server whose entry does not follow yet. It returns false if
+// the server was away already.
+func (deployment *Deployment) ReplaceUnlisted(index int, software string) bool {
 	incarnation := deployment.incarnations[index].Load() + 1
 	deployment.Servers[index].SetStart(software, int64(deployment.bornAt(index, incarnation)))
 
-	if deployment.ServerLinks[index].Crash(deployment.T.Context(), serverDowntime) {
-		deployment.incarnations[index].Store(incarnation)
-		deployment.MarkServerReady(index)
+	if !deployment.ServerLinks[index].Crash(deployment.T.Context(), serverDowntime) {
+		return false
 	}
+
+	deployment.incarnations[index].Store(incarnation)
+
+	return true
 }
 
 // WriteConfiguration writes a version of the operators' configuration to the store.
--- a/emulator/platform_protocol.go
+++ b/emulator/platform_protocol.go
@@ -26,18 +26,27 @@
 	PlatformLeaving = "draining"
 )
 
+// firstPlatformVersion is the version of the configuration that tests begin with.
+const firstPlatformVersion = 3
+
 // PlatformDocument returns a configuration with the version. Its routes have the
 // prefixes /stream/ (resumable), /once/ (one attempt), /batch/, /hasty/ (jobs whose
-// deadline passes at once) and one that contains the version; its service is "model".
+// deadline passes at once) and one that contains the version; its service is "model". Versions
+// above firstPlatformVersion also have /added/ (jobs).
 func PlatformDocument(version int) []byte {
+	added := ""
+	if version > firstPlatformVersion {
+		added = `{"name":"added","host":"host.example","prefix":"/added/","kind":"batch","targetLatencyMs":400,"service":"model","maxAttempts":3,"completionTargetMs":18000,"expiryS":60},`
+	}
+
 	return fmt.Appendf(nil, `{"version":%d,
 		"routes":[
 			{"name":"stream","host":"host.example","prefix":"/stream/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":2,"resumable":true,"gapAimMs":250},
 			{"name":"once","host":"host.example","prefix":"/once/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":1,"gapAimMs":250},
 			{"name":"batch","host":"host.example","prefix":"/batch/","kind":"batch","targetLatencyMs":400,"service":"model","maxAttempts":3,"completionTargetMs":18000,"expiryS":60},
 			{"name":"hasty","host":"host.example","prefix":"/hasty/","kind":"batch","targetLatencyMs":400,"service":"model","maxAttempts":3,"completionTargetMs":100,"expiryS":60},
-			{"name":"version","host":"host.example","prefix":"/version-%d/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":2,"resumable":true,"gapAimMs":250}],
-		"services":[{"name":"model","healthPath":"/healthz"}],"limits":{"maxBodyBytes":1000000}}`, version, version)
+			%s{"name":"version","host":"host.example","prefix":"/version-%d/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"service":"model","maxAttempts":2,"resumable":true,"gapAimMs":250}],
+		"services":[{"name":"model","healthPath":"/healthz"}],"limits":{"maxBodyBytes":1000000}}`, version, added, version)
 }
 
 // PlatformServerEntry returns the key and the entry of a backend server of "model". An empty software
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -82,7 +82,7 @@
 		}
 
 		for attempts := 0; ctx.Err() == nil; attempts++ {
-			if caller.SubmitJob(ctx, "/batch/", id, itemsPerJob) == http.StatusAccepted {
+			if caller.SubmitJob(ctx, soak.jobPrefix(number), id, itemsPerJob) == http.StatusAccepted {
 				soak.history.RecordAcceptedJob(id, itemsPerJob)
 
 				jobs = append(jobs, id)
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -69,6 +69,7 @@
 	violations = append(violations, soak.checkJobs(ctx)...)
 	violations = append(violations, soak.checkDeadlyRuns()...)
 	violations = append(violations, soak.checkTakeUps()...)
+	violations = append(violations, soak.checkGivenUp()...)
 
 	return append(violations, soak.checkRuns()...)
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -63,6 +64,11 @@
 		faults = append(faults, (*Soak).releaseServer, (*Soak).releaseServer)
 	}
 
+	if !soak.PlannedOnly && soak.hasCompoundFaults() {
+		faults = append(faults, compoundFaults()...)
+		faults = append(faults, compoundFaults()...)
+	}
+
 	injectors := sync.WaitGroup{}
 
 	for range concurrentFaults {
@@ -307,6 +313,12 @@
 		{SkipEvent: 1 + soak.random.intN(15)},
 		{SlowFactor: 5},
 	}
+
+	if soak.hasCompoundFaults() {
+		// No item may fail, so that none may be given up.
+		faults = slices.DeleteFunc(faults, func(drawn emulator.EventFaults) bool { return drawn.FailStatus != 0 })
+	}
+
 	server := soak.Servers[soak.random.intN(len(soak.Servers))]
 	server.SetFaults(faults[soak.random.intN(len(faults))])
 	soak.pauseForFault(ctx)
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -229,6 +229,7 @@
 // clearFaults ends all injected faults.
 func (soak *Soak) clearFaults() {
 	soak.Store.Catalog.Faults.Set(emulator.FaultSwitches{})
+	soak.Store.Catalog.SetValueBytes(usualValueBytes)
 
 	for index, server := range soak.Servers {
 		server.SetFaults(emulator.EventFaults{})
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -21,11 +21,12 @@
 
 // firstDeadlySeed is the first seed whose load has a deadly prompt part, and
 // firstDeadlyRequestSeed the first one with a deadly request, and firstVersionSeed the first one with several software
-// versions.
+// versions, and firstCompoundSeed the first one with faults that need several disturbances.
 const (
 	firstDeadlySeed        = 300
 	firstDeadlyRequestSeed = 400
 	firstVersionSeed       = 500
+	firstCompoundSeed      = 600
 )
 
 // faultDuration is how long each run injects faults.
@@ -44,7 +45,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -83,7 +84,14 @@
 // No stream or item may hold the text of two software versions, also if its caller takes it up at
 // another gateway, whatever other faults there are.
 func TestStreamsOfSeveralVersionsUnderInjectedFaults(t *testing.T) {
-	play(t, func(seed uint64) bool { return seed >= firstVersionSeed })
+	play(t, func(seed uint64) bool { return seed >= firstVersionSeed && seed < firstCompoundSeed })
+}
+
+// Nothing accepted may be lost, given up or joined when a gateway hands jobs over to one with an
+// older configuration, the store rejects values, or servers crash in a row and before they are
+// listed.
+func TestCompoundFaults(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed >= firstCompoundSeed })
 }
 
 // play runs the selected seeds.
