Simplify when a suspected item is looked at again

Cause: found at the read-through: mayTry passed a made-up delay to recheckTrial to move the next look into the future while another item is tried.

--- a/batcher/quarantine.go
+++ b/batcher/quarantine.go
@@ -95,7 +95,7 @@
 	batcher.Log.WithFields(logrus.Fields{
 		"JobID": active.job.ID, "RequestID": pending.item.ID, "Servers": len(pending.serverEnds.ends), "Unexplained": unexplained, "Alone": grant.Alone, "RetryAfter": delay,
 	}).Info("Item is delayed: backend servers ended under it and nothing else is known to be the cause.")
-	batcher.recheckTrial(active, pending, delay)
+	batcher.recheckTrial(active, pending, pending.serverEnds.last().Add(delay))
 }
 
 // trialDelay returns how long after the last end of a server the item may be tried again, and how
@@ -119,11 +119,15 @@
 	return pending.serverEnds.delay(unexplained, alone), unexplained
 }
 
-// recheckTrial sets when it is checked again whether a delayed item may run. The mutex must be
-// held.
-func (batcher *Batcher) recheckTrial(active *activeJob, pending *task, delay time.Duration) {
-	recheck := kernel.Earliest(pending.serverEnds.last().Add(delay), time.Now().Add(trialRecheck))
-	pending.notBefore = kernel.Earliest(recheck, active.job.GiveUp)
+// recheckTrial sets when it is checked again whether a suspected item may run, which may be before
+// tryAt: its delay becomes shorter when an end is explained. The mutex must be held.
+func (batcher *Batcher) recheckTrial(active *activeJob, pending *task, tryAt time.Time) {
+	now := time.Now()
+
+	pending.notBefore = kernel.Earliest(now.Add(trialRecheck), active.job.GiveUp)
+	if tryAt.After(now) {
+		pending.notBefore = kernel.Earliest(pending.notBefore, tryAt)
+	}
 }
 
 // mayTry reports whether a suspected item may be tried now: after its delay, and while no other
@@ -136,11 +140,12 @@
 		return true
 	}
 
-	if batcher.trying == nil && !time.Now().Before(pending.serverEnds.last().Add(delay)) {
+	tryAt := pending.serverEnds.last().Add(delay)
+	if batcher.trying == nil && !time.Now().Before(tryAt) {
 		return true
 	}
 
-	batcher.recheckTrial(active, pending, max(delay, time.Since(pending.serverEnds.last())+trialRecheck))
+	batcher.recheckTrial(active, pending, tryAt)
 
 	return false
 }
