Share the server of endless answers between the tests

Cause: found at the read-through: the play on real processes wrote the endless server of the exchanger's tests again. Change: it is a stand-in now, emulator.EndlessServer; the answers and the bounds are the same. Both tests pass with -race.

--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -1,7 +1,6 @@
 package exchanger_test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -14,73 +13,43 @@
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/emulator"
 	"limpetrail/exchanger"
 	"limpetrail/kernel"
 )
 
-// endlessServer answers with a head and then repeats the same bytes until the client
-// closes the connection.
-type endlessServer struct {
-	head     string
-	repeated string
-	// pause is the time between two writes; 0 for full speed.
-	pause time.Duration
-}
-
-func (server endlessServer) serve(t *testing.T) string {
+// serveEndless starts an endless server and returns its address.
+func serveEndless(t *testing.T, server emulator.EndlessServer) string {
 	t.Helper()
 
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go server.answer(conn)
-		}
-	}()
+	go server.Serve(listener)
 
 	return listener.Addr().String()
 }
 
-func (server endlessServer) answer(conn net.Conn) {
-	defer conn.Close()
-
-	part := []byte(server.repeated)
-	if server.pause == 0 {
-		part = bytes.Repeat(part, 1+4096/len(part))
-	}
-
-	_, err := io.WriteString(conn, server.head)
-	for ; err == nil; _, err = conn.Write(part) {
-		time.Sleep(server.pause)
-	}
-}
-
 const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 // endlessAnswers returns servers whose answers never end or are not valid.
-func endlessAnswers() map[string]endlessServer {
-	return map[string]endlessServer{
-		"status line":                {repeated: "HTTP/1.1 200 OK"},
-		"endless headers":            {head: "HTTP/1.1 200 OK\r\n", repeated: "X-One: 1\r\n"},
-		"one endless header":         {head: "HTTP/1.1 200 OK\r\nX-One: ", repeated: "1"},
-		"informational answers":      {repeated: "HTTP/1.1 102 Processing\r\n\r\n"},
-		"chunk size":                 {head: chunkedHead, repeated: "0"},
-		"chunk extension":            {head: chunkedHead + "5;", repeated: "x"},
-		"trailer":                    {head: chunkedHead + "0\r\n", repeated: "X-One: 1\r\n"},
-		"binary noise":               {repeated: "\x00\xff"},
-		"body without length":        {head: "HTTP/1.1 200 OK\r\n\r\n", repeated: "text"},
-		"endless chunks":             {head: chunkedHead, repeated: "5\r\nhello\r\n"},
-		"slow head":                  {head: "HTTP/1.1 200 OK\r\n", repeated: "X", pause: 5 * time.Millisecond},
-		"slow informational answers": {repeated: "HTTP/1.1 102 Processing\r\n\r\n", pause: 5 * time.Millisecond},
-		"slow chunk size":            {head: chunkedHead, repeated: "0", pause: 5 * time.Millisecond},
-		"more than was announced":    {head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", repeated: "hello"},
+func endlessAnswers() map[string]emulator.EndlessServer {
+	return map[string]emulator.EndlessServer{
+		"status line":                {Repeated: "HTTP/1.1 200 OK"},
+		"endless headers":            {Head: "HTTP/1.1 200 OK\r\n", Repeated: "X-One: 1\r\n"},
+		"one endless header":         {Head: "HTTP/1.1 200 OK\r\nX-One: ", Repeated: "1"},
+		"informational answers":      {Repeated: "HTTP/1.1 102 Processing\r\n\r\n"},
+		"chunk size":                 {Head: chunkedHead, Repeated: "0"},
+		"chunk extension":            {Head: chunkedHead + "5;", Repeated: "x"},
+		"trailer":                    {Head: chunkedHead + "0\r\n", Repeated: "X-One: 1\r\n"},
+		"binary noise":               {Repeated: "\x00\xff"},
+		"body without length":        {Head: "HTTP/1.1 200 OK\r\n\r\n", Repeated: "text"},
+		"endless chunks":             {Head: chunkedHead, Repeated: "5\r\nhello\r\n"},
+		"slow head":                  {Head: "HTTP/1.1 200 OK\r\n", Repeated: "X", Pause: 5 * time.Millisecond},
+		"slow informational answers": {Repeated: "HTTP/1.1 102 Processing\r\n\r\n", Pause: 5 * time.Millisecond},
+		"slow chunk size":            {Head: chunkedHead, Repeated: "0", Pause: 5 * time.Millisecond},
+		"more than was announced":    {Head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", Repeated: "hello"},
 	}
 }
 
@@ -124,7 +93,7 @@
 
 	for name, server := range endlessAnswers() {
 		t.Run(name, func(t *testing.T) {
-			address := server.serve(t)
+			address := serveEndless(t, server)
 			// Connecting all clients at once can take a busy machine longer than the
 			// exchanger's connect timeout, so dial without it.
 			dial := func(_ context.Context, network, address string) (net.Conn, error) {
@@ -192,7 +161,7 @@
 // Unsolicited bytes on an idle connection, such as a late second answer, must not reach a
 // later caller; the connection is closed.
 func TestUnsolicitedBytesOnAnIdleConnection(t *testing.T) {
-	address := endlessServer{head: completeAnswer, repeated: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", pause: 30 * time.Millisecond}.serve(t)
+	address := serveEndless(t, emulator.EndlessServer{Head: completeAnswer, Repeated: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", Pause: 30 * time.Millisecond})
 	httpExchanger := exchanger.NewExchanger(kernel.NewDiscardCommon("entry"))
 
 	for range 10 {
