Read results of batch items only with the lock of the puller

Cause: a report was cut to size (fitReport) without the lock, while the goroutine of an item recorded its result. On a heartbeat running items are reported too, so their results change meanwhile; a report could also be larger than its bound by the results that came between the cutting and the building. The race detector names recordResult as writer and fitReport as reader.

Ruled out: a fault of the race detector on arm64 (both stacks are whole, the field is the same in all 128 reports), a fault of the test (it shares nothing but the client).

Change: a report is cut and built in one step under the lock (buildReport).

Before: 128 of 200 runs of TestShutdownReturnsIdempotentItemsAtOnce (five plays each, -race) report the race, and 5 of 50 of the new TestItemsFinishWhileAHeartbeatIsSent (two plays each). After: 0 of 100 and 0 of 50.

Only sidecars run this code; gateways on the users' platform do not.

--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -209,3 +209,31 @@
 		})
 	}
 }
+
+// Results that were recorded while a heartbeat was sent were read without the lock.
+func TestItemsFinishWhileAHeartbeatIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entries := &fakeEntries{pulls: map[string][][]*messenger.Item{"entry-1": {newItems(0, 4, false)}}}
+		entries.resultCounts, entries.fateCounts = map[string]int{}, map[messenger.Fate]int{}
+		listEntries := func() []puller.Entry { return []puller.Entry{{Name: "entry-1"}} }
+		runner := untilRunner{end: time.Now().Add(puller.DefaultSettings().Heartbeat)}
+		fetcher := puller.NewPuller(kernel.NewDiscardCommon("sidecar-1"), "briefing", runner, entries, listEntries, func() int { return 8 })
+
+		go fetcher.Run(t.Context())
+
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Equal(t, map[messenger.Fate]int{messenger.Fate_FATE_ANSWERED: 4}, entries.fateCounts)
+	})
+}
+
+// untilRunner ends every item at one moment.
+type untilRunner struct {
+	end time.Time
+}
+
+func (runner untilRunner) Do(context.Context, *messenger.ExecuteRequest) executor.Answer {
+	time.Sleep(time.Until(runner.end))
+
+	return executor.Answer{LastFrame: &messenger.Frame{Fate: messenger.Fate_FATE_ANSWERED}}
+}
--- a/puller/report.go
+++ b/puller/report.go
@@ -65,29 +65,54 @@
 // which of its items run.
 func (puller *Puller) sendReports(ctx context.Context, heartbeat bool) {
 	for entry, items := range puller.itemsToReport(heartbeat) {
-		for chunk := range slices.Chunk(items, maxReportItems) {
-			for len(chunk) > 0 {
-				part := fitReport(chunk)
-				chunk = chunk[len(part):]
-				puller.sendReport(ctx, entry, part)
-			}
+		for len(items) > 0 {
+			report := puller.buildReport(items)
+			items = items[len(report.items):]
+			puller.sendReport(ctx, entry, report)
 		}
 	}
 }
 
-// fitReport returns as many leading items as have results that fit one report, at
-// least one.
-func fitReport(items []*pulledItem) []*pulledItem {
+// report is one call to an entry.
+type report struct {
+	items   []*pulledItem
+	request *messenger.CompleteRequest
+	// finished holds the items whose result is in the request: an item may finish
+	// while it is reported as running, and must then be reported again.
+	finished map[*pulledItem]bool
+}
+
+// buildReport returns a report of as many leading items as fit one, at least one. The
+// items run meanwhile, so their results are read once, with the mutex held.
+func (puller *Puller) buildReport(items []*pulledItem) report {
+	built := report{
+		request:  &messenger.CompleteRequest{Clock: uint64(puller.Recorder.Clock.Now()), Instance: puller.Instance},
+		finished: map[*pulledItem]bool{},
+	}
 	bytes := 0
 
-	for position, pulled := range items {
+	puller.mutex.Lock()
+	defer puller.mutex.Unlock()
+
+	for position, pulled := range items[:min(len(items), maxReportItems)] {
 		bytes += len(pulled.result.GetBody())
 		if position > 0 && bytes > maxReportBytes {
-			return items[:position]
+			break
 		}
+
+		built.items = append(built.items, pulled)
+
+		if pulled.result == nil {
+			built.request.Running = append(built.request.Running, &messenger.ItemKey{JobId: pulled.key.jobID, Index: pulled.key.index})
+
+			continue
+		}
+
+		built.request.Results = append(built.request.Results, pulled.result)
+		built.finished[pulled] = true
 	}
 
-	return items
+	return built
 }
 
 // itemsToReport returns the items to report, by entry: those with a result and, on
@@ -123,39 +148,21 @@
 	return byEntry
 }
 
-func (puller *Puller) sendReport(ctx context.Context, entry Entry, items []*pulledItem) {
-	request := &messenger.CompleteRequest{Clock: uint64(puller.Recorder.Clock.Now()), Instance: puller.Instance}
-	// Only items whose result is in this report may be removed after it: an item
-	// may finish while it is reported as running.
-	reported := map[*pulledItem]bool{}
-
-	puller.mutex.Lock()
-	for _, pulled := range items {
-		if pulled.result == nil {
-			request.Running = append(request.Running, &messenger.ItemKey{JobId: pulled.key.jobID, Index: pulled.key.index})
-
-			continue
-		}
-
-		request.Results = append(request.Results, pulled.result)
-		reported[pulled] = true
-	}
-	puller.mutex.Unlock()
-
+func (puller *Puller) sendReport(ctx context.Context, entry Entry, sent report) {
 	callContext, cancel := context.WithTimeout(ctx, puller.Settings.CallLimit)
 	defer cancel()
 
-	reply, err := puller.EntryClient.Complete(callContext, entry, request)
+	reply, err := puller.EntryClient.Complete(callContext, entry, sent.request)
 	entries := puller.Entries()
 
 	puller.mutex.Lock()
 	defer puller.mutex.Unlock()
 
-	for _, pulled := range items {
+	for _, pulled := range sent.items {
 		switch {
 		case err != nil || slices.Contains(reply.GetUnknownJobIds(), pulled.key.jobID):
 			puller.redirectReport(pulled, entries)
-		case reported[pulled]:
+		case sent.finished[pulled]:
 			delete(puller.pulledItems, pulled.key)
 		case slices.Contains(reply.GetCancelledJobIds(), pulled.key.jobID):
 			puller.cancelItem(pulled)
