Answer each request that a stopping gateway has read

Cause, three in one path: nobody asked on arrival whether a request can end in what is left of the grace; nobody told the running ones that the end is near; and http.Server.Shutdown drops requests that it reads after it was called.

Ruled out: the readiness check (it fails with the signal), idle kept connections (closed at the end of the lag; the connections of the test had not been used yet).

Change: package stopper keeps the time of a stop. The forwarder refuses on arrival what may not be repeated and may not end in time, by the longest time of the route in the last minutes, or the time limit if none is known; repeatable calls are taken during the lag. 0.8 s before the end of the grace what still runs gets 502, or 503 if it was never sent. drainer replaces Shutdown, also at entries with sidecars. spentEstimator became longestTimes, which both estimates use.

Before: TestRequestsLongerThanAStopAreCutWithoutAnAnswer fails: six running requests and the two late ones that it had sent by then get EOF; with Shutdown TestRequestsReadDuringADrainAreDropped fails.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -31,6 +31,7 @@
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 	"limpetrail/resumer"
+	"limpetrail/stopper"
 )
 
 const (
@@ -67,8 +68,6 @@
 	minWatchWait = 500 * time.Millisecond
 	// staleConnectionsInterval is how often stale idle connections are closed.
 	staleConnectionsInterval = time.Second
-	// stopMargin of the stop's grace is reserved for the last log lines.
-	stopMargin = 500 * time.Millisecond
 	// memoryLimitShare of the configured memory limit is the garbage collector's soft
 	// limit, above which it runs more often.
 	memoryLimitShare = 0.7
@@ -97,11 +96,11 @@
 	Inquirer      *inquirer.Inquirer
 	Conveyer      *conveyer.Conveyer
 	Resumer       *resumer.Resumer
+	Stopper       *stopper.Stopper
 
 	// ReloadSettings reads the settings file again.
 	ReloadSettings func() (loader.Gateway, error)
 
-	leaving atomic.Bool
 	// followersByPrefix is written once, before serving.
 	followersByPrefix map[string]*follower.Follower
 	// servers decodes the list of backend servers; only its follower uses it.
@@ -146,7 +145,8 @@
 	tasks := sync.WaitGroup{}
 	gateway.startBackgroundTasks(ctx, serving, &tasks)
 
-	server := gateway.Limiter.NewServer(gateway.closeConnectionsWhenLeaving(gateway.Handler))
+	server := gateway.Limiter.NewServer(gateway.endWithStop(gateway.Handler))
+	drainer := newDrainer(server)
 	served := make(chan error, 3)
 
 	go gateway.Listen.serveMetrics(serving, gateway.Common, gateway.Settings.Listen.Metrics, gateway.Meter)
@@ -163,7 +163,7 @@
 	case <-ctx.Done():
 	}
 
-	gateway.stop(serving, server)
+	gateway.stop(serving, drainer, callers)
 	tasks.Wait()
 
 	return nil
@@ -171,16 +171,16 @@
 
 // stop fails the readiness check, waits until the load balancer has noticed and lets
 // running requests finish, all within the grace.
-func (gateway *Gateway) stop(ctx context.Context, server *http.Server) {
+func (gateway *Gateway) stop(ctx context.Context, drainer *drainer, callers net.Listener) {
 	gateway.Log.WithField("Grace", gateway.Settings.Stop.Grace).Info("Stopping.")
-	gateway.leaving.Store(true)
+	gateway.Stopper.Begin()
 
-	ctx, cancel := context.WithTimeout(ctx, gateway.Settings.Stop.Grace-stopMargin)
+	ctx, cancel := context.WithDeadline(ctx, gateway.Stopper.ExitAt())
 	defer cancel()
 
 	kernel.Pause(ctx, gateway.Settings.Stop.BalancerLag)
 
-	if err := server.Shutdown(ctx); err != nil {
+	if err := drainer.drain(ctx, callers); err != nil {
 		gateway.Log.WithError(err).Warn("Stop grace expired; requests that still run are cut off.")
 
 		return
@@ -252,7 +252,7 @@
 
 // serveReadiness tells the load balancer whether to send requests to this process.
 func (gateway *Gateway) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	if gateway.leaving.Load() || gateway.Configuration.Document() == nil || !gateway.Placer.HasServers() {
+	if gateway.Stopper.HasBegun() || gateway.Configuration.Document() == nil || !gateway.Placer.HasServers() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -279,13 +279,17 @@
 	return errors.Trace(server.Serve(listener))
 }
 
-// closeConnectionsWhenLeaving asks callers to close their connections during the stop.
-func (gateway *Gateway) closeConnectionsWhenLeaving(handler http.Handler) http.Handler {
+// endWithStop asks callers to close their connections during the stop, and ends the requests that
+// still run at its end.
+func (gateway *Gateway) endWithStop(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if gateway.leaving.Load() {
+		if gateway.Stopper.HasBegun() {
 			writer.Header().Set("Connection", "close")
 		}
 
-		handler.ServeHTTP(writer, request)
+		ctx, release := gateway.Stopper.Context(request.Context())
+		defer release()
+
+		handler.ServeHTTP(writer, request.WithContext(ctx))
 	})
 }
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -28,6 +28,7 @@
 	"limpetrail/registrar"
 	"limpetrail/relayer"
 	"limpetrail/resumer"
+	"limpetrail/stopper"
 )
 
 func newGatewayMeter(settings loader.Gateway) *meter.Meter {
@@ -116,8 +117,12 @@
 	return resumer.NewResumer(common, resumer.WithSeeds(parseSeeds(settings.Listen.Seeds, settings.Listen.Operations)))
 }
 
-func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer, starts *attester.Attester) *forwarder.Forwarder {
-	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts))
+func newStopper(settings loader.Gateway) *stopper.Stopper {
+	return stopper.NewStopper(settings.Stop.BalancerLag, settings.Stop.Grace)
+}
+
+func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer, starts *attester.Attester, stop *stopper.Stopper) *forwarder.Forwarder {
+	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts), forwarder.WithStopper(stop))
 }
 
 func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
--- a/app/graceful_stop.go
+++ b/app/graceful_stop.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+
+	"limpetrail/kernel"
 )
 
 // Paths of the health endpoints.
@@ -70,13 +73,9 @@
 
 // Stop performs the stop. It returns when every request has ended and every
 // connection is closed, or when the context ends.
-func (stop *GracefulStop) Stop(ctx context.Context, server *http.Server) error {
+func (stop *GracefulStop) Stop(ctx context.Context, drainer *drainer, listener net.Listener) error {
 	stop.leaving.Store(true)
+	kernel.Pause(ctx, stop.BalancerLag)
 
-	select {
-	case <-time.After(stop.BalancerLag):
-	case <-ctx.Done():
-	}
-
-	return errors.Trace(server.Shutdown(ctx))
+	return errors.Trace(drainer.drain(ctx, listener))
 }
--- a/app/status.go
+++ b/app/status.go
@@ -33,7 +33,7 @@
 		Instance:   gateway.Instance,
 		DataCentre: gateway.DataCentre,
 		Registered: gateway.Registrar.RegistrationValid(),
-		Leaving:    gateway.leaving.Load(),
+		Leaving:    gateway.Stopper.HasBegun(),
 		Servers:    gateway.Placer.Status(),
 		Jobs:       gateway.Batcher.Status(),
 		Suspects:   gateway.Quarantiner.Status(),
--- a/app/wire.go
+++ b/app/wire.go
@@ -123,12 +123,13 @@
 		newQuarantiner,
 		wire.Bind(new(attester.Reporter), new(*platform.Backend)),
 		attester.NewAttester,
+		newStopper,
 		newForwarder,
 		newResumer,
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer", "Resumer"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer", "Resumer", "Stopper"),
 	))
 }
 
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -168,7 +168,8 @@
 	conveyer := newConveyer(common, relay)
 	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantiner, attesterAttester, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
 	resumer := newResumer(common, settings)
-	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer, attesterAttester)
+	stopper := newStopper(settings)
+	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer, attesterAttester, stopper)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
@@ -194,6 +195,7 @@
 		Inquirer:      inquirer,
 		Conveyer:      conveyer,
 		Resumer:       resumer,
+		Stopper:       stopper,
 	}
 	return gateway, nil
 }
--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -40,6 +40,8 @@
 	// Gateways and Holders hold the process started last under each name.
 	Gateways map[string]*Process
 	Holders  map[string]*Process
+	// StopGrace is the grace of gateways that are started from now on; 0 for the default.
+	StopGrace time.Duration
 
 	// incarnations counts the starts of each backend server.
 	incarnations [serverCount]atomic.Int64
@@ -169,8 +171,13 @@
 		deployment.gatewaySeeds = append(deployment.gatewaySeeds, gateway.OperationsAddress)
 	}
 
-	gateway.start(deployment.T, deployment.Binary, "gateway", fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nOperations = %s\nSeeds = %s\n[Catalog]\nAddress = %s\n[Stop]\nBalancerLag = 500ms\n",
-		name, gateway.CallerAddress, gateway.ReadyAddress, freeAddress(deployment.T.Context()), gateway.OperationsAddress, strings.Join(deployment.gatewaySeeds, ","), gateway.StoreLink.Address))
+	settings := fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nOperations = %s\nSeeds = %s\n[Catalog]\nAddress = %s\n[Stop]\nBalancerLag = 500ms\n",
+		name, gateway.CallerAddress, gateway.ReadyAddress, freeAddress(deployment.T.Context()), gateway.OperationsAddress, strings.Join(deployment.gatewaySeeds, ","), gateway.StoreLink.Address)
+	if deployment.StopGrace > 0 {
+		settings += fmt.Sprintf("Grace = %s\n", deployment.StopGrace)
+	}
+
+	gateway.start(deployment.T, deployment.Binary, "gateway", settings)
 	deployment.Gateways[name] = gateway
 
 	return gateway
--- a/forwarder/ending.go
+++ b/forwarder/ending.go
@@ -8,6 +8,7 @@
 
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
+	"limpetrail/stopper"
 )
 
 // resultOfBlock returns the result of a call that must not be sent, as it or a part of its prompt
@@ -67,9 +68,13 @@
 	return result
 }
 
-// resultAfterContextEnd returns the result of a call whose caller disconnected or
-// whose deadline passed. It replaces the result of the attempt that this interrupted.
+// resultAfterContextEnd returns the result of a call whose caller disconnected, whose
+// deadline passed or that ran until the end of a stop. It replaces the result of the attempt that this interrupted.
 func (delivery *delivery) resultAfterContextEnd(ctx context.Context, result Result) Result {
+	if errors.Is(context.Cause(ctx), stopper.ErrStopped) {
+		return delivery.resultAfterStop()
+	}
+
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return Result{Outcome: Cancelled, Reason: "The caller disconnected."}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"limpetrail/quarantiner"
 	"limpetrail/resumer"
 	"limpetrail/retrier"
+	"limpetrail/stopper"
 )
 
 // Forwarder sends calls to backend servers and passes the answers back.
@@ -22,12 +23,17 @@
 	Quarantiner *quarantiner.Quarantiner
 	Origins     Origins
 	Attester    *attester.Attester
+	Stopper     *stopper.Stopper
 
 	// budgets limit the retries of attempts that a silent server did not answer in
 	// time, by service.
-	budgets   *retrier.Cache[string, *retrier.Budget]
-	outcomes  *outcomeRecorder
-	spentTime *spentEstimator
+	budgets  *retrier.Cache[string, *retrier.Budget]
+	outcomes *outcomeRecorder
+	// remainingTimes are those with which calls arrived. Callers of a route mostly start with the
+	// same time, so one with less than the others has probably been refused before.
+	remainingTimes *longestTimes
+	// durations are those of calls that took as long as they needed.
+	durations *longestTimes
 }
 
 const (
@@ -54,20 +60,27 @@
 	return func(forwarder *Forwarder) { forwarder.Attester = starts }
 }
 
+// WithStopper sets the stop of the process. Without it the process never stops.
+func WithStopper(stop *stopper.Stopper) Option {
+	return func(forwarder *Forwarder) { forwarder.Stopper = stop }
+}
+
 // NewForwarder returns a forwarder that gets places from the placer.
 func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend, quarantine *quarantiner.Quarantiner, options ...Option) *Forwarder {
 	common = common.ForPart("forwarder")
 
 	forwarder := &Forwarder{
-		Common:      common,
-		outcomes:    newOutcomeRecorder(common),
-		spentTime:   newSpentEstimator(),
-		Placer:      requestPlacer,
-		Backend:     backend,
-		Quarantiner: quarantine,
-		Attester:    attester.NewAttester(common, backend),
-		Origins:     resumer.NewResumer(common),
-		budgets:     retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
+		Common:         common,
+		outcomes:       newOutcomeRecorder(common),
+		remainingTimes: newLongestTimes(),
+		durations:      newLongestTimes(),
+		Placer:         requestPlacer,
+		Backend:        backend,
+		Quarantiner:    quarantine,
+		Attester:       attester.NewAttester(common, backend),
+		Stopper:        stopper.NewStopper(0, 0),
+		Origins:        resumer.NewResumer(common),
+		budgets:        retrier.NewCache[string](maxRetryBudgets, func() *retrier.Budget { return retrier.NewBudget(retryShare, retryBurst) }),
 	}
 
 	for _, option := range options {
@@ -81,23 +94,34 @@
 // Broken, the sink has received only part of an answer, and the caller's connection
 // must be closed so that the part does not look complete.
 func (forwarder *Forwarder) Forward(ctx context.Context, call *Call, sink Sink) Result {
+	startedAt := time.Now()
+	result, admitted := forwarder.admit(call)
+
+	if admitted {
+		result = forwarder.deliver(ctx, call, sink, startedAt)
+		forwarder.recordDuration(call, result, startedAt)
+	}
+
+	forwarder.outcomes.record(call, result, time.Since(startedAt))
+
+	return result
+}
+
+func (forwarder *Forwarder) deliver(ctx context.Context, call *Call, sink Sink, startedAt time.Time) Result {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 
-	startedAt := time.Now()
+	remaining := call.Deadline.Sub(startedAt)
 	delivery := &delivery{
 		forwarder:   forwarder,
 		call:        call,
 		sink:        sink,
 		startedAt:   startedAt,
-		spentBefore: forwarder.spentTime.estimate(call.Route.Name, call.Deadline.Sub(startedAt), startedAt),
+		spentBefore: forwarder.remainingTimes.record(call.Route.Name, remaining, startedAt) - remaining,
 		lastEventID: call.LastEventID,
 	}
 
-	result := delivery.finish(ctx, delivery.deliver(ctx))
-	forwarder.outcomes.record(call, result, time.Since(delivery.startedAt))
-
-	return result
+	return delivery.finish(ctx, delivery.deliver(ctx))
 }
 
 // log returns a log entry with the call's ID and route.
