Read the list of servers before a stream of unknown origin goes on

Cause: where no holder names the origin, the placer's list decides if it had one version for long. The list may be old, and nothing asked for its age.

Ruled out: take-ups whose origin a holder names (refused where the version is not listed), servers that are back under their ID (attester).

Change: forwarder.ServerList reads the versions from the store after the take-up came; they must be the one known. Otherwise the holders decide as before, and else the caller gets 503.

Before (the check taken out): TestTakeUpAtAnEntryOutOfStepJoinsTwoVersions fails. After: forwarder, resumer and app pass with -race.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -121,8 +121,8 @@
 	return stopper.NewStopper(settings.Stop.BalancerLag, settings.Stop.Grace)
 }
 
-func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer, starts *attester.Attester, stop *stopper.Stopper) *forwarder.Forwarder {
-	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts), forwarder.WithStopper(stop))
+func newForwarder(common kernel.Common, places *placer.Placer, backend forwarder.Backend, quarantine *quarantiner.Quarantiner, origins *resumer.Resumer, starts *attester.Attester, stop *stopper.Stopper, list *softwareReader) *forwarder.Forwarder {
+	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts), forwarder.WithStopper(stop), forwarder.WithServerList(list))
 }
 
 func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
--- a/app/wire.go
+++ b/app/wire.go
@@ -124,6 +124,7 @@
 		wire.Bind(new(attester.Reporter), new(*platform.Backend)),
 		attester.NewAttester,
 		newStopper,
+		newSoftwareReader,
 		newForwarder,
 		newResumer,
 		newBatcher,
--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -23,6 +23,8 @@
 	// soleSoftwareTimeouts is for how many times the route's timeout all servers must have had one
 	// version, for a stream of unknown origin to have begun there.
 	soleSoftwareTimeouts = 2
+	// readListTimeout bounds how long a stream of unknown origin waits for the list of servers.
+	readListTimeout = 300 * time.Millisecond
 	// attestTimeout bounds how long a stream waits for its server's start. Servers answer within a
 	// few milliseconds.
 	attestTimeout = 60 * time.Millisecond
@@ -40,6 +42,12 @@
 	SoleSoftware(ctx context.Context, service string, period time.Duration) (string, bool)
 }
 
+// ServerList reads the platform's list of backend servers.
+type ServerList interface {
+	// Software returns the versions of the service's servers, as they are listed after the call.
+	Software(ctx context.Context, service string) ([]string, error)
+}
+
 // isContinuation reports whether the next attempt must go on after an event.
 func (delivery *delivery) isContinuation() bool {
 	return delivery.lastEventID >= 0 && delivery.call.Route.Kind == matcher.Stream
@@ -84,21 +92,37 @@
 	return originUnknownRetryAfter
 }
 
-// soleSoftware returns the only version at which a stream of the service can have begun, by the list
-// of servers or, if this entry has not had that for long, by what the holders were told.
+// soleSoftware returns the only version at which a stream of the service can have begun: by the list
+// of servers, or by what the holders were told. An entry that was cut off or stood still has an old
+// list, so that it counts only together with one that is read now.
 func (delivery *delivery) soleSoftware(ctx context.Context) (string, bool) {
 	period := soleSoftwareTimeouts * defaultStreamTime
 	if delivery.call.Route.Timeout > 0 {
 		period = soleSoftwareTimeouts * delivery.call.Route.Timeout
 	}
 
-	if software, sole := delivery.forwarder.Placer.SoleSoftware(delivery.call.Service, period); sole {
+	if software, sole := delivery.forwarder.Placer.SoleSoftware(delivery.call.Service, period); sole && delivery.isListed(ctx, software) {
 		return software, true
 	}
 
 	return delivery.forwarder.Origins.SoleSoftware(ctx, delivery.call.Service, period)
 }
 
+// isListed reads the list of servers anew and reports whether it names no other version.
+func (delivery *delivery) isListed(ctx context.Context, software string) bool {
+	if delivery.forwarder.ServerList == nil {
+		return true
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, readListTimeout)
+	defer cancel()
+
+	versions, err := delivery.forwarder.ServerList.Software(ctx, delivery.call.Service)
+	delivery.forwarder.log(delivery.call, logrus.Fields{"Software": software, "Listed": versions}).WithError(err).Info("Read the list of servers for a stream of unknown origin.")
+
+	return err == nil && !slices.ContainsFunc(versions, func(version string) bool { return version != software })
+}
+
 func (delivery *delivery) serves(service string) bool {
 	return slices.ContainsFunc(delivery.call.Route.Shares, func(share matcher.Share) bool { return share.Service == service })
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,8 @@
 	Origins     Origins
 	Attester    *attester.Attester
 	Stopper     *stopper.Stopper
+	// ServerList is nil if the placer's list is always current.
+	ServerList ServerList
 
 	// budgets limit the retries of attempts that a silent server did not answer in
 	// time, by service.
@@ -65,6 +67,11 @@
 	return func(forwarder *Forwarder) { forwarder.Stopper = stop }
 }
 
+// WithServerList sets how the list of servers is read anew. Without it the placer's list is trusted.
+func WithServerList(list ServerList) Option {
+	return func(forwarder *Forwarder) { forwarder.ServerList = list }
+}
+
 // NewForwarder returns a forwarder that gets places from the placer.
 func NewForwarder(common kernel.Common, requestPlacer *placer.Placer, backend Backend, quarantine *quarantiner.Quarantiner, options ...Option) *Forwarder {
 	common = common.ForPart("forwarder")
--- a/forwarder/software_test.go
+++ b/forwarder/software_test.go
@@ -50,13 +50,13 @@
 }
 
 // newEntry starts an entry that is told of the servers now.
-func (fleet *fleet) newEntry(origins forwarder.Origins, servers []placer.Server) *entry {
+func (fleet *fleet) newEntry(origins forwarder.Origins, servers []placer.Server, options ...forwarder.Option) *entry {
 	common := kernel.NewDiscardCommon("entry-2")
 	places := placer.NewPlacer(common)
 	places.UpdateServers(servers)
 
 	return &entry{
-		Forwarder: forwarder.NewForwarder(common, places, fleet.backend, quarantiner.NewQuarantiner(common, fleet.backend), forwarder.WithOrigins(origins)),
+		Forwarder: forwarder.NewForwarder(common, places, fleet.backend, quarantiner.NewQuarantiner(common, fleet.backend), append(options, forwarder.WithOrigins(origins))...),
 		placer:    places,
 	}
 }
@@ -305,3 +305,61 @@
 		require.GreaterOrEqual(t, answered, 10)
 	})
 }
+
+// listReader reads the list of servers anew.
+type listReader struct {
+	versions []string
+	err      error
+}
+
+func (reader listReader) Software(context.Context, string) ([]string, error) {
+	return reader.versions, reader.err
+}
+
+// A stream that began at a new version while an entry was cut off or stood still, and of which no
+// holder was told, went on there at the only version that this entry knew.
+func TestTakeUpAtAnEntryOutOfStepJoinsTwoVersions(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		read listReader
+		// told holders know of another stream at v1.
+		told    bool
+		outcome forwarder.Outcome
+	}{
+		"its list is old":                              {read: listReader{versions: []string{"v1", "v2"}}, outcome: forwarder.Refused},
+		"its list cannot be read":                      {read: listReader{err: errors.New("cut off")}, outcome: forwarder.Refused},
+		"its list is current":                          {read: listReader{versions: []string{"v1"}}, outcome: forwarder.Answered},
+		"its list cannot be read, the holders know v1": {read: listReader{err: errors.New("cut off")}, told: true, outcome: forwarder.Answered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 2, func(fleet *fleet) {
+				told := newHolders()
+				servers := fleet.listed("v1", "v2")
+
+				taker := fleet.newEntry(told.newResumer(), servers[:1], forwarder.WithServerList(scenario.read))
+
+				time.Sleep(time.Minute)
+
+				if scenario.told {
+					told.newResumer().Record("another", resumer.Origin{Service: serviceName, Software: "v1"})
+				}
+
+				began := servers[1:]
+				if scenario.outcome == forwarder.Answered {
+					began = servers[:1]
+				}
+
+				told.lost = true
+				first := fleet.newEntry(told.newResumer(), began)
+				fleet.setFaults(emulator.EventFaults{BreakAfter: 5})
+
+				answer, call := &recordedAnswer{}, fleet.newCall(streamRoute(), "", -1)
+				require.Equal(t, forwarder.Broken, first.Forward(context.Background(), call, answer).Outcome)
+				fleet.setFaults(emulator.EventFaults{})
+
+				result := taker.Forward(context.Background(), fleet.newCall(streamRoute(), call.ID, 4), answer)
+				require.Equal(t, scenario.outcome, result.Outcome, result.Reason)
+				require.Len(t, versionsOf(answer.body.String()), 1)
+			})
+		})
+	}
+}
