Let no request run whose connection a stop closes

Cause: closed idle connections with SetKeepAlivesEnabled. net/http looks at the state of a connection and closes it without a lock over both, and a request read between them runs. Shutdown mostly stopped such a request by its own check, which is why it did not show before.

Ruled out: the admission of requests during the stop (the request was sent), the end of the grace (5 s later).

Change: Limiter.Drain closes connections in their phase "idle" under the lock that a first byte of a request takes too, so that a request on a closed connection is aborted before it runs. drainer is removed; entries with sidecars use Shutdown again, as before.

--- a/app/entry.go
+++ b/app/entry.go
@@ -64,7 +64,6 @@
 
 	gracefulStop := NewGracefulStop(entry.Settings.Listen.BalancerLag)
 	server := &http.Server{Handler: gracefulStop.Wrap(entry.handler()), ReadHeaderTimeout: headerTimeout}
-	drainer := newDrainer(server)
 	served := make(chan error, 2)
 
 	startBackgroundTasks(serving, entry.BackgroundTasks)
@@ -87,7 +86,7 @@
 	case <-ctx.Done():
 		entry.Log.Info("Stopping.")
 
-		err := gracefulStop.Stop(serving, drainer, listener)
+		err := gracefulStop.Stop(serving, server)
 		entry.waitForClaims()
 
 		return err
--- a/app/gateway.go
+++ b/app/gateway.go
@@ -146,7 +146,6 @@
 	gateway.startBackgroundTasks(ctx, serving, &tasks)
 
 	server := gateway.Limiter.NewServer(gateway.endWithStop(gateway.Handler))
-	drainer := newDrainer(server)
 	served := make(chan error, 3)
 
 	go gateway.Listen.serveMetrics(serving, gateway.Common, gateway.Settings.Listen.Metrics, gateway.Meter)
@@ -163,7 +162,7 @@
 	case <-ctx.Done():
 	}
 
-	gateway.stop(serving, drainer, callers)
+	gateway.stop(serving, callers)
 	tasks.Wait()
 
 	return nil
@@ -171,7 +170,7 @@
 
 // stop fails the readiness check, waits until the load balancer has noticed and lets
 // running requests finish, all within the grace.
-func (gateway *Gateway) stop(ctx context.Context, drainer *drainer, callers net.Listener) {
+func (gateway *Gateway) stop(ctx context.Context, callers net.Listener) {
 	gateway.Log.WithField("Grace", gateway.Settings.Stop.Grace).Info("Stopping.")
 	gateway.Stopper.Begin()
 
@@ -180,7 +179,11 @@
 
 	kernel.Pause(ctx, gateway.Settings.Stop.BalancerLag)
 
-	if err := drainer.drain(ctx, callers); err != nil {
+	if err := callers.Close(); err != nil {
+		gateway.Log.WithError(err).Warn("Listener for callers was not closed.")
+	}
+
+	if err := gateway.Limiter.Drain(ctx); err != nil {
 		gateway.Log.WithError(err).Warn("Stop grace expired; requests that still run are cut off.")
 
 		return
--- a/app/graceful_stop.go
+++ b/app/graceful_stop.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
-
-	"limpetrail/kernel"
 )
 
 // Paths of the health endpoints.
@@ -73,9 +70,13 @@
 
 // Stop performs the stop. It returns when every request has ended and every
 // connection is closed, or when the context ends.
-func (stop *GracefulStop) Stop(ctx context.Context, drainer *drainer, listener net.Listener) error {
+func (stop *GracefulStop) Stop(ctx context.Context, server *http.Server) error {
 	stop.leaving.Store(true)
-	kernel.Pause(ctx, stop.BalancerLag)
 
-	return errors.Trace(drainer.drain(ctx, listener))
+	select {
+	case <-time.After(stop.BalancerLag):
+	case <-ctx.Done():
+	}
+
+	return errors.Trace(server.Shutdown(ctx))
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -39,6 +40,10 @@
 
 	slowHeads tally.Counter
 	longHeads tally.Counter
+
+	connsMutex sync.Mutex
+	// conns holds the open connections.
+	conns map[*watchedConn]bool
 }
 
 // NewLimiter returns a limiter that enforces the limits of the configuration.
@@ -48,6 +53,7 @@
 	return &Limiter{
 		Common: common, Configuration: configuration,
 		slowHeads: common.Metrics.Counter("slow_heads"), longHeads: common.Metrics.Counter("long_heads"),
+		conns: map[*watchedConn]bool{},
 	}
 }
 
--- a/limiter/watched_conn.go
+++ b/limiter/watched_conn.go
@@ -19,7 +19,7 @@
 	readingHead
 	// serving connections have a request that is being served.
 	serving
-	// expired connections were closed because their timeout passed.
+	// expired connections were closed because their timeout passed, or idle during a drain.
 	expired
 )
 
@@ -58,10 +58,14 @@
 	phase phase
 	// timer runs in the phases idle and readingHead.
 	timer *time.Timer
+	// openedAt is when the connection was accepted; served is set once it had a request.
+	openedAt time.Time
+	served   bool
 }
 
 func newWatchedConn(conn net.Conn, limiter *Limiter) *watchedConn {
-	watched := &watchedConn{Conn: conn, limiter: limiter}
+	watched := &watchedConn{Conn: conn, limiter: limiter, openedAt: time.Now()}
+	limiter.addConn(watched)
 
 	watched.mutex.Lock()
 	defer watched.mutex.Unlock()
@@ -82,6 +86,30 @@
 	return count, err //nolint:wrapcheck // See above.
 }
 
+// Close implements net.Conn.
+func (watched *watchedConn) Close() error {
+	watched.limiter.removeConn(watched)
+
+	return errors.Trace(watched.Conn.Close())
+}
+
+// closeIfIdle closes the connection if no request runs or has begun to arrive, nor is expected as its
+// first.
+func (watched *watchedConn) closeIfIdle(now time.Time) {
+	watched.mutex.Lock()
+	if watched.phase != idle || !watched.served && now.Sub(watched.openedAt) < firstRequestTime {
+		watched.mutex.Unlock()
+
+		return
+	}
+
+	watched.phase = expired
+	watched.mutex.Unlock()
+
+	// The caller may have closed it already.
+	_ = watched.Close()
+}
+
 // CloseWrite lets the server finish an answer without resetting the connection.
 func (watched *watchedConn) CloseWrite() error {
 	if halfCloser, found := watched.Conn.(interface{ CloseWrite() error }); found {
@@ -122,6 +150,7 @@
 	}
 
 	watched.phase = next
+	watched.served = watched.served || next == serving
 
 	switch next {
 	case idle:
@@ -160,7 +189,7 @@
 	_ = watched.Close()
 }
 
-// isExpired reports whether the connection has timed out, so that no request on it
+// isExpired reports whether the connection was closed here, so that no request on it
 // may run any more.
 func (watched *watchedConn) isExpired() bool {
 	watched.mutex.Lock()
