Build the program of parallel deployments one at a time

Sixteen soaks that started together compiled the program and all its packages sixteen times, as none found the others' work in the build cache: over two minutes of a load above 100 (seen here with an empty cache, 2026-12-06 03:19 to 03:22), while tests of other packages waited for their bounds.

Ruled out: one binary for all tests of a process, as nothing would remove its folder at the end.

The builds now take turns: the first compiles, the others link. Test harness only.

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -50,15 +51,29 @@
 	gatewaySeeds []string
 }
 
-// NewDeployment builds the program and starts the emulators.
-func NewDeployment(t *testing.T) *Deployment {
+// buildLock lets one deployment build at a time: the others then take the packages from the build
+// cache instead of compiling them as well.
+var buildLock sync.Mutex //nolint:gochecknoglobals // Tests that run in parallel share nothing else.
+
+// buildProgram builds the program into a folder of the test and returns its path.
+func buildProgram(t *testing.T) string {
 	t.Helper()
 
+	buildLock.Lock()
+	defer buildLock.Unlock()
+
 	binary := filepath.Join(t.TempDir(), "limpetrail")
 	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "limpetrail/cmd/limpetrail").CombinedOutput() //nolint:gosec // The arguments are fixed but for a folder of the test.
 	require.NoError(t, err, string(output))
 
-	deployment := &Deployment{T: t, Binary: binary, Store: emulator.NewPlatformStore(), Gateways: map[string]*Process{}, Holders: map[string]*Process{}}
+	return binary
+}
+
+// NewDeployment builds the program and starts the emulators.
+func NewDeployment(t *testing.T) *Deployment {
+	t.Helper()
+
+	deployment := &Deployment{T: t, Binary: buildProgram(t), Store: emulator.NewPlatformStore(), Gateways: map[string]*Process{}, Holders: map[string]*Process{}}
 	deployment.storeAddress = deployment.startHTTPServer(deployment.Store)
 
 	for index := range serverCount {
