Let test processes listen on loopback addresses of their own

A port that is free when it is looked up may be taken before its process listens, and that of a process or link that is away for a moment may be taken for good.

Ruled out: outgoing connections, whose ports begin at 32768; a port given out twice by one process.

Change: as the tests of verifier did already, each test process listens on a loopback address that follows from its process ID. Both use the one function in deployer now.

--- a/deployer/address.go
+++ b/deployer/address.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 
@@ -17,6 +19,15 @@
 	lastPort  = 30000
 )
 
+// LoopbackHost returns a loopback address that only this test process listens on. Outgoing
+// connections use ports of 127.0.0.1, so neither they nor another test process can take the port of
+// a process that is about to start, or is away for a moment.
+var LoopbackHost = sync.OnceValue(func() string {
+	id := os.Getpid()
+
+	return fmt.Sprintf("127.%d.%d.%d", 1+id>>15&0x7f, id>>7&0xff, 1+id&0x7f)
+})
+
 // givenAddresses holds the addresses that freeAddress has returned. A process or link that
 // is down keeps its address: whoever got it would answer in its place.
 var givenAddresses sync.Map
@@ -24,7 +35,7 @@
 // freeAddress returns a loopback address that has no listener now, and each address once.
 func freeAddress(ctx context.Context) string {
 	for {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.N(lastPort-firstPort)))
+		address := net.JoinHostPort(LoopbackHost(), strconv.Itoa(firstPort+rand.N(lastPort-firstPort)))
 
 		if _, given := givenAddresses.LoadOrStore(address, true); given {
 			continue
--- a/verifier/fleet_test.go
+++ b/verifier/fleet_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/deployer"
 	"limpetrail/editor"
 	"limpetrail/keeper"
 	"limpetrail/locator"
@@ -249,15 +250,6 @@
 	require.NoError(fleet.t, fleet.processes[name].command.Process.Signal(signal))
 }
 
-// loopbackHost is a loopback address that only this test run listens on. Outgoing
-// connections use ports of 127.0.0.1, so neither they nor another test run can take
-// the port of a process that is about to start.
-var loopbackHost = sync.OnceValue(func() string {
-	id := os.Getpid()
-
-	return fmt.Sprintf("127.%d.%d.%d", 1+id>>15&0x7f, id>>7&0xff, 1+id&0x7f)
-})
-
 // usedAddresses holds the addresses that freeAddress has returned, so that it
 // returns none twice.
 var usedAddresses sync.Map
@@ -267,7 +259,7 @@
 	fleet.t.Helper()
 
 	for {
-		listener, err := (&net.ListenConfig{}).Listen(fleet.t.Context(), "tcp", net.JoinHostPort(loopbackHost(), "0"))
+		listener, err := (&net.ListenConfig{}).Listen(fleet.t.Context(), "tcp", net.JoinHostPort(deployer.LoopbackHost(), "0"))
 		require.NoError(fleet.t, err)
 
 		address := listener.Addr().String()
