Bound the memory for answers of the store, peers and holders

The users' report: a process sent bytes without end, the one that had called it kept them and ran out of memory, and the requests of its other clients ended with it. For backend servers it does not happen here (TestEndlessAnswersOfAReplicaEndNoGateway). For the store, other gateways and holders it does.

Cause: net/http bounds heads at 10 MB an answer; bodies were bounded one by one at 4 MB (store, owners of jobs) and 32 MB (relayed calls), some times as much while they are decoded; nothing bounded how many answers are read at a time.

Ruled out: health checks and reports of servers (exchanger, 64 KB); questions to holders (64 KB).

Change: kernel.NewTransport bounds heads at 64 KB for all calls between processes; kernel.AnswerLimiter lets an answer be read up to 64 KB, and beyond that only a few at a time; a relayed reply has 8 MB at most, twice the longest page of the store. The command line bounds what it reads of jobs.

Test, on real processes: 100 callers request streams and submit jobs at a gateway whose store, peer and holder answer without end.

--- a/commander/job_client.go
+++ b/commander/job_client.go
@@ -103,7 +103,7 @@
 	}
 	defer response.Body.Close()
 
-	return errors.Annotate(json.NewDecoder(response.Body).Decode(answer), "reading the answer")
+	return errors.Annotate(json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer), "reading the answer")
 }
 
 // send returns the open response; any status other than 200 is an error.
--- a/custodian/depositor.go
+++ b/custodian/depositor.go
@@ -49,12 +49,8 @@
 // NewDepositor returns a depositor without custodians; see SetCustodians.
 func NewDepositor(common kernel.Common, copies int) *Depositor {
 	return &Depositor{
-		Common: common.ForPart("custodian"),
-		Client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdlePerCustodian,
-			DisableCompression:  true,
-		}},
+		Common:     common.ForPart("custodian"),
+		Client:     &http.Client{Transport: kernel.NewTransport(&net.Dialer{Timeout: dialTimeout}, maxIdlePerCustodian)},
 		Copies:     copies,
 		custodians: map[string]string{},
 	}
--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -53,7 +53,7 @@
 
 // buildLock lets one deployment build at a time: the others then take the packages from the build
 // cache instead of compiling them as well.
-var buildLock sync.Mutex //nolint:gochecknoglobals // Tests that run in parallel share nothing else.
+var buildLock sync.Mutex
 
 // buildProgram builds the program into a folder of the test and returns its path.
 func buildProgram(t *testing.T) string {
@@ -218,9 +218,9 @@
 
 // StartHolder starts a holder and waits until it is listed among the members.
 func (deployment *Deployment) StartHolder(name string) *Process {
-	membersBefore := len(deployment.memberKeys())
+	membersBefore := len(deployment.MemberKeys())
 	holder := deployment.LaunchHolder(name)
-	deployment.Eventually(func() bool { return len(deployment.memberKeys()) > membersBefore }, "the holder is listed")
+	deployment.Eventually(func() bool { return len(deployment.MemberKeys()) > membersBefore }, "the holder is listed")
 
 	return holder
 }
@@ -243,7 +243,8 @@
 	return holder
 }
 
-func (deployment *Deployment) memberKeys() []string {
+// MemberKeys returns the keys of the processes that are listed as members.
+func (deployment *Deployment) MemberKeys() []string {
 	page, err := deployment.Store.Catalog.NewClient().Range(deployment.T.Context(), "limpetrail/members/", "", false)
 	require.NoError(deployment.T, err)
 
--- a/deployer/link.go
+++ b/deployer/link.go
@@ -31,9 +31,9 @@
 type Link struct {
 	// Address is the address that the link listens on.
 	Address string
-	Target  string
 
 	mutex           sync.Mutex
+	target          string
 	faults          LinkFaults
 	openConnections map[*net.TCPConn]bool
 	listener        net.Listener
@@ -48,7 +48,7 @@
 		return nil, errors.Annotate(err, "starting a link")
 	}
 
-	link := &Link{Address: listener.Addr().String(), Target: target, openConnections: map[*net.TCPConn]bool{}, listener: listener}
+	link := &Link{Address: listener.Addr().String(), target: target, openConnections: map[*net.TCPConn]bool{}, listener: listener}
 
 	context.AfterFunc(ctx, func() {
 		link.stopListening()
@@ -68,6 +68,22 @@
 	link.faults = faults
 }
 
+// SetTarget leads new connections to another target, and resets those to the former one.
+func (link *Link) SetTarget(target string) {
+	link.mutex.Lock()
+	link.target = target
+	link.mutex.Unlock()
+
+	link.ResetConnections()
+}
+
+func (link *Link) currentTarget() string {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+
+	return link.target
+}
+
 // Crash resets all connections and refuses new ones for a while, as when the target's
 // process ends and is started again. It returns when the link listens again, and false if
 // it is down already or the context ends.
@@ -151,7 +167,7 @@
 		return
 	}
 
-	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", link.Target)
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", link.currentTarget())
 	if err != nil {
 		return
 	}
--- a/driver/http_client.go
+++ b/driver/http_client.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/exchanger"
+	"limpetrail/kernel"
 )
 
 // newClient returns a client that sends each request at most once. Every request
@@ -21,7 +22,7 @@
 // are returned as answers and not followed.
 func newClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: kernel.MaxHeadBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -31,6 +30,8 @@
 	// maxAnswerBytes is the maximum size of an answer: a page of at most a megabyte, with
 	// escapes.
 	maxAnswerBytes = 4 << 20
+	// longAnswers is how many long answers are read at a time.
+	longAnswers = 4
 )
 
 // resultsQuery is the JSON body of a query for the results of a job.
@@ -45,6 +46,8 @@
 	kernel.Common
 	Client *http.Client
 
+	answers *kernel.AnswerLimiter
+
 	mutex sync.Mutex
 	// peers maps the IDs of registered processes to their addresses and breakers.
 	peers map[string]*peer
@@ -60,7 +63,7 @@
 
 // NewInquirer returns an inquirer without peers; see SetMembers.
 func NewInquirer(common kernel.Common, client *http.Client) *Inquirer {
-	return &Inquirer{Common: common.ForPart("inquirer"), Client: client, peers: map[string]*peer{}}
+	return &Inquirer{Common: common.ForPart("inquirer"), Client: client, answers: kernel.NewAnswerLimiter(maxAnswerBytes, longAnswers), peers: map[string]*peer{}}
 }
 
 // SetMembers replaces the addresses of the registered processes, by process ID. A process
@@ -149,7 +152,11 @@
 	}
 
 	page := librarian.ResultsPage{}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&page); err != nil {
+
+	limited := inquirer.answers.Limit(ctx, response.Body)
+	defer limited.Close()
+
+	if err := json.NewDecoder(limited).Decode(&page); err != nil {
 		return librarian.ResultsPage{}, false, errors.Annotate(err, "decoding the owner's answer")
 	}
 
--- a/keeper/http_store.go
+++ b/keeper/http_store.go
@@ -35,7 +35,7 @@
 	return &HTTPStore{
 		Common:  common.ForPart("keeper"),
 		Address: address,
-		Client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}},
+		Client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: kernel.MaxHeadBytes}},
 	}
 }
 
--- a/locator/http_list.go
+++ b/locator/http_list.go
@@ -49,7 +49,7 @@
 
 // NewHTTPList returns a reader of the list at the address, a host and port.
 func NewHTTPList(address string) *HTTPList {
-	return &HTTPList{Address: address, Client: &http.Client{Transport: &http.Transport{}, Timeout: requestTimeout}}
+	return &HTTPList{Address: address, Client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: kernel.MaxHeadBytes}, Timeout: requestTimeout}}
 }
 
 // Instances implements List. Callers must not change the slice.
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,8 +23,10 @@
 	idlePerPeer = 8
 	// copyTimeout bounds the request for a copy, which peers answer from memory.
 	copyTimeout = 500 * time.Millisecond
-	// maxReplyBytes bounds a reply: a page of some megabytes, in base64.
-	maxReplyBytes = 32 << 20
+	// maxReplyBytes bounds a reply: a page of the store or a copy, of some megabytes in base64.
+	// longReplies are read at a time, each with several times its length in memory.
+	maxReplyBytes = 8 << 20
+	longReplies   = 2
 	// maxCopyPeers is the number of peers that are asked for a copy at once, and
 	// newerCopyWait how long to wait for a newer copy after the first.
 	maxCopyPeers  = 5
@@ -37,6 +38,8 @@
 	kernel.Common
 	Client *http.Client
 
+	replies *kernel.AnswerLimiter
+
 	mutex sync.Mutex
 	// peers are the operations addresses of other gateways. Calls go to the first,
 	// which moves to the end when it cannot answer.
@@ -48,13 +51,10 @@
 // NewRelay returns a relay that uses the seeds until SetPeers is called.
 func NewRelay(common kernel.Common, seeds []string) *Relay {
 	return &Relay{
-		Common: common.ForPart("relayer"),
-		Client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: idlePerPeer,
-			DisableCompression:  true,
-		}},
-		peers: seeds,
+		Common:  common.ForPart("relayer"),
+		Client:  &http.Client{Transport: kernel.NewTransport(&net.Dialer{Timeout: dialTimeout}, idlePerPeer)},
+		replies: kernel.NewAnswerLimiter(maxReplyBytes, longReplies),
+		peers:   seeds,
 	}
 }
 
@@ -267,9 +267,12 @@
 		return notStartedReply(), errors.Errorf("gateway answered %s", response.Status)
 	}
 
+	limited := relay.replies.Limit(ctx, response.Body)
+	defer limited.Close()
+
 	answer := reply{}
 
-	return answer, errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&answer))
+	return answer, errors.Trace(json.NewDecoder(limited).Decode(&answer))
 }
 
 // firstPeer returns the peer to call next, or "" if there is none.
--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -31,6 +32,8 @@
 	failureLogInterval = 5 * time.Second
 	// shareTimeout bounds each request to a holder, whose disk may stall.
 	shareTimeout = time.Second
+	// idlePerHolder is the maximum number of idle connections to each holder.
+	idlePerHolder = 2
 )
 
 // Sharer sends changed copies to the holders.
@@ -54,7 +57,7 @@
 func NewSharer(common kernel.Common) *Sharer {
 	return &Sharer{
 		Common:     common.ForPart("relayer"),
-		Client:     &http.Client{Timeout: shareTimeout},
+		Client:     &http.Client{Timeout: shareTimeout, Transport: kernel.NewTransport(&net.Dialer{}, idlePerHolder)},
 		pending:    map[string]keeper.Page{},
 		newest:     map[string]keeper.Page{},
 		failureLog: kernel.NewLogLimiter(failureLogInterval),
--- a/resumer/resumer.go
+++ b/resumer/resumer.go
@@ -33,6 +33,8 @@
 	askTimeout = 250 * time.Millisecond
 	// copies is how many holders are told of each stream; one may be away.
 	copies = 2
+	// idlePerHolder is the maximum number of idle connections to each holder.
+	idlePerHolder = 2
 )
 
 // Resumer knows where streams began: from this entry's own calls, and from the holders that all
@@ -73,7 +75,7 @@
 // NewResumer returns a resumer that knows no streams.
 func NewResumer(common kernel.Common, options ...Option) *Resumer {
 	resumer := &Resumer{
-		Common: common.ForPart("resumer"), Client: &http.Client{}, Send: newSocket().send,
+		Common: common.ForPart("resumer"), Client: &http.Client{Transport: kernel.NewTransport(&net.Dialer{Timeout: askTimeout}, idlePerHolder)}, Send: newSocket().send,
 		ledger: NewLedger(), holders: map[string]string{},
 	}
 
