Count all strikes of one item as one against the parts of its prompt

What callers saw: of a job with one item that ends each server, the sound items were kept away from idle servers for ten seconds and more.

Cause, from the trace of a failing play: the item ran first, ended a server, was sent again after a backoff of milliseconds, before any other item, and ended a second one. Two strikes quarantine the part that all items share. Strikes of one request count as one against parts, as its fingerprint tells; items have none, and each strike counted.

Ruled out: the pause of suspected items (failed with and without it); the first run of a part (it was over).

Change: of one item only the first strike counts against a part, here and in what other entries report. Trials of a quarantined part count one by one. Its random draws stay, so that the plays are the same.

--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -149,7 +149,8 @@
 	retryAfter     time.Duration
 }
 
-// send sends a request with these shared parts through an entry, as often as allowed.
+// send sends a request with these shared parts through an entry, as often as allowed. Each attempt
+// counts as a request of its own.
 func (fleet *fleet) send(entry int, attempts int, parts ...string) outcome {
 	return fleet.sendAgain(entry, attempts, "", parts...)
 }
@@ -157,10 +158,16 @@
 // sendAgain sends a request with this fingerprint, which other requests may have had before.
 func (fleet *fleet) sendAgain(entry int, attempts int, fingerprint string, parts ...string) outcome {
 	fleet.mutex.Lock()
-	request := quarantiner.Request{ID: fmt.Sprintf("r-%d", fleet.random.Uint32()), Service: service, Fingerprint: fingerprint, Parts: parts}
+	id := fmt.Sprintf("r-%d", fleet.random.Uint32())
 	fleet.mutex.Unlock()
 
-	for range attempts {
+	request := quarantiner.Request{ID: id, Service: service, Fingerprint: fingerprint, Parts: parts}
+
+	for attempt := range attempts {
+		if fingerprint == "" {
+			request.ID = fmt.Sprintf("%s-%d", id, attempt)
+		}
+
 		if block, blocked := fleet.currentEntries()[entry].Check(request); blocked {
 			return outcome{blocked: true, retryAfter: block.RetryAfter}
 		}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -1,6 +1,7 @@
 package quarantiner_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -26,6 +27,8 @@
 	service  string
 	// fingerprint is that of the request; empty for an item.
 	fingerprint string
+	// item is the ID of the item of which the step is an attempt; empty for a request of its own.
+	item string
 }
 
 // liveness says the same of all servers.
@@ -48,6 +51,10 @@
 	return second
 }
 
+func itemEnds(item, server string, parts ...string) step {
+	return step{item: item, parts: parts, server: server, ended: true}
+}
+
 // What counts as evidence against a part of a prompt, and against which.
 func TestEvidence(t *testing.T) {
 	breaks := func(server string) step { return step{parts: []string{"a", "x"}, server: server} }
@@ -75,6 +82,9 @@
 		"the first part, whatever follows":             {[]step{ends("s1", "a", "x"), ends("s2", "a", "y"), ends("s3", "a", "z")}, []string{"a"}},
 		"the first part, each request repeated":        {[]step{ends("s1", "a", "x"), ends("s2", "a", "x"), ends("s3", "a", "y"), ends("s4", "a", "y"), ends("s5", "a", "z")}, []string{"a", "x", "y"}},
 		"two parts":                                    {[]step{sound("s9", "a"), ends("s1", "a", "x"), ends("s2", "a", "y"), ends("s3", "a", "x"), ends("s4", "a", "y")}, []string{"x", "y"}},
+		"one item, twice":                              {[]step{itemEnds("i1", "s1", "a"), itemEnds("i1", "s2", "a")}, nil},
+		"one item, again and again":                    {[]step{itemEnds("i1", "s1", "a"), itemEnds("i1", "s2", "a"), itemEnds("i1", "s3", "a"), itemEnds("i1", "s4", "a")}, nil},
+		"one item, twice, and another":                 {[]step{itemEnds("i1", "s1", "a"), itemEnds("i1", "s2", "a"), itemEnds("i2", "s3", "a")}, []string{"a"}},
 		"a part that was answered before":              {[]step{sound("s9", "x"), ends("s1", "x"), ends("s2", "x"), ends("s3", "x")}, nil},
 		"a part that was answered before, many times":  {[]step{sound("s9", "x"), ends("s1", "x"), ends("s2", "x"), ends("s3", "x"), ends("s4", "x")}, []string{"x"}},
 	} {
@@ -105,7 +115,7 @@
 	runs := make([]*quarantiner.Run, len(steps))
 
 	start := func(number int) {
-		request := quarantiner.Request{ID: fmt.Sprint(number), Service: service + steps[number].service, Parts: steps[number].parts, Fingerprint: steps[number].fingerprint}
+		request := quarantiner.Request{ID: cmp.Or(steps[number].item, fmt.Sprint(number)), Service: service + steps[number].service, Parts: steps[number].parts, Fingerprint: steps[number].fingerprint}
 
 		run, _, blocked := subject.Start(request, placer.Server{ID: steps[number].server})
 		if !blocked {
--- a/quarantiner/strike.go
+++ b/quarantiner/strike.go
@@ -60,3 +60,21 @@
 
 	return count
 }
+
+// withoutRepeats returns the first strike of each item and all strikes of other requests. An item
+// that ends servers by itself does so at each attempt, which shows nothing of the parts that it
+// shares with others.
+func withoutRepeats(strikes []strike) []strike {
+	seen := map[string]bool{}
+
+	return slices.DeleteFunc(slices.Clone(strikes), func(candidate strike) bool {
+		if candidate.fingerprint != "" {
+			return false
+		}
+
+		repeated := seen[candidate.requestID]
+		seen[candidate.requestID] = true
+
+		return repeated
+	})
+}
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -230,6 +230,16 @@
 	return suspect.peerTrialEndsAt
 }
 
+// evidence returns the strikes that may count. Trials of a quarantined part may all be of one item,
+// as others wait for it.
+func (suspect *suspect) evidence() []strike {
+	if suspect.failedTrials > 0 {
+		return suspect.strikes
+	}
+
+	return withoutRepeats(suspect.strikes)
+}
+
 // neededStrikes is how many independent strikes convict the part if no other one explains
 // them.
 func (suspect *suspect) neededStrikes() int {
@@ -243,7 +253,7 @@
 // explains reports whether the part is the likelier cause of the strikes that it shares with
 // the other: it has enough of its own, and is the more specific one or has more.
 func (suspect *suspect) explains(other *suspect) bool {
-	if suspect == other || suspect.subject.Service != other.subject.Service || countIndependent(suspect.strikes) < suspect.neededStrikes() {
+	if suspect == other || suspect.subject.Service != other.subject.Service || countIndependent(suspect.evidence()) < suspect.neededStrikes() {
 		return false
 	}
 
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -19,16 +19,17 @@
 // judge weighs the strikes of a subject against the others that may have caused them. Parts that
 // a deadly one is always sent with have the same strikes as that one. If other parts explain
 // strikes, one more is needed, and each of these parts counts as one. All strikes of one request
-// count as one against the parts of its prompt: it may be deadly by itself. A request that ran
-// beside others is no evidence against these.
+// count as one against the parts of its prompt, and so do those of one item: either may be deadly
+// by itself. A request that ran beside others is no evidence against these.
 func (quarantiner *Quarantiner) judge(judged *suspect) bool {
-	if countIndependent(judged.strikes) < judged.neededStrikes() {
+	strikes := judged.evidence()
+	if countIndependent(strikes) < judged.neededStrikes() {
 		return false
 	}
 
 	needed, unexplained, explaining := judged.neededStrikes(), []strike{}, map[*suspect]bool{}
 
-	for _, candidate := range judged.strikes {
+	for _, candidate := range strikes {
 		explained := false
 
 		for _, other := range quarantiner.suspects {
