Keep the strikes that count by themselves when many servers end at once

Each gateway quarantines the part, and 0.1 s later all of them release it, with 16 strikes against it. Only the newest 16 are kept; in a burst their runs all overlapped, and overlapping runs count as one, so that the two independent strikes that had quarantined the part were gone. The same holds for the newest 12 that others are told of. The class: a protection that forgets what it still owes.

Ruled out: an answer that refutes (the source of each release is a report, with 16 strikes left); requests that explain the strikes of their parts (the part is released on its own count).

Change: beyond the bound the oldest of those strikes goes first that do not count by themselves, and findings begin with those that do.

Before: TestBurstOfEndsReleasesAPart fails at the 17th end. After: it passes, as do the packages quarantiner, batcher, forwarder and dispatcher.

--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -76,7 +76,8 @@
 	return findings
 }
 
-// finding describes a suspect. The newest strikes come first. The mutex must be held.
+// finding describes a suspect. The strikes that count by themselves come first, then the newest: others
+// may get no more than some of them. The mutex must be held.
 func (quarantiner *Quarantiner) finding(suspect *suspect, now time.Time) Finding {
 	finding := Finding{
 		Subject: suspect.subject, Depth: suspect.depth, FailedTrials: suspect.failedTrials, Proven: suspect.proven,
@@ -92,11 +93,13 @@
 		finding.Answered, finding.AnsweredAge = true, now.Sub(answeredAt)
 	}
 
-	for _, known := range slices.Backward(suspect.strikes) {
-		if len(finding.Strikes) == maxFindingStrikes {
-			break
-		}
+	strikes, independent := slices.Clone(suspect.strikes), independentServers(suspect.evidence())
+	slices.Reverse(strikes)
+	slices.SortStableFunc(strikes, func(one, other strike) int {
+		return compareBools(slices.Contains(independent, other.server), slices.Contains(independent, one.server))
+	})
 
+	for _, known := range strikes[:min(len(strikes), maxFindingStrikes)] {
 		finding.Strikes = append(finding.Strikes, FindingStrike{
 			Incarnation: known.server, RequestID: known.requestID, Fingerprint: known.fingerprint, Deeper: known.deeper, SentAge: now.Sub(known.sentAt), EndedAge: now.Sub(known.endedAt),
 		})
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -258,3 +258,38 @@
 		require.Len(t, subject.Status(), 1, "old evidence is dropped")
 	})
 }
+
+// A burst of ends dropped the evidence that had quarantined a part: of the newest strikes, all that were
+// kept, the runs overlapped, so that they counted as one, and the part was sent to servers again.
+func TestBurstOfEndsReleasesAPart(t *testing.T) {
+	const burst = 40
+
+	synctest.Test(t, func(t *testing.T) {
+		alive := &liveness{ended: true}
+		subject := quarantiner.NewQuarantiner(kernel.NewDiscardCommon("entry-1"), alive)
+		newcomer := quarantiner.NewQuarantiner(kernel.NewDiscardCommon("entry-2"), alive)
+		play(t, subject, alive, []step{ends("s1", "a", "x")})
+
+		runs := []*quarantiner.Run{}
+
+		for number := range burst {
+			run, _, blocked := subject.Start(quarantiner.Request{ID: fmt.Sprint("r-", number), Service: service, Parts: []string{"a", "x"}}, placer.Server{ID: fmt.Sprint("b", number)})
+			require.False(t, blocked)
+
+			runs = append(runs, run)
+		}
+
+		for _, run := range runs {
+			time.Sleep(time.Millisecond)
+			run.BreakOff(t.Context(), "cut")
+
+			_, blocked := subject.Check(quarantiner.Request{ID: "r", Service: service, Parts: []string{"a", "x"}})
+			require.True(t, blocked)
+		}
+
+		newcomer.ApplyFindings("entry-1", subject.Findings())
+
+		_, blocked := newcomer.Check(quarantiner.Request{ID: "r", Service: service, Parts: []string{"a", "x"}})
+		require.True(t, blocked, "others learn enough of it")
+	})
+}
--- a/quarantiner/strike.go
+++ b/quarantiner/strike.go
@@ -45,20 +45,24 @@
 	return Incarnation{Server: server.ID, Start: server.Incarnation}
 }
 
-// countIndependent counts strikes that are in the order in which the servers ended. Runs
-// that were under way when a server ended count together with it: what ended that server,
-// say a fault of its rack, may have ended theirs.
-func countIndependent(strikes []strike) int {
-	count, lastEnd := 0, time.Time{}
+// independentServers returns the servers of the strikes that count by themselves. The strikes are in
+// the order in which the servers ended. Runs that were under way when a server ended count together
+// with it: what ended that server, say a fault of its rack, may have ended theirs.
+func independentServers(strikes []strike) []Incarnation {
+	servers, lastEnd := []Incarnation{}, time.Time{}
 
 	for _, strike := range strikes {
 		if !strike.sentAt.Before(lastEnd) {
-			count++
+			servers = append(servers, strike.server)
 			lastEnd = strike.endedAt
 		}
 	}
 
-	return count
+	return servers
+}
+
+func countIndependent(strikes []strike) int {
+	return len(independentServers(strikes))
 }
 
 // withoutRepeats returns the first strike of each item and all strikes of other requests. An item
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -12,7 +12,7 @@
 	// provenConvictionStrikes applies to a part that servers have answered before. It is
 	// rather a bystander: in the prompts of two deadly parts, say, which both follow it.
 	provenConvictionStrikes = 4
-	// maxStrikes and maxRefuted bound what is kept of a part, the newest first.
+	// maxStrikes and maxRefuted bound what is kept of a part.
 	maxStrikes = 16
 	maxRefuted = 32
 	// sameEnd is how far apart two reports of one server's end may seem to be: other entries
@@ -50,8 +50,8 @@
 	// depth is the largest index that the part had in a prompt of its strikes. Parts at
 	// lower indexes are shared by more requests.
 	depth int
-	// strikes are in the order in which the servers ended, one for each incarnation. None
-	// of them is refuted.
+	// strikes are in the order in which the servers ended, one for each incarnation, at most
+	// maxStrikes; see trimStrikes. None of them is refuted.
 	strikes []strike
 	// refuted are the servers whose end the part has not caused, as another server began to
 	// answer a request with the part later.
@@ -97,10 +97,21 @@
 	}
 
 	slices.SortStableFunc(suspect.strikes, func(one, other strike) int { return one.endedAt.Compare(other.endedAt) })
-	suspect.strikes = suspect.strikes[max(0, len(suspect.strikes)-maxStrikes):]
+	suspect.trimStrikes()
 	suspect.changedAt = now
 }
 
+// trimStrikes drops what is more than maxStrikes, the oldest first of those that do not count by
+// themselves: the newest strikes of a burst may all count as one.
+func (suspect *suspect) trimStrikes() {
+	for len(suspect.strikes) > maxStrikes {
+		independent := independentServers(suspect.evidence())
+		dispensable := slices.IndexFunc(suspect.strikes, func(known strike) bool { return !slices.Contains(independent, known.server) })
+		dropped := max(0, dispensable)
+		suspect.strikes = slices.Delete(suspect.strikes, dropped, dropped+1)
+	}
+}
+
 // refute drops the strikes by the servers, now and for the future.
 func (suspect *suspect) refute(servers []Incarnation, now time.Time) {
 	added := false
