Soak endless answers of the store, and check the memory of the processes

From seed 700 on the soak leads gateways and holders to a store whose heads, lines or JSON texts do not end, and checks at the end that no process needed more than the smallest machine has (284 MB).

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
@@ -34,6 +35,8 @@
 	T      *testing.T
 	Binary string
 	Store  *emulator.PlatformStore
+	// StoreAddress is where the store listens; processes reach it through their links.
+	StoreAddress string
 	// Servers are the backend servers; ServerLinks holds the link of each at the same
 	// index.
 	Servers     []*emulator.EventServer
@@ -47,7 +50,6 @@
 	// incarnations counts the starts of each backend server.
 	incarnations [serverCount]atomic.Int64
 
-	storeAddress string
 	gatewaySeeds []string
 }
 
@@ -74,7 +76,7 @@
 	t.Helper()
 
 	deployment := &Deployment{T: t, Binary: buildProgram(t), Store: emulator.NewPlatformStore(), Gateways: map[string]*Process{}, Holders: map[string]*Process{}}
-	deployment.storeAddress = deployment.startHTTPServer(deployment.Store)
+	deployment.StoreAddress = deployment.startHTTPServer(deployment.Store)
 
 	for index := range serverCount {
 		server := emulator.NewEventServer(fmt.Sprintf("i-%d", index), emulator.PlatformEventHeaders())
@@ -167,6 +169,18 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// ServeEndless lets a server answer the connections of an address until the test ends, and returns
+// the address.
+func (deployment *Deployment) ServeEndless(address string, server emulator.EndlessServer) string {
+	listener, err := (&net.ListenConfig{}).Listen(deployment.T.Context(), "tcp", address)
+	require.NoError(deployment.T, err)
+	deployment.T.Cleanup(func() { listener.Close() })
+
+	go server.Serve(listener)
+
+	return listener.Addr().String()
+}
+
 // StartGateway starts a gateway and waits until it is ready.
 func (deployment *Deployment) StartGateway(name string) *Process {
 	gateway := deployment.LaunchGateway(name)
@@ -182,7 +196,7 @@
 	if previous := deployment.Gateways[name]; previous != nil {
 		gateway.CallerAddress, gateway.ReadyAddress, gateway.OperationsAddress, gateway.StoreLink = previous.CallerAddress, previous.ReadyAddress, previous.OperationsAddress, previous.StoreLink
 	} else {
-		gateway.StoreLink = deployment.StartLink(deployment.storeAddress)
+		gateway.StoreLink = deployment.StartLink(deployment.StoreAddress)
 		deployment.gatewaySeeds = append(deployment.gatewaySeeds, gateway.OperationsAddress)
 	}
 
@@ -233,7 +247,7 @@
 	if previous := deployment.Holders[name]; previous != nil {
 		holder.OperationsAddress, holder.DataFolder, holder.StoreLink = previous.OperationsAddress, previous.DataFolder, previous.StoreLink
 	} else {
-		holder.OperationsAddress, holder.DataFolder, holder.StoreLink = freeAddress(deployment.T.Context()), deployment.T.TempDir(), deployment.StartLink(deployment.storeAddress)
+		holder.OperationsAddress, holder.DataFolder, holder.StoreLink = freeAddress(deployment.T.Context()), deployment.T.TempDir(), deployment.StartLink(deployment.StoreAddress)
 	}
 
 	holder.start(deployment.T, deployment.Binary, "holder", fmt.Sprintf("[Instance]\nName = %s\nDataCentre = a\n[Listen]\nOperations = %s\n[Catalog]\nAddress = %s\n[Data]\nFolder = %s\n",
--- a/deployer/process.go
+++ b/deployer/process.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,6 +61,23 @@
 	}
 }
 
+// SmallestMachine is the memory of the smallest machines of the users' sites, in megabytes.
+const SmallestMachine = 284
+
+// PeakMemory returns the largest resident size of the process so far, in megabytes.
+func (process *Process) PeakMemory(t *testing.T) int {
+	t.Helper()
+
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Command.Process.Pid))
+	require.NoError(t, err)
+
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	kilobytes, err := strconv.Atoi(strings.Fields(peak)[0])
+	require.NoError(t, err)
+
+	return kilobytes >> 10
+}
+
 // Signal sends a signal to the process, unless it has exited.
 func (process *Process) Signal(signal syscall.Signal) {
 	if process.IsRunning() {
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -70,6 +70,7 @@
 	violations = append(violations, soak.checkDeadlyRuns()...)
 	violations = append(violations, soak.checkTakeUps()...)
 	violations = append(violations, soak.checkGivenUp()...)
+	violations = append(violations, soak.checkMemory()...)
 
 	return append(violations, soak.checkRuns()...)
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -69,6 +69,10 @@
 		faults = append(faults, compoundFaults()...)
 	}
 
+	if !soak.PlannedOnly && soak.hasEndlessAnswers() {
+		faults = append(faults, (*Soak).endlessStore, (*Soak).endlessStore, (*Soak).endlessStore)
+	}
+
 	injectors := sync.WaitGroup{}
 
 	for range concurrentFaults {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -21,12 +21,14 @@
 
 // firstDeadlySeed is the first seed whose load has a deadly prompt part, and
 // firstDeadlyRequestSeed the first one with a deadly request, and firstVersionSeed the first one with several software
-// versions, and firstCompoundSeed the first one with faults that need several disturbances.
+// versions, firstCompoundSeed the first one with faults that need several disturbances, and
+// firstEndlessSeed the first one with answers of the store that do not end.
 const (
 	firstDeadlySeed        = 300
 	firstDeadlyRequestSeed = 400
 	firstVersionSeed       = 500
 	firstCompoundSeed      = 600
+	firstEndlessSeed       = 700
 )
 
 // faultDuration is how long each run injects faults.
@@ -45,7 +47,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -91,7 +93,12 @@
 // older configuration, the store rejects values, or servers crash in a row and before they are
 // listed.
 func TestCompoundFaults(t *testing.T) {
-	play(t, func(seed uint64) bool { return seed >= firstCompoundSeed })
+	play(t, func(seed uint64) bool { return seed >= firstCompoundSeed && seed < firstEndlessSeed })
+}
+
+// No process may end, or need more memory than its machine has, when the store answers without end.
+func TestEndlessAnswersOfTheStoreUnderInjectedFaults(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed >= firstEndlessSeed })
 }
 
 // play runs the selected seeds.
