--- a/soaker/endless_answer.go
+++ b/soaker/endless_answer.go
@@ -11,7 +11,8 @@
 // firstEndlessSeed is the first seed that also draws endlessStore.
 const firstEndlessSeed = 700
 
-// endlessHeads returns heads of answers that do not end, and a text that goes on after them.
+// endlessHeads returns how answers begin whose rest does not end: with no protocol, within a line of the
+// head, within a JSON text.
 func endlessHeads() []string {
 	return []string{"", "HTTP/1.1 200 OK\r\nX-Filler: ", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n{\"Key\":\""}
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -19,16 +19,17 @@
 // seedsVariable is the environment variable with other seeds to run, as FIRST-LAST.
 const seedsVariable = "LIMPETRAIL_SOAK_SEEDS"
 
-// firstDeadlySeed is the first seed whose load has a deadly prompt part, and
-// firstDeadlyRequestSeed the first one with a deadly request, and firstVersionSeed the first one with several software
-// versions, firstCompoundSeed the first one with faults that need several disturbances, and
-// firstEndlessSeed the first one with answers of the store that do not end.
+// The first seeds of each group; lower ones keep their faults.
 const (
+	// firstDeadlySeed has a deadly prompt part, and firstDeadlyRequestSeed a deadly request.
 	firstDeadlySeed        = 300
 	firstDeadlyRequestSeed = 400
-	firstVersionSeed       = 500
-	firstCompoundSeed      = 600
-	firstEndlessSeed       = 700
+	// firstVersionSeed has several software versions.
+	firstVersionSeed = 500
+	// firstCompoundSeed has faults that need several disturbances.
+	firstCompoundSeed = 600
+	// firstEndlessSeed has answers of the store that do not end.
+	firstEndlessSeed = 700
 )
 
 // faultDuration is how long each run injects faults.
