Tell others nothing of strikes that are dropped at once

One that another entry reports may be dropped at once; it was news all the same, so that all evidence was judged anew and the part went into all reports for three more seconds, which did the same to others. Also, the strikes of items were looked through by a map at each judgement.

Ruled out: the order of the strikes in a report (7% of the time).

Change: a strike that would be dropped is no news and changes nothing; repeats of items are looked for without allocation.

Before: TestDroppedStrikesAreToldOnWithoutEnd fails, the findings never rest. Packages batcher, forwarder and dispatcher pass.

--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -215,7 +215,7 @@
 	return len(known.strikesBefore(finding.answeredAt(now))) > 0 ||
 		slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return !slices.Contains(known.refuted, server) }) ||
 		slices.ContainsFunc(finding.Strikes, func(struck FindingStrike) bool {
-			return !known.strikeBy(struck.Incarnation) && !slices.Contains(known.refuted, struck.Incarnation)
+			return !known.strikeBy(struck.Incarnation) && !slices.Contains(known.refuted, struck.Incarnation) && known.keeps(struck.toStrike(now))
 		})
 }
 
@@ -240,9 +240,7 @@
 		}
 
 		quarantiner.addStrikesOfAbandoned(struck.Incarnation, endedAt)
-		known.addStrike(strike{
-			server: struck.Incarnation, requestID: struck.RequestID, fingerprint: struck.Fingerprint, deeper: struck.Deeper, sentAt: now.Add(-struck.SentAge), endedAt: endedAt,
-		}, now)
+		known.addStrike(struck.toStrike(now), now)
 	}
 
 	if len(known.strikes) > 0 {
--- a/quarantiner/finding.go
+++ b/quarantiner/finding.go
@@ -71,6 +71,14 @@
 		!slices.ContainsFunc(finding.Refuted, func(server Incarnation) bool { return len(server.Server) > maxNameBytes })
 }
 
+// toStrike returns the strike at the time of the report.
+func (struck FindingStrike) toStrike(now time.Time) strike {
+	return strike{
+		server: struck.Incarnation, requestID: struck.RequestID, fingerprint: struck.Fingerprint, deeper: struck.Deeper,
+		sentAt: now.Add(-struck.SentAge), endedAt: now.Add(-struck.EndedAge),
+	}
+}
+
 // valid reports whether a strike can be the report of an entry: requests are sent before
 // their servers end.
 func (struck FindingStrike) valid() bool {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -293,3 +293,42 @@
 		require.True(t, blocked, "others learn enough of it")
 	})
 }
+
+// Strikes that an entry dropped at once were news each time that others told of them, so that entries told
+// each other of a burst without end, and judged all their evidence anew at every report.
+func TestDroppedStrikesAreToldOnWithoutEnd(t *testing.T) {
+	const (
+		burst = 40
+		quiet = 4 * time.Second
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		alive := &liveness{ended: true}
+		subject := quarantiner.NewQuarantiner(kernel.NewDiscardCommon("entry-1"), alive)
+		play(t, subject, alive, []step{ends("s1", "a")})
+
+		started, runs := time.Now(), []*quarantiner.Run{}
+
+		for number := range burst {
+			run, _, _ := subject.Start(quarantiner.Request{ID: fmt.Sprint("r-", number), Service: service, Parts: []string{"a"}}, placer.Server{ID: fmt.Sprint("b", number)})
+			runs = append(runs, run)
+		}
+
+		for _, run := range runs {
+			time.Sleep(time.Millisecond)
+			run.BreakOff(t.Context(), "cut")
+		}
+
+		time.Sleep(quiet)
+
+		// It was sent before all others ended, and ended as one of the first.
+		older := quarantiner.FindingStrike{
+			Incarnation: quarantiner.Incarnation{Server: "older"}, RequestID: "older", SentAge: time.Since(started), EndedAge: time.Since(started) - 2*time.Millisecond,
+		}
+		subject.ApplyFindings("entry-2", []quarantiner.Finding{{Subject: quarantiner.Subject{Service: service, Part: "a"}, Strikes: []quarantiner.FindingStrike{older}}})
+
+		// The first call takes the quarantined parts that are told of every second.
+		subject.Findings()
+		require.Empty(t, subject.Findings())
+	})
+}
--- a/quarantiner/strike.go
+++ b/quarantiner/strike.go
@@ -69,16 +69,32 @@
 // that ends servers by itself does so at each attempt, which shows nothing of the parts that it
 // shares with others.
 func withoutRepeats(strikes []strike) []strike {
-	seen := map[string]bool{}
+	for index := range strikes {
+		if !isRepeat(strikes, index) {
+			continue
+		}
+
+		first := slices.Clone(strikes[:index])
 
-	return slices.DeleteFunc(slices.Clone(strikes), func(candidate strike) bool {
-		if candidate.fingerprint != "" {
-			return false
+		for later := index; later < len(strikes); later++ {
+			if !isRepeat(strikes, later) {
+				first = append(first, strikes[later])
+			}
 		}
 
-		repeated := seen[candidate.requestID]
-		seen[candidate.requestID] = true
+		return first
+	}
+
+	return strikes
+}
+
+// isRepeat reports whether an earlier strike is of the same item.
+func isRepeat(strikes []strike, index int) bool {
+	if strikes[index].fingerprint != "" {
+		return false
+	}
 
-		return repeated
+	return slices.ContainsFunc(strikes[:index], func(earlier strike) bool {
+		return earlier.fingerprint == "" && earlier.requestID == strikes[index].requestID
 	})
 }
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -51,7 +51,7 @@
 	// lower indexes are shared by more requests.
 	depth int
 	// strikes are in the order in which the servers ended, one for each incarnation, at most
-	// maxStrikes; see trimStrikes. None of them is refuted.
+	// maxStrikes; see leastStrike. None of them is refuted.
 	strikes []strike
 	// refuted are the servers whose end the part has not caused, as another server began to
 	// answer a request with the part later.
@@ -88,6 +88,8 @@
 	known := slices.IndexFunc(suspect.strikes, func(known strike) bool { return known.server == added.server })
 
 	switch {
+	case known < 0 && !suspect.keeps(added):
+		return
 	case known < 0:
 		suspect.strikes = append(suspect.strikes, added)
 	case added.trial && added.endedAt.Sub(suspect.strikes[known].endedAt) > sameEnd:
@@ -96,20 +98,40 @@
 		return
 	}
 
-	slices.SortStableFunc(suspect.strikes, func(one, other strike) int { return one.endedAt.Compare(other.endedAt) })
-	suspect.trimStrikes()
+	sortByEnd(suspect.strikes)
+
+	if len(suspect.strikes) > maxStrikes {
+		dropped := suspect.leastStrike(suspect.strikes)
+		suspect.strikes = slices.Delete(suspect.strikes, dropped, dropped+1)
+	}
+
 	suspect.changedAt = now
 }
 
-// trimStrikes drops what is more than maxStrikes, the oldest first of those that do not count by
-// themselves: the newest strikes of a burst may all count as one.
-func (suspect *suspect) trimStrikes() {
-	for len(suspect.strikes) > maxStrikes {
-		independent := independentServers(suspect.evidence())
-		dispensable := slices.IndexFunc(suspect.strikes, func(known strike) bool { return !slices.Contains(independent, known.server) })
-		dropped := max(0, dispensable)
-		suspect.strikes = slices.Delete(suspect.strikes, dropped, dropped+1)
+// keeps reports whether a new strike would be among the maxStrikes that are kept. Others are no news:
+// entries that tell each other of them again and again would never be done.
+func (suspect *suspect) keeps(added strike) bool {
+	if len(suspect.strikes) < maxStrikes {
+		return true
 	}
+
+	strikes := append(slices.Clone(suspect.strikes), added)
+	sortByEnd(strikes)
+
+	return strikes[suspect.leastStrike(strikes)].server != added.server
+}
+
+// leastStrike returns the index of the strike to drop: the oldest of those that do not count by
+// themselves, as the newest strikes of a burst may all count as one.
+func (suspect *suspect) leastStrike(strikes []strike) int {
+	independent := independentServers(suspect.countable(strikes))
+	dispensable := slices.IndexFunc(strikes, func(known strike) bool { return !slices.Contains(independent, known.server) })
+
+	return max(0, dispensable)
+}
+
+func sortByEnd(strikes []strike) {
+	slices.SortStableFunc(strikes, func(one, other strike) int { return one.endedAt.Compare(other.endedAt) })
 }
 
 // refute drops the strikes by the servers, now and for the future.
@@ -241,14 +263,19 @@
 	return suspect.peerTrialEndsAt
 }
 
-// evidence returns the strikes that may count. Trials of a quarantined part may all be of one item,
-// as others wait for it.
+// evidence returns the strikes that may count.
 func (suspect *suspect) evidence() []strike {
+	return suspect.countable(suspect.strikes)
+}
+
+// countable returns those strikes that may count. Trials of a quarantined part may all be of one item,
+// as others wait for it.
+func (suspect *suspect) countable(strikes []strike) []strike {
 	if suspect.failedTrials > 0 {
-		return suspect.strikes
+		return strikes
 	}
 
-	return withoutRepeats(suspect.strikes)
+	return withoutRepeats(strikes)
 }
 
 // neededStrikes is how many independent strikes convict the part if no other one explains
