Delay an item more from the fifth server that ended under it on

Cause, from the times of that play (third end at 4.9 s, then 12.2, 16.7, 29.1 and 53.7): the trial of another item held up the fourth run, so that it counts as late; a server ended beside it, so that it was not alone and the delay of 12 s began one end later.

Ruled out: the strikes of items (these items share no part).

Change: from the fifth unexplained end on the delay is 12 s at least, and quadruples, whether or not the item was alone. What an item meets before, and so a sound one beside crashes, stays as it was.

--- a/batcher/server_end.go
+++ b/batcher/server_end.go
@@ -18,6 +18,10 @@
 	// no other server ended then. Each further such end doubles it.
 	aloneTrialDelay = 12 * time.Second
 	maxTrialDelay   = 10 * time.Minute
+	// manyServerEnds is more than servers that crash by themselves end under one item. From then on
+	// the delay is at least aloneTrialDelay and quadruples: the trials of other items that end servers
+	// may each time keep this one from being alone, and hold it up.
+	manyServerEnds = 5
 	// maxServerEnds is more than the delays tell apart.
 	maxServerEnds = 16
 )
@@ -75,6 +79,10 @@
 		delay = max(delay, doubled(aloneTrialDelay, alone-1))
 	}
 
+	if unexplained >= manyServerEnds {
+		delay = max(delay, doubled(aloneTrialDelay, 2*(unexplained-manyServerEnds)))
+	}
+
 	return delay + ends.jitter
 }
 
--- a/batcher/server_end_test.go
+++ b/batcher/server_end_test.go
@@ -25,6 +25,8 @@
 		"three ended beside others":  {3, 0, 2 * time.Second, leftAfter},
 		"the item was alone":         {3, 1, leftAfter, failedWithin},
 		"the item was alone twice":   {4, 2, failedWithin, maxTrialDelay},
+		"five ended beside others":   {manyServerEnds, 0, leftAfter, failedWithin},
+		"six ended beside others":    {manyServerEnds + 1, 0, failedWithin, maxTrialDelay},
 		"many ended":                 {maxServerEnds, 0, failedWithin, maxTrialDelay + time.Second},
 		"the item was alone at many": {maxServerEnds, maxServerEnds, failedWithin, maxTrialDelay + time.Second},
 	} {
