Show that silences of sound servers end their answers

What callers see: a stream is cut, or a repeatable call gets 502, while its server is silent for 0.3 s or more and goes on. No logic is changed.

--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -44,6 +44,10 @@
 	// StallAfter stops sending after that many events and keeps the connection open; 0
 	// for never.
 	StallAfter int
+	// StallFor is how long the server is silent there before it goes on; 0 for ever.
+	StallFor time.Duration
+	// SilentBeforeHead is how long the server is silent, with its place, before each answer.
+	SilentBeforeHead time.Duration
 	// TrickleInterval is the interval at which a stalled stream sends one byte of an event
 	// that never ends; 0 for none.
 	TrickleInterval time.Duration
@@ -240,6 +244,10 @@
 		panic(http.ErrAbortHandler)
 	}
 
+	if !pauseFor(request, faults.SilentBeforeHead) {
+		panic(http.ErrAbortHandler)
+	}
+
 	writer.Header().Set(server.Headers.Stamp, server.ID)
 
 	if faults.Unframed {
@@ -288,8 +296,7 @@
 			server.breakOff(writer, faults, number)
 		}
 
-		if faults.StallAfter > 0 && sent == faults.StallAfter {
-			writeSlowly(writer, request, faults.TrickleInterval)
+		if faults.StallAfter > 0 && sent == faults.StallAfter && !stall(writer, request, faults) {
 			panic(http.ErrAbortHandler)
 		}
 
@@ -307,6 +314,18 @@
 	}
 }
 
+// stall stops sending. It returns true if the server goes on, and false once the caller has closed the
+// connection.
+func stall(writer http.ResponseWriter, request *http.Request, faults EventFaults) bool {
+	if faults.StallFor > 0 {
+		return pauseFor(request, faults.StallFor)
+	}
+
+	writeSlowly(writer, request, faults.TrickleInterval)
+
+	return false
+}
+
 // writeSlowly sends one byte of an event per interval, and never its end, until the
 // caller closes the connection.
 func writeSlowly(writer http.ResponseWriter, request *http.Request, interval time.Duration) {
@@ -386,6 +405,10 @@
 
 // pauseFor waits for the duration. It returns false if the caller leaves first.
 func pauseFor(request *http.Request, duration time.Duration) bool {
+	if duration <= 0 {
+		return request.Context().Err() == nil
+	}
+
 	select {
 	case <-time.After(duration):
 		return true
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -187,6 +187,16 @@
 	}
 }
 
+// listServers lists the servers with so many places each.
+func (fleet *fleet) listServers(places int) {
+	list := []placer.Server{}
+	for _, server := range fleet.servers {
+		list = append(list, placer.Server{ID: server.ID, Address: server.ID, Service: serviceName, Places: places})
+	}
+
+	fleet.placer.UpdateServers(list)
+}
+
 // checkSuspects clears suspect servers that run, until the context ends.
 func (fleet *fleet) checkSuspects(ctx context.Context) {
 	for kernel.Pause(ctx, 400*time.Millisecond) {
