Do not count a server's silence against the time of a part of its answer

What callers saw: a server that was silent for 1.5 s within the head of its answer, and went on, was taken for broken: 502, also for calls that may run once; a stream that paused within an event was cut. Cause: Limits.PartTime (1 s) was a deadline from the first byte of a part. PartTime now counts the time in which bytes trickle in, with gaps of at most 100 ms, so that answers without end are still abandoned (TestEndlessAnswersAreAbandoned is unchanged). The call's deadline bounds the rest.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -71,7 +71,7 @@
 		return errors.Trace(err)
 	}
 
-	conn.bytesAllowed = answer.exchanger.Limits.BodyBytes
+	conn.bytesAllowed, conn.part = answer.exchanger.Limits.BodyBytes, partTimer{}
 	answer.response = response
 	answer.bodyRemaining = response.ContentLength
 	answer.Status, answer.Header, answer.Length = response.StatusCode, response.Header, response.ContentLength
@@ -87,7 +87,8 @@
 			return nil, errors.Annotate(err, "awaiting an answer")
 		}
 
-		answer.setPartDeadline(deadline)
+		answer.beginPart()
+		answer.SetDeadline(deadline)
 
 		response, err := http.ReadResponse(answer.conn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -102,15 +103,9 @@
 	return nil, errors.Annotate(ErrLimitExceeded, "answers that only announce another")
 }
 
-// setPartDeadline sets the time by which a part that has begun to arrive must be
-// complete.
-func (answer *Answer) setPartDeadline(deadline time.Time) {
-	partDeadline := time.Now().Add(answer.exchanger.Limits.PartTime)
-	if partDeadline.Before(deadline) {
-		deadline = partDeadline
-	}
-
-	answer.SetDeadline(deadline)
+// beginPart starts the time in which the bytes of the next part may trickle in.
+func (answer *Answer) beginPart() {
+	answer.conn.part = newPartTimer(answer.exchanger.Limits.PartTime, time.Now())
 }
 
 // awaitFirstByte waits for the first byte of the answer. If it is late, the exchange
@@ -175,10 +170,11 @@
 	_ = answer.conn.SetReadDeadline(deadline)
 }
 
-// ReadPart reads a part of the body that has begun to arrive. The part must be complete
-// within Limits.PartTime and before the deadline.
+// ReadPart reads the next part of the body. The part must be complete before the deadline, and may
+// not trickle in for longer than Limits.PartTime. The zero deadline is none.
 func (answer *Answer) ReadPart(buffer []byte, deadline time.Time) (int, error) {
-	answer.setPartDeadline(deadline)
+	answer.beginPart()
+	answer.SetDeadline(deadline)
 
 	return answer.Read(buffer)
 }
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -32,6 +32,8 @@
 	openedAt time.Time
 	// bytesAllowed is how many more bytes may be read for the current answer.
 	bytesAllowed int
+	// part bounds the time in which the bytes of the part that is read now may trickle in.
+	part partTimer
 	// usableUntil is when an idle connection may no longer be reused.
 	usableUntil time.Time
 	// idleSince is when the connection became idle.
@@ -45,22 +47,27 @@
 	return wrapped
 }
 
-// Read implements net.Conn and stops at the byte limit of the current answer.
+// Read implements net.Conn and stops at the limits of the current answer.
 func (conn *conn) Read(buffer []byte) (int, error) {
-	if conn.bytesAllowed <= 0 {
+	if conn.exceedsLimits() {
 		return 0, errors.Trace(ErrLimitExceeded)
 	}
 
 	count, err := conn.Conn.Read(buffer[:min(len(buffer), conn.bytesAllowed)])
 	conn.bytesAllowed -= count
+	conn.part.record(time.Now())
 
 	return count, err //nolint:wrapcheck // The reader compares it with io.EOF.
 }
 
-// limitCause returns ErrLimitExceeded as the cause if the byte limit ended an answer,
-// because parsers replace the connection's error by their own.
+func (conn *conn) exceedsLimits() bool {
+	return conn.bytesAllowed <= 0 || conn.part.exceeded()
+}
+
+// limitCause returns ErrLimitExceeded as the cause if a limit ended an answer, because parsers
+// replace the connection's error by their own.
 func (conn *conn) limitCause(err error) error {
-	if conn.bytesAllowed <= 0 {
+	if conn.exceedsLimits() {
 		return errors.Wrap(err, ErrLimitExceeded)
 	}
 
--- a/exchanger/limits.go
+++ b/exchanger/limits.go
@@ -19,8 +19,8 @@
 	BodyBytes int
 	// EventBytes bounds one event of a stream.
 	EventBytes int
-	// PartTime is the longest time from the first byte of a head, or of a part of
-	// a body, to its last.
+	// PartTime is the longest time in which the bytes of a head, or of a part of a body, may
+	// trickle in. Time in which the server sends nothing does not count, but for trickleGap.
 	PartTime time.Duration
 }
 
