Keep silent attempts until another one brings the answer

What callers saw: while its server was silent for 0.3 s or more and went on, a stream was cut ("No backend server can continue the answer.") or a repeatable call got 502 ("No backend server is left to ask.") with most of its time left. Cause: a silent attempt was abandoned as soon as some server might take the call. Only then a place was waited for, so that full, leaving and refusing servers, a version that had left or a spent attempt ended work that went on. What said that another server could take the call (HasCandidate) and what then placed it (Place) were two decisions. Change: each attempt runs in a goroutine of its own and reports its steps; a silent one goes on while a further one waits for a place, is sent and answers. The first that brings an event of a stream, or a whole answer, is kept and the others are ended. Two servers work on a stream for 300 ms at most; then the later attempt ends. Attempts are counted and the retry budget is charged as before, once for each further attempt. Work that runs elsewhere meanwhile takes no turn of the pacer. Exchanges have no ShouldGiveUp any more; its test now checks that FirstByteDeadline ends an exchange and its absence does not.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -108,12 +108,10 @@
 	answer.conn.part = newPartTimer(answer.exchanger.Limits.PartTime, time.Now())
 }
 
-// awaitFirstByte waits for the first byte of the answer. If it is late, the exchange
-// ends unless the caller wants to keep waiting.
+// awaitFirstByte waits for the first byte of the answer until FirstByteDeadline, if there is one.
 func (answer *Answer) awaitFirstByte(options ExchangeOptions) error {
 	if !options.FirstByteDeadline.IsZero() && options.FirstByteDeadline.Before(options.HeadDeadline) {
-		err := answer.AwaitData(options.FirstByteDeadline)
-		if err != nil && (options.ShouldGiveUp == nil || options.ShouldGiveUp()) {
+		if err := answer.AwaitData(options.FirstByteDeadline); err != nil {
 			return errors.Annotate(err, "awaiting an answer")
 		}
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -78,14 +78,11 @@
 
 // ExchangeOptions are the options of an exchange.
 type ExchangeOptions struct {
-	// FirstByteDeadline is when the first byte of the answer should have arrived; zero
-	// to wait until HeadDeadline.
+	// FirstByteDeadline is when the first byte of the answer must have arrived; zero to wait until
+	// HeadDeadline.
 	FirstByteDeadline time.Time
 	// HeadDeadline is when the head of the answer must have arrived.
 	HeadDeadline time.Time
-	// ShouldGiveUp is called when the first byte is late, and returns whether to end the
-	// exchange. If it is nil the exchange ends.
-	ShouldGiveUp func() bool
 	// Withdrawn is called once there is a connection. If it returns true nothing is
 	// sent. It may be nil.
 	Withdrawn func() bool
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -201,19 +201,23 @@
 	require.Equal(t, exchanger.Cancelled, failure.Kind)
 }
 
-// The caller decides whether an exchange ends when the first byte is late or waits until
-// HeadDeadline.
-func TestCallerDecidesWhenTheFirstByteIsLate(t *testing.T) {
-	for _, giveUp := range []bool{true, false} {
+// An exchange without a FirstByteDeadline waits for the first byte until HeadDeadline.
+func TestFirstByteIsAwaitedUntilItsDeadline(t *testing.T) {
+	for _, limited := range []bool{true, false} {
 		server := newScriptedServer(t, false, "")
 		startedAt := time.Now()
-		options := exchanger.ExchangeOptions{FirstByteDeadline: startedAt.Add(20 * time.Millisecond), HeadDeadline: startedAt.Add(200 * time.Millisecond), ShouldGiveUp: func() bool { return giveUp }}
+		options := exchanger.ExchangeOptions{HeadDeadline: startedAt.Add(200 * time.Millisecond)}
+
+		if limited {
+			options.FirstByteDeadline = startedAt.Add(20 * time.Millisecond)
+		}
+
 		_, err := fetch(exchanger.NewExchanger(kernel.NewDiscardCommon("entry")), server, options)
 
 		failure := exchanger.FailureError{}
 		require.ErrorAs(t, err, &failure)
 		require.Equal(t, exchanger.Unanswered, failure.Kind)
-		require.Equal(t, giveUp, time.Since(startedAt) < 200*time.Millisecond)
+		require.Equal(t, limited, time.Since(startedAt) < 200*time.Millisecond)
 	}
 }
 
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -16,31 +16,34 @@
 	// maxBufferedBytes is the longest answer that is read completely before it is
 	// passed on, so that the call can be retried if the answer breaks off.
 	maxBufferedBytes = 128 << 10
-	// readBufferBytes is the size of one read from a longer answer or a stream.
+	// readBufferBytes is the size of one read from a longer answer.
 	readBufferBytes = 4 << 10
+	// partBytes is the size of one read from a stream. It holds several events.
+	partBytes = 2 << 10
 )
 
 // forwardWhole passes on an answer that is not an event stream. An answer that breaks
 // off within the first maxBufferedBytes may be retried.
-func (delivery *delivery) forwardWhole(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+func (delivery *delivery) forwardWhole(ctx context.Context, current *attempt, reported report) (Result, bool) {
+	answer, body, err := current.answer, reported.part, reported.err
+	isWhole := errors.Is(err, io.EOF)
 	// A server that stops right after the head of an answer without a length leaves no other sign.
-	if err == nil && !answer.Framed && len(body) < maxBufferedBytes && (len(body) == 0 || delivery.run.ServerGone(ctx)) {
-		err = errors.New(endedEarly)
+	if isWhole && !answer.Framed && (len(body) == 0 || current.run.ServerGone(ctx)) {
+		isWhole, err = false, errors.New(endedEarly)
 	}
 
-	if err != nil {
-		grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
-
-		return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
+	if err != nil && !isWhole {
+		return delivery.handlePartError(ctx, current, err)
 	}
 
+	delivery.lead(current)
+
 	if answer.Status < http.StatusMultipleChoices {
-		delivery.run.Begin()
+		current.run.Begin()
 	}
 
 	length := answer.Length
-	if length < 0 && len(body) < maxBufferedBytes {
+	if length < 0 && isWhole {
 		length = int64(len(body))
 	}
 
@@ -50,13 +53,16 @@
 		return Result{Outcome: Cancelled, Reason: err.Error()}, true
 	}
 
-	if len(body) < maxBufferedBytes {
-		grant.Observe(observationOf(answer), 0)
+	if isWhole {
+		current.grant.Observe(observationOf(answer), 0)
+		delivery.end(current)
 
 		return Result{Outcome: Answered}, true
 	}
 
-	return delivery.forwardRemainder(ctx, grant, answer)
+	defer delivery.end(current)
+
+	return delivery.forwardRemainder(ctx, current)
 }
 
 // observationOf returns what a complete answer shows about the health of its server.
@@ -70,7 +76,8 @@
 }
 
 // forwardRemainder passes on the part of a long answer that was not buffered.
-func (delivery *delivery) forwardRemainder(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer) (Result, bool) {
+func (delivery *delivery) forwardRemainder(ctx context.Context, current *attempt) (Result, bool) {
+	answer, grant := current.answer, current.grant
 	buffer := make([]byte, readBufferBytes)
 
 	for {
@@ -82,7 +89,7 @@
 		}
 
 		switch {
-		case errors.Is(err, io.EOF) && !answer.Framed && delivery.run.ServerGone(ctx):
+		case errors.Is(err, io.EOF) && !answer.Framed && current.run.ServerGone(ctx):
 			grant.Observe(placer.Unreachable, 0)
 
 			return Result{Outcome: Broken, Reason: endedEarly}, true
@@ -104,50 +111,39 @@
 	delivery.sink.WriteHead(answer.Status, answer.Header, length)
 }
 
-// forwardStream passes on events as they arrive, only complete ones and each once, so
+// forwardPart passes on events as they arrive, only complete ones and each once, so
 // that another server can continue after the last. The head goes with the first event: a
 // stream that breaks off before it can still be answered with an error.
-func (delivery *delivery) forwardStream(ctx context.Context, grant *placer.Grant, answer *exchanger.Answer, lastAttempt bool) (Result, bool) {
-	delivery.streamStarted = true
+func (delivery *delivery) forwardPart(ctx context.Context, current *attempt, reported report) (Result, bool) {
+	countBefore := delivery.eventCount
 
-	if !delivery.attestStart(ctx, grant.Server, answer) {
-		return delivery.retryOrEnd(grant, "The backend server has started again; the stream does not go on there.", lastAttempt)
+	if err := delivery.forwardEvents(current, reported.part); err != nil {
+		return delivery.handleForwardError(ctx, current, err)
 	}
 
-	parser := answer.EventParser()
-	buffer := make([]byte, readBufferBytes)
-	// lastEventAt is when the last complete event was passed on. Bytes that do not
-	// complete an event do not count.
-	lastEventAt, countBefore := time.Now(), delivery.eventCount
-
-	for {
-		if waitErr := delivery.awaitPart(answer, lastEventAt, lastAttempt); waitErr != nil {
-			return delivery.handleStreamError(ctx, grant, waitErr, lastAttempt)
-		}
-
-		count, err := answer.ReadPart(buffer, delivery.call.Deadline)
-		if forwardErr := delivery.forwardEvents(answer, parser, buffer[:count]); forwardErr != nil {
-			return delivery.handleForwardError(ctx, grant, forwardErr, lastAttempt)
-		}
+	// Bytes that do not complete an event do not count.
+	if delivery.eventCount > countBefore {
+		current.silentAt = time.Now().Add(silenceLimit(delivery.call.Route))
+		current.silenceObserved = false
+		current.run.Begin()
+	}
 
-		if delivery.eventCount > countBefore {
-			lastEventAt, countBefore = time.Now(), delivery.eventCount
-			delivery.run.Begin()
-		}
+	err := reported.err
 
-		switch {
-		case errors.Is(err, io.EOF) && parser.AtEventBoundary() && (answer.Framed || delivery.run.EndedByItself(ctx)):
-			grant.Observe(placer.Complete, 0)
-			delivery.sendStreamHead(answer)
+	switch {
+	case err == nil:
+		return Result{}, false
+	case errors.Is(err, io.EOF) && current.parser.AtEventBoundary() && (current.answer.Framed || current.run.EndedByItself(ctx)):
+		delivery.lead(current)
+		current.grant.Observe(placer.Complete, 0)
+		delivery.sendStreamHead(current.answer)
+		delivery.end(current)
 
-			return Result{Outcome: Answered}, true
-		case errors.Is(err, io.EOF):
-			grant.Observe(delivery.run.BreakOff(ctx, endedEarly), 0)
-
-			return delivery.retryOrEnd(grant, endedEarly, lastAttempt)
-		case err != nil:
-			return delivery.handleStreamError(ctx, grant, err, lastAttempt)
-		}
+		return Result{Outcome: Answered}, true
+	case errors.Is(err, io.EOF):
+		return delivery.handlePartError(ctx, current, errors.New(endedEarly))
+	default:
+		return delivery.handlePartError(ctx, current, err)
 	}
 }
 
@@ -157,20 +153,6 @@
 	}
 }
 
-// awaitPart waits for the next part of a stream. It returns an error if no complete
-// event has arrived for the silence limit and the call may be retried elsewhere;
-// otherwise it waits until the call's deadline.
-func (delivery *delivery) awaitPart(answer *exchanger.Answer, lastEventAt time.Time, lastAttempt bool) error {
-	if !lastAttempt {
-		err := answer.AwaitData(lastEventAt.Add(silenceLimit(delivery.call.Route)))
-		if err != nil && delivery.mayRetryElsewhere() {
-			return err
-		}
-	}
-
-	return answer.AwaitData(delivery.call.Deadline)
-}
-
 // endedEarly is the reason of an answer that ended without an error and is not complete.
 const endedEarly = "The answer ended within an event, or has no length and ended with its server or without a byte or an event."
 
@@ -179,27 +161,30 @@
 
 // forwardEvents adds the bytes read to the parser and passes the events that they
 // complete on to the caller, in order.
-func (delivery *delivery) forwardEvents(answer *exchanger.Answer, parser *exchanger.EventParser, read []byte) error {
-	if err := parser.Write(read); err != nil {
+func (delivery *delivery) forwardEvents(current *attempt, read []byte) error {
+	if err := current.parser.Write(read); err != nil {
 		return errors.Trace(err)
 	}
 
-	numbered := delivery.lastEventID >= 0
+	numbered, countBefore := delivery.lastEventID >= 0, delivery.eventCount
 
-	ready, sequenceErr := delivery.consecutiveEvents(parser)
-	if len(ready) == 0 {
+	ready, sequenceErr := delivery.consecutiveEvents(current.parser)
+	// Comments do not show that a server goes on with the stream.
+	if len(ready) == 0 || len(delivery.running) > 1 && delivery.eventCount == countBefore {
 		return sequenceErr
 	}
 
+	delivery.lead(current)
+
 	if !numbered && delivery.lastEventID >= 0 {
-		delivery.recordOrigin()
+		delivery.recordOrigin(current.software)
 	}
 
 	if delivery.timeToFirstByte == 0 {
 		delivery.timeToFirstByte = time.Since(delivery.startedAt)
 	}
 
-	delivery.sendStreamHead(answer)
+	delivery.sendStreamHead(current.answer)
 
 	if err := delivery.sink.Write(ready); err != nil {
 		return errors.Wrap(err, errCallerDisconnected)
@@ -233,7 +218,9 @@
 			delivery.lastEventID = event.ID
 		}
 
-		delivery.eventCount++
+		if !event.Comment || len(delivery.running) == 1 {
+			delivery.eventCount++
+		}
 
 		ready = append(ready, event.Raw...)
 	}
@@ -241,31 +228,25 @@
 
 // handleForwardError ends or retries a call after a part of a stream that could not be
 // passed on.
-func (delivery *delivery) handleForwardError(ctx context.Context, grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
+func (delivery *delivery) handleForwardError(ctx context.Context, current *attempt, err error) (Result, bool) {
 	if errors.Is(err, errCallerDisconnected) {
 		return Result{Outcome: Cancelled, Reason: err.Error()}, true
 	}
 
-	grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
+	// The goroutine still reads.
+	current.stop()
 
-	return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
+	return delivery.handlePartError(ctx, current, err)
 }
 
-// handleStreamError ends or retries a call after its stream broke off or fell silent.
-func (delivery *delivery) handleStreamError(ctx context.Context, grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
+// handlePartError ends or retries a call after its answer broke off.
+func (delivery *delivery) handlePartError(ctx context.Context, current *attempt, err error) (Result, bool) {
 	failure := exchanger.FailureError{}
 	if errors.As(err, &failure) && failure.Kind == exchanger.Cancelled {
-		delivery.run.Abandon()
-
 		return Result{Outcome: Cancelled, Reason: failure.Error()}, true
 	}
 
-	if failure.Kind == exchanger.Unanswered {
-		delivery.run.Abandon()
-		grant.Observe(placer.Silent, 0)
-	} else {
-		grant.Observe(delivery.run.BreakOff(ctx, err.Error()), 0)
-	}
+	current.grant.Observe(current.run.BreakOff(ctx, err.Error()), 0)
 
-	return delivery.retryOrEnd(grant, err.Error(), lastAttempt)
+	return delivery.retryOrEnd(current, err.Error())
 }
--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -10,7 +10,6 @@
 
 	"limpetrail/exchanger"
 	"limpetrail/matcher"
-	"limpetrail/placer"
 	"limpetrail/resumer"
 )
 
@@ -137,35 +136,40 @@
 
 // attestStart finds out whether the server that answers is the start that is listed, and so has the
 // software version of the list. If it is not certain, a new stream may not go on elsewhere later,
-// as what began it is not known. It returns false if a stream must not go on at this server.
-func (delivery *delivery) attestStart(ctx context.Context, server placer.Server, answer *exchanger.Answer) bool {
+// as what began it is not known. It returns an error if a stream must not go on at this server.
+func (attempt *attempt) attestStart(ctx context.Context) error {
+	delivery, server := attempt.delivery, attempt.grant.Server
 	if !delivery.call.Route.Repeatable() || server.Software == "" {
-		return true
+		return nil
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
 	defer cancel()
 
-	err := delivery.forwarder.Attester.Confirm(ctx, server, answer.ConnectedAt)
+	err := delivery.forwarder.Attester.Confirm(ctx, server, attempt.answer.ConnectedAt)
 	if err == nil {
-		return true
+		return nil
 	}
 
-	continues, restarted := delivery.isContinuation(), errors.Is(err, exchanger.ErrRestarted)
+	continues, restarted := attempt.lastEventID >= 0, errors.Is(err, exchanger.ErrRestarted)
 	delivery.forwarder.log(delivery.call, logrus.Fields{
 		"BackendServer": server.ID, "Software": server.Software, "Restarted": restarted, "Continues": continues, "Reason": err.Error(),
 	}).Info("The software version of the server that answers is not certain.")
 
 	if !continues {
-		delivery.software = ""
+		attempt.software = ""
+	}
+
+	if continues && restarted {
+		return errors.Trace(err)
 	}
 
-	return !continues || !restarted
+	return nil
 }
 
 // recordOrigin records where the stream began, before its first event is passed on.
-func (delivery *delivery) recordOrigin() {
-	delivery.origin = resumer.Origin{Service: delivery.call.Service, Software: delivery.software}
+func (delivery *delivery) recordOrigin(software string) {
+	delivery.origin = resumer.Origin{Service: delivery.call.Service, Software: software}
 
 	if delivery.call.Route.Repeatable() {
 		delivery.forwarder.Origins.Record(delivery.call.ID, delivery.origin)
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -16,7 +16,8 @@
 	"limpetrail/resumer"
 )
 
-// delivery is the state of one call over all of its attempts.
+// delivery is the state of one call over all of its attempts. An attempt that is silent goes on until
+// another one has proved that it can take its place: a sound server may be silent for a while.
 type delivery struct {
 	forwarder *Forwarder
 	call      *Call
@@ -29,6 +30,13 @@
 	// quarantineRequest describes the call by what it has in common with others.
 	quarantineRequest quarantiner.Request
 
+	// running holds the attempts that have not ended, the oldest first. More than one run only while
+	// the older ones are silent.
+	running []*attempt
+	reports chan report
+	// race decides when a further attempt is made beside silent ones.
+	race race
+
 	// triedServers holds the IDs of the servers that are not tried again.
 	triedServers []string
 	// attempts is how many servers may have run the call.
@@ -47,14 +55,11 @@
 	eventCount      int
 	timeToFirstByte time.Duration
 	queueTime       time.Duration
-	// serverID and software are of the server that was tried last.
+	// serverID is of the server that was tried last, or whose answer was passed on.
 	serverID string
-	software string
 	// origin is where the stream began, once an event was passed on or if the caller takes the
 	// stream up.
 	origin resumer.Origin
-	// run is the attempt that was made last.
-	run *quarantiner.Run
 }
 
 // deliver makes attempts until the call has ended.
@@ -69,40 +74,41 @@
 		Fingerprint: quarantiner.Fingerprint(call.Body, call.Caller, call.Method, call.Host, call.Target),
 	}
 
+	defer delivery.closeOthers(nil)
+	defer delivery.race.stop()
+
 	for {
-		if result, ended := delivery.tryNext(ctx); ended {
+		if result, ended := delivery.next(ctx); ended {
 			return result
 		}
 	}
 }
 
-// tryNext gets a place for the call and makes one attempt. It returns false if another
-// attempt is to follow.
-func (delivery *delivery) tryNext(ctx context.Context) (Result, bool) {
-	if block, blocked := delivery.forwarder.Quarantiner.Check(delivery.quarantineRequest); blocked {
-		return delivery.resultOfBlock(block), true
-	}
-
-	decision := delivery.forwarder.Placer.Place(ctx, delivery.placementRequest())
-	delivery.queueTime += decision.Waited
+// next makes an attempt if none runs, and waits for the next step. It returns false if the call goes
+// on.
+func (delivery *delivery) next(ctx context.Context) (Result, bool) {
+	if len(delivery.running) == 0 {
+		if block, isBlocked := delivery.forwarder.Quarantiner.Check(delivery.quarantineRequest); isBlocked {
+			return delivery.resultOfBlock(block), true
+		}
 
-	if decision.Verdict != placer.Placed {
-		return delivery.resultWithoutPlace(ctx, decision), true
+		delivery.start(ctx, delivery.placementRequest())
 	}
 
-	defer decision.Grant.Release()
+	select {
+	case reported := <-delivery.reports:
+		return delivery.handleReport(ctx, reported)
+	case now := <-delivery.race.wake(delivery.nextDecision()):
+		delivery.handleSilence(ctx, now)
 
-	// The call may have waited for its place, or another part was found deadly meanwhile.
-	run, block, blocked := delivery.forwarder.Quarantiner.Start(delivery.quarantineRequest, decision.Grant.Server)
-	if blocked {
-		return delivery.resultOfBlock(block), true
+		return Result{}, false
+	case <-ctx.Done():
+		return Result{Outcome: Cancelled, Reason: "The caller disconnected or the call's time ended."}, true
 	}
+}
 
-	defer run.Close()
-
-	delivery.run, delivery.serverID, delivery.software = run, decision.Grant.Server.ID, decision.Grant.Server.Software
-
-	return delivery.attempt(ctx, decision.Grant)
+func (delivery *delivery) start(ctx context.Context, work placer.Work) {
+	delivery.running = append(delivery.running, newAttempt(ctx, delivery, work))
 }
 
 func (delivery *delivery) placementRequest() placer.Work {
@@ -113,7 +119,8 @@
 		MaxWait:   min(fraction(queueShare, latencyTarget(delivery.call.Route)), time.Until(delivery.call.Deadline)),
 		Elapsed:   delivery.spentBefore,
 		Prefix:    delivery.call.PrefixHash,
-		Exclude:   delivery.triedServers,
+		// An attempt in the queue keeps its own list.
+		Exclude: slices.Clone(delivery.triedServers),
 	}
 
 	if delivery.isContinuation() {
@@ -129,169 +136,231 @@
 	return work
 }
 
-// attempt sends the call to one server. It returns false if another server is to be
-// tried.
-func (delivery *delivery) attempt(ctx context.Context, grant *placer.Grant) (Result, bool) {
-	startedAt := time.Now()
-	lastAttempt := delivery.isLastAttempt()
-	attempt := Attempt{
-		Remaining: time.Until(delivery.call.Deadline), FirstByteDeadline: delivery.call.Deadline, LastEventID: delivery.lastEventID,
-		Withdrawn: grant.Withdrawn, Repeatable: delivery.call.Route.Repeatable(),
+// handleReport goes on after a step of an attempt. It returns false if the call has not ended.
+func (delivery *delivery) handleReport(ctx context.Context, reported report) (Result, bool) {
+	current := reported.attempt
+
+	switch reported.step {
+	case unplaced:
+		return delivery.handleUnplaced(ctx, current, reported.decision)
+	case blocked:
+		return delivery.handleBlock(current, reported.block)
+	case placed:
+		delivery.handlePlaced(current, reported.decision)
+
+		return Result{}, false
+	case failed:
+		return delivery.handleFailure(ctx, current, reported.err)
+	case answered:
+		return delivery.handleReply(current, reported)
+	default:
+		return delivery.handlePart(ctx, current, reported)
 	}
+}
 
-	if !lastAttempt {
-		attempt.ShouldGiveUp = delivery.mayRetryElsewhere
-		attempt.FirstByteDeadline = startedAt.Add(fraction(firstByteShare, latencyTarget(delivery.call.Route)))
+// handlePlaced counts an attempt that is being sent: from now on its server may run the call.
+func (delivery *delivery) handlePlaced(current *attempt, decision placer.Decision) {
+	if len(delivery.running) == 1 {
+		delivery.queueTime += decision.Waited
 	}
 
+	delivery.attempts++
+	delivery.serverID = current.grant.Server.ID
+	delivery.race.charged = false
+
+	current.sentAt = time.Now()
+	current.silentAt = current.sentAt.Add(fraction(firstByteShare, latencyTarget(delivery.call.Route)))
+
 	if delivery.isContinuation() {
-		delivery.logEntry(grant, "").WithFields(logrus.Fields{"Software": grant.Server.Software, "Resumes": delivery.call.Resumes, "TakenUp": delivery.call.LastEventID >= 0}).Info("Continuing a stream.")
+		delivery.logEntry(current, "").WithFields(logrus.Fields{"Software": current.grant.Server.Software, "Resumes": delivery.call.Resumes, "TakenUp": delivery.call.LastEventID >= 0}).Info("Continuing a stream.")
 	}
+}
+
+// handleUnplaced ends a call without a place, unless another attempt of it runs.
+func (delivery *delivery) handleUnplaced(ctx context.Context, current *attempt, decision placer.Decision) (Result, bool) {
+	delivery.end(current)
+
+	if len(delivery.running) == 0 {
+		return delivery.resultWithoutPlace(ctx, decision), true
+	}
+
+	delivery.race.delay()
+
+	return Result{}, false
+}
+
+// handleBlock ends a call that is quarantined, unless another attempt of it runs.
+func (delivery *delivery) handleBlock(current *attempt, block quarantiner.Block) (Result, bool) {
+	delivery.end(current)
 
-	reply, err := delivery.forwarder.Backend.Send(ctx, grant.Server, delivery.call, attempt)
-	if err != nil {
-		return delivery.handleFailure(ctx, grant, err, lastAttempt)
+	if len(delivery.running) == 0 {
+		return delivery.resultOfBlock(block), true
 	}
 
-	reply.RecordAnnouncements(grant, delivery.call.ID)
+	delivery.race.over = true
+
+	return Result{}, false
+}
+
+// handleReply goes on after the head of an answer.
+func (delivery *delivery) handleReply(current *attempt, reported report) (Result, bool) {
+	reply := reported.reply
+	reply.RecordAnnouncements(current.grant, delivery.call.ID)
 
 	switch reply.Kind {
 	case Full, Misdirected:
-		return delivery.handleRejection(grant, reply.Kind)
+		return delivery.handleRejection(current, reply.Kind)
 	case Mismatched:
-		delivery.attempts++
-		delivery.triedServers = append(delivery.triedServers, grant.Server.ID)
-		grant.Observe(placer.Broken, 0)
+		current.grant.Observe(placer.Broken, 0)
 
-		return delivery.retryOrEnd(grant, "The answer belongs to another request.", lastAttempt)
+		return delivery.retryOrEnd(current, "The answer belongs to another request.")
 	default:
 	}
 
-	defer reply.Answer.Close()
-
-	grant.Observe(placer.Answered, time.Since(startedAt))
+	current.grant.Observe(placer.Answered, time.Since(current.sentAt))
 	delivery.forwarder.budgets.GetOrCreate(delivery.call.Service).RecordSuccess()
 
-	delivery.attempts++
-	delivery.triedServers = append(delivery.triedServers, grant.Server.ID)
-
-	if reply.Answer.Status >= 500 && !lastAttempt && !delivery.headSent {
-		grant.Observe(observationOf(reply.Answer), 0)
+	// A whole answer is not silent once its head is there: its server works on it.
+	current.silentAt = time.Time{}
 
-		return delivery.retryOrEnd(grant, "The backend server failed.", lastAttempt)
+	switch {
+	case reported.err != nil:
+		return delivery.retryOrEnd(current, "The backend server has started again; the stream does not go on there.")
+	case reply.Answer.Status >= 500 && !delivery.headSent && (delivery.mayTryAgain() || len(delivery.running) > 1):
+		current.grant.Observe(observationOf(reply.Answer), 0)
+
+		return delivery.retryOrEnd(current, "The backend server failed.")
+	case current.isStream:
+		delivery.streamStarted = true
+		current.parser = reply.Answer.EventParser()
+		current.silentAt = time.Now().Add(silenceLimit(delivery.call.Route))
+	case delivery.headSent:
+		return delivery.retryOrEnd(current, "The answer does not continue the stream.")
+	default:
 	}
 
-	if delivery.isEventStream(reply.Answer) {
-		return delivery.forwardStream(ctx, grant, reply.Answer, lastAttempt)
-	}
+	return Result{}, false
+}
 
-	if delivery.headSent {
-		return delivery.retryOrEnd(grant, "The answer does not continue the stream.", lastAttempt)
+// handlePart goes on after a part of an answer.
+func (delivery *delivery) handlePart(ctx context.Context, current *attempt, reported report) (Result, bool) {
+	if current.isStream {
+		return delivery.forwardPart(ctx, current, reported)
 	}
 
-	return delivery.forwardWhole(ctx, grant, reply.Answer, lastAttempt)
+	return delivery.forwardWhole(ctx, current, reported)
 }
 
-// mayRetryElsewhere reports whether a silent attempt may be abandoned and retried:
-// another server can take the call and the retry budget, from which it takes one retry,
-// is not spent. In an overload many attempts are silent, and retrying them all would add
-// to it.
-func (delivery *delivery) mayRetryElsewhere() bool {
-	work := delivery.placementRequest()
-	work.Exclude = append(slices.Clone(work.Exclude), delivery.serverID)
+// mayTryAgain reports whether a further server may be sent the call.
+func (delivery *delivery) mayTryAgain() bool {
+	return delivery.call.Route.Repeatable() && delivery.attempts < delivery.call.Route.AttemptLimit
+}
 
-	if !delivery.forwarder.Placer.HasCandidate(work) {
-		return false
-	}
+// end removes an attempt that has ended or is not needed any more.
+func (delivery *delivery) end(ended *attempt) {
+	ended.close()
 
-	return delivery.forwarder.budgets.GetOrCreate(delivery.call.Service).AllowRetry()
+	delivery.running = slices.DeleteFunc(delivery.running, func(other *attempt) bool { return other == ended })
 }
 
-// isLastAttempt reports whether the call may not be sent to another server after the
-// next attempt.
-func (delivery *delivery) isLastAttempt() bool {
-	return !delivery.call.Route.Repeatable() || delivery.attempts+1 >= delivery.call.Route.AttemptLimit
+// closeOthers ends all attempts but one, or all if it is nil. Their servers may still end by them.
+func (delivery *delivery) closeOthers(kept *attempt) {
+	for _, other := range slices.Clone(delivery.running) {
+		if other == kept {
+			continue
+		}
+
+		other.stop()
+
+		if !other.sentAt.IsZero() {
+			other.run.Abandon()
+			delivery.triedServers = append(delivery.triedServers, other.grant.Server.ID)
+		}
+
+		delivery.end(other)
+	}
 }
 
-// handleFailure ends or retries a call after an attempt that got no answer.
-func (delivery *delivery) handleFailure(ctx context.Context, grant *placer.Grant, err error, lastAttempt bool) (Result, bool) {
+// handleFailure goes on after an attempt that got no answer.
+func (delivery *delivery) handleFailure(ctx context.Context, current *attempt, err error) (Result, bool) {
 	failure := exchanger.FailureError{}
 	if !errors.As(err, &failure) {
 		failure = exchanger.FailureError{Kind: exchanger.Interrupted, Cause: err}
 	}
 
-	delivery.triedServers = append(delivery.triedServers, grant.Server.ID)
-
 	switch failure.Kind {
 	case exchanger.Unsent:
-		delivery.recordUnsent(grant, failure)
+		delivery.attempts--
+		delivery.recordUnsent(current, failure)
 
-		return delivery.continueAfterRejection()
+		return delivery.continueAfterRejection(current)
 	case exchanger.Cancelled:
-		delivery.attempts++
-		delivery.run.Abandon()
-
 		return Result{Outcome: Cancelled, Reason: "The caller disconnected or the call's time ended."}, true
 	case exchanger.Unanswered:
-		delivery.attempts++
-
-		delivery.run.Abandon()
-		grant.Observe(placer.Silent, 0)
+		current.run.Abandon()
+		current.grant.Observe(placer.Silent, 0)
 	default:
-		delivery.attempts++
-
-		grant.Observe(delivery.run.BreakOff(ctx, failure.Error()), 0)
+		current.grant.Observe(current.run.BreakOff(ctx, failure.Error()), 0)
 	}
 
-	return delivery.retryOrEnd(grant, failure.Error(), lastAttempt)
+	return delivery.retryOrEnd(current, failure.Error())
 }
 
 // recordUnsent logs why nothing was sent: the server was withdrawn while a connection
 // was made, or no connection could be made.
-func (delivery *delivery) recordUnsent(grant *placer.Grant, failure exchanger.FailureError) {
+func (delivery *delivery) recordUnsent(current *attempt, failure exchanger.FailureError) {
 	switch {
 	case errors.Is(failure.Cause, exchanger.ErrWithdrawn):
-		delivery.logEntry(grant, failure.Error()).Info("Backend server was withdrawn before the request was sent.")
+		delivery.logEntry(current, failure.Error()).Info("Backend server was withdrawn before the request was sent.")
 
 		return
 	case errors.Is(failure.Cause, exchanger.ErrRestarted):
-		delivery.logEntry(grant, failure.Error()).WithField("Software", grant.Server.Software).Info("Backend server has started again since it was listed; the stream does not go on there.")
+		delivery.logEntry(current, failure.Error()).WithField("Software", current.grant.Server.Software).Info("Backend server has started again since it was listed; the stream does not go on there.")
 
 		return
 	}
 
-	grant.Observe(placer.Unreachable, 0)
+	current.grant.Observe(placer.Unreachable, 0)
 
 	if errors.Is(failure.Cause, syscall.ECONNREFUSED) {
-		delivery.forwarder.Quarantiner.RecordRefusal(grant.Server)
+		delivery.forwarder.Quarantiner.RecordRefusal(current.grant.Server)
 	}
 
-	delivery.logEntry(grant, failure.Error()).Info("Could not connect to the backend server.")
+	delivery.logEntry(current, failure.Error()).Info("Could not connect to the backend server.")
 }
 
 // handleRejection records that a server refused the call without running it.
-func (delivery *delivery) handleRejection(grant *placer.Grant, kind ReplyKind) (Result, bool) {
-	delivery.triedServers = append(delivery.triedServers, grant.Server.ID)
+func (delivery *delivery) handleRejection(current *attempt, kind ReplyKind) (Result, bool) {
+	delivery.attempts--
 
 	if kind == Full {
-		grant.Observe(placer.Full, 0)
+		current.grant.Observe(placer.Full, 0)
 	} else {
-		grant.Observe(placer.Unreachable, 0)
+		current.grant.Observe(placer.Unreachable, 0)
 	}
 
-	delivery.logEntry(grant, "not run").Info("Backend server refused the request without running it.")
+	delivery.logEntry(current, "not run").Info("Backend server refused the request without running it.")
 
-	return delivery.continueAfterRejection()
+	return delivery.continueAfterRejection(current)
 }
 
 // continueAfterRejection goes on to another server after one that has certainly not
-// run the call, and ends the call after maxRejections.
-func (delivery *delivery) continueAfterRejection() (Result, bool) {
+// run the call, and ends the call after maxRejections if no other attempt runs.
+func (delivery *delivery) continueAfterRejection(current *attempt) (Result, bool) {
 	delivery.rejections++
+	delivery.triedServers = append(delivery.triedServers, current.grant.Server.ID)
+	delivery.end(current)
+
 	if delivery.rejections < maxRejections {
 		return Result{}, false
 	}
 
+	if len(delivery.running) > 0 {
+		delivery.race.over = true
+
+		return Result{}, false
+	}
+
 	switch {
 	case delivery.headSent:
 		return Result{Outcome: Broken, Reason: "No backend server can continue the answer."}, true
@@ -306,11 +375,14 @@
 // full. A few of their requests have ended by then.
 const retryAfterRejections = 200 * time.Millisecond
 
-// retryOrEnd continues with another server after an attempt that may have run, or ends
-// the call if this was the last attempt.
-func (delivery *delivery) retryOrEnd(grant *placer.Grant, reason string, lastAttempt bool) (Result, bool) {
-	if !lastAttempt {
-		delivery.logEntry(grant, reason).Info("Trying a request again.")
+// retryOrEnd continues with another server after an attempt that may have run and has ended, or ends
+// the call if this was the last attempt and no other one runs.
+func (delivery *delivery) retryOrEnd(current *attempt, reason string) (Result, bool) {
+	delivery.triedServers = append(delivery.triedServers, current.grant.Server.ID)
+	delivery.end(current)
+
+	if len(delivery.running) > 0 || delivery.mayTryAgain() {
+		delivery.logEntry(current, reason).WithField("Running", len(delivery.running)).Info("Trying a request again.")
 
 		return Result{}, false
 	}
@@ -326,9 +398,9 @@
 	}
 }
 
-func (delivery *delivery) logEntry(grant *placer.Grant, reason string) *logrus.Entry {
+func (delivery *delivery) logEntry(current *attempt, reason string) *logrus.Entry {
 	return delivery.forwarder.log(delivery.call, logrus.Fields{
-		"BackendServer": grant.Server.ID, "Reason": reason, "Sent": delivery.attempts, "After": delivery.lastEventID,
+		"BackendServer": current.grant.Server.ID, "Reason": reason, "Sent": delivery.attempts, "After": delivery.lastEventID,
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -126,6 +126,7 @@
 		startedAt:   startedAt,
 		spentBefore: forwarder.remainingTimes.record(call.Route.Name, remaining, startedAt) - remaining,
 		lastEventID: call.LastEventID,
+		reports:     make(chan report),
 	}
 
 	return delivery.finish(ctx, delivery.deliver(ctx))
--- /dev/null
+++ b/forwarder/race.go
@@ -0,0 +1,210 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"limpetrail/matcher"
+	"limpetrail/placer"
+)
+
+const (
+	// overlapLimit is how long two servers may work on one stream. A platform counts it as run twice
+	// after 400 ms.
+	overlapLimit = 300 * time.Millisecond
+	// raceRecheck is when a further attempt is considered again that was not possible.
+	raceRecheck = 100 * time.Millisecond
+	// overdueTime is how long a decision that is due waits for steps that have happened already: this
+	// process may have been suspended.
+	overdueTime = 5 * time.Millisecond
+)
+
+// race is the state of the decisions on further attempts beside silent ones.
+type race struct {
+	timer *time.Timer
+	// firesAt is when the timer fires; zero if it is not set.
+	firesAt time.Time
+	// overdueAt is when the decision that is due is made; zero if none is.
+	overdueAt time.Time
+	// notBefore is when a further attempt may be made.
+	notBefore time.Time
+	// charged is set once the retry budget was charged for a further attempt that is not sent yet.
+	charged bool
+	// over is set if no further attempt can be made.
+	over bool
+}
+
+// wake returns a channel that receives a time when a decision is due or earlier; nil if that is zero.
+func (race *race) wake(due time.Time) <-chan time.Time {
+	if due.IsZero() {
+		return nil
+	}
+
+	at := due
+	if race.overdueAt.After(due) {
+		at = race.overdueAt
+	}
+
+	if race.timer == nil {
+		race.timer = time.NewTimer(time.Until(at))
+		race.firesAt = at
+	}
+
+	if race.firesAt.IsZero() || at.Before(race.firesAt) {
+		race.timer.Reset(time.Until(at))
+		race.firesAt = at
+	}
+
+	return race.timer.C
+}
+
+func (race *race) delay() {
+	race.notBefore = time.Now().Add(raceRecheck)
+}
+
+func (race *race) stop() {
+	if race.timer != nil {
+		race.timer.Stop()
+	}
+}
+
+// overlaps reports whether two servers may work on the stream.
+func (delivery *delivery) overlaps() bool {
+	return len(delivery.running) > 1 && delivery.call.Route.Kind == matcher.Stream
+}
+
+// nextDecision returns when a decision on further attempts is due; zero for never.
+func (delivery *delivery) nextDecision() time.Time {
+	if len(delivery.running) == 0 {
+		return time.Time{}
+	}
+
+	if newest := delivery.running[len(delivery.running)-1]; delivery.overlaps() && !newest.sentAt.IsZero() {
+		return newest.sentAt.Add(overlapLimit)
+	}
+
+	if delivery.race.over || delivery.overlaps() || !delivery.mayTryAgain() {
+		return time.Time{}
+	}
+
+	due := delivery.race.notBefore
+
+	for _, running := range delivery.running {
+		if running.silentAt.IsZero() {
+			return time.Time{}
+		}
+
+		if running.silentAt.After(due) {
+			due = running.silentAt
+		}
+	}
+
+	return due
+}
+
+// handleSilence ends an attempt that was made beside a silent one and has not proved itself in time, or
+// makes one. The silent one goes on: it is ended only by another one that brings the answer.
+func (delivery *delivery) handleSilence(ctx context.Context, now time.Time) {
+	delivery.race.firesAt = time.Time{}
+
+	due := delivery.nextDecision()
+	if due.IsZero() || now.Before(due) {
+		delivery.race.overdueAt = time.Time{}
+
+		return
+	}
+
+	if delivery.race.overdueAt.IsZero() {
+		delivery.race.overdueAt = now.Add(overdueTime)
+
+		return
+	}
+
+	if now.Before(delivery.race.overdueAt) {
+		return
+	}
+
+	delivery.race.overdueAt = time.Time{}
+
+	if delivery.overlaps() {
+		delivery.dropNewest()
+
+		return
+	}
+
+	delivery.startBeside(ctx)
+}
+
+// dropNewest ends the attempt that was made last, as two servers must not work on a stream for long.
+func (delivery *delivery) dropNewest() {
+	newest := delivery.running[len(delivery.running)-1]
+	newest.stop()
+	newest.run.Abandon()
+	newest.grant.Observe(placer.Silent, 0)
+
+	delivery.logEntry(newest, "no event in time").Info("Attempt beside a silent one ended.")
+	delivery.triedServers = append(delivery.triedServers, newest.grant.Server.ID)
+	delivery.end(newest)
+	delivery.race.delay()
+}
+
+// startBeside makes a further attempt beside silent ones if another server can take the call and the
+// retry budget, which is charged, is not spent. In an overload many attempts are silent, and repeating
+// them all would add to it.
+func (delivery *delivery) startBeside(ctx context.Context) {
+	work := delivery.placementRequest()
+	work.Spare, work.MaxWait = true, min(resumeQueueLimit, time.Until(delivery.call.Deadline))
+
+	for _, running := range delivery.running {
+		work.Exclude = append(work.Exclude, running.grant.Server.ID)
+	}
+
+	if !delivery.forwarder.Placer.HasCandidate(work) || !delivery.chargeRetry() {
+		delivery.race.delay()
+
+		return
+	}
+
+	for _, running := range delivery.running {
+		delivery.observeSilence(running)
+	}
+
+	delivery.start(ctx, work)
+}
+
+// chargeRetry returns false if the retry budget is spent.
+func (delivery *delivery) chargeRetry() bool {
+	delivery.race.charged = delivery.race.charged || delivery.forwarder.budgets.GetOrCreate(delivery.call.Service).AllowRetry()
+
+	return delivery.race.charged
+}
+
+func (delivery *delivery) observeSilence(silent *attempt) {
+	if silent.silenceObserved {
+		return
+	}
+
+	silent.silenceObserved = true
+	silent.grant.Observe(placer.Silent, 0)
+	delivery.logEntry(silent, "silent").WithField("Age", time.Since(silent.sentAt)).Info("Backend server is silent; another one is prepared.")
+}
+
+// lead makes an attempt that brings the answer the only one.
+func (delivery *delivery) lead(leader *attempt) {
+	delivery.serverID = leader.grant.Server.ID
+
+	if len(delivery.running) == 1 {
+		return
+	}
+
+	others := slices.DeleteFunc(slices.Clone(delivery.running), func(other *attempt) bool { return other == leader })
+	sent := slices.ContainsFunc(others, func(other *attempt) bool { return !other.sentAt.IsZero() })
+
+	delivery.logEntry(leader, "").WithFields(logrus.Fields{"First": delivery.running[0] == leader, "OthersSent": sent}).Info("One of several attempts goes on.")
+	delivery.closeOthers(leader)
+
+	delivery.race.charged = false
+}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -91,7 +91,8 @@
 						fleet.servers[0].EventCount = 0
 					}
 
-					answer := &recordedAnswer{}
+					var answer *recordedAnswer
+
 					result, answer, id = fleet.forward(context.Background(), route(scenario.kind, true, 2))
 					body, runs = answer.body.String(), fleet.startedRuns(id)
 				})
@@ -169,7 +170,8 @@
 
 					fleet.placer.UpdateServers([]placer.Server{{ID: server.ID, Address: server.ID, Service: serviceName, Places: server.Places}})
 
-					answer := &recordedAnswer{}
+					var answer *recordedAnswer
+
 					result, answer, id = fleet.forward(context.Background(), scenario.route)
 					body, runs = answer.body.String(), server.RunCount(id)
 				})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -93,7 +93,7 @@
 	placer.pruneReports()
 
 	service, now := placer.service(work.Service), time.Now()
-	if !pacer.IsRetry(work.Elapsed) {
+	if !work.Spare && !pacer.IsRetry(work.Elapsed) {
 		service.retryPacer.RecordArrival(now)
 	}
 
@@ -193,9 +193,12 @@
 // refuse marks the decision as refused and sets RetryAfter: up to the pacer's maximum, no
 // earlier than a place is free behind the work that is queued now. The mutex is held.
 func (placer *Placer) refuse(service *service, work Work, decision *Decision) {
-	now := time.Now()
-
 	decision.Verdict = Refused
+	if work.Spare {
+		return
+	}
+
+	now := time.Now()
 	decision.RetryAfter = service.retryPacer.NextRetryAfter(now, pacer.ServiceLoad{
 		QueueWait: placer.expectedWait(service, work, now, len(service.queue.waiting)),
 		Runs:      placer.shareOfRuns(service), RunDuration: service.meanRun, AllowedPerSecond: service.allowedPerSecond(now),
--- a/placer/work.go
+++ b/placer/work.go
@@ -21,6 +21,8 @@
 	// servers of that version can take it.
 	Continues bool
 	Software  string
+	// Spare work runs elsewhere, at a server that is silent. Its caller is not told when to retry.
+	Spare bool
 	// Idle restricts batch work to servers at which nothing is known to run.
 	Idle bool
 	// Exclude holds the IDs of servers that were tried already.
