Log and count how attempts beside silent ones end, and describe them

The lines showed an attempt that was given up and its reason, not whether its server went on, nor why no other one took the call.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -184,6 +184,13 @@
 		return delivery.resultWithoutPlace(ctx, decision), true
 	}
 
+	if !delivery.race.unplacedLogged {
+		delivery.race.unplacedLogged = true
+		delivery.forwarder.log(delivery.call, logrus.Fields{
+			"Verdict": decision.Verdict.String(), "Forecast": decision.ExpectedWait, "Queued": decision.QueuedAhead, "Free": decision.FreePlaces, "Waited": decision.Waited,
+		}).Info("No place for an attempt beside a silent one, which goes on.")
+	}
+
 	delivery.race.delay()
 
 	return Result{}, false
--- a/forwarder/race.go
+++ b/forwarder/race.go
@@ -33,6 +33,8 @@
 	notBefore time.Time
 	// charged is set once the retry budget was charged for a further attempt that is not sent yet.
 	charged bool
+	// unplacedLogged is set once the log has a line on a further attempt without a place.
+	unplacedLogged bool
 	// over is set if no further attempt can be made.
 	over bool
 }
@@ -145,6 +147,7 @@
 	newest.run.Abandon()
 	newest.grant.Observe(placer.Silent, 0)
 
+	delivery.countRace("Dropped")
 	delivery.logEntry(newest, "no event in time").Info("Attempt beside a silent one ended.")
 	delivery.triedServers = append(delivery.triedServers, newest.grant.Server.ID)
 	delivery.end(newest)
@@ -203,8 +206,21 @@
 	others := slices.DeleteFunc(slices.Clone(delivery.running), func(other *attempt) bool { return other == leader })
 	sent := slices.ContainsFunc(others, func(other *attempt) bool { return !other.sentAt.IsZero() })
 
-	delivery.logEntry(leader, "").WithFields(logrus.Fields{"First": delivery.running[0] == leader, "OthersSent": sent}).Info("One of several attempts goes on.")
+	silentWentOn := delivery.running[0] == leader
+
+	if silentWentOn {
+		delivery.countRace("SilentWentOn")
+	} else {
+		delivery.countRace("Replaced")
+	}
+
+	delivery.logEntry(leader, "").WithFields(logrus.Fields{"SilentWentOn": silentWentOn, "OthersSent": sent}).Info("One of several attempts goes on.")
 	delivery.closeOthers(leader)
 
 	delivery.race.charged = false
 }
+
+// countRace counts how it ended that attempts were made beside each other.
+func (delivery *delivery) countRace(ending string) {
+	delivery.forwarder.Metrics.Tagged(map[string]string{"ending": ending}).Counter("races").Inc(1)
+}
