Use connections again after long answers

What was wrong: since an answer of more than maxBufferedBytes (128 KB) that was read whole closed its connection: forwardRemainder ends the attempt, whose context is cancelled before its answer is closed. Each such answer cost a new connection to the backend server. Change: the answer is closed once its end was read, before the attempt ends.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -95,6 +95,8 @@
 			return Result{Outcome: Broken, Reason: endedEarly}, true
 		case errors.Is(err, io.EOF):
 			grant.Observe(observationOf(answer), 0)
+			// The connection can be used again.
+			answer.Close()
 
 			return Result{Outcome: Answered}, true
 		case err != nil:
