Keep the only usable server of a service when it is silent

What callers saw: 503 ("Absent") at once for every call of a service with a single server, or whose other servers leave, after two silent runs in a row there, until a health check passed. Cause: the share of a service's servers that silence may make suspect was asked before the new suspect was counted. Of one server, none of one was suspect, so the one could become it. Leaving servers counted as servers. Change: silence of the only server that can get work is not counted. Evidence: TestSilenceLeavesAServiceWithoutServers failed before (both cases, "Absent"), and passes.

--- a/placer/observe.go
+++ b/placer/observe.go
@@ -1,13 +1,15 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
 // observe records how a server behaved towards a request. Silent and broken answers
-// are ignored while too many of the service's servers are suspect.
+// are ignored while too many of the service's servers are suspect, and silent ones of the only
+// server that can get work: a sound server may be silent for a while.
 func (placer *Placer) observe(observed Server, observation Observation, firstBytes time.Duration) {
 	placer.mutex.Lock()
 	defer placer.mutex.Unlock()
@@ -21,6 +23,10 @@
 		return
 	}
 
+	if observation == Silent && !placer.hasOtherUsable(server) {
+		return
+	}
+
 	if server.health.observe(observation, firstBytes, time.Now()) {
 		placer.Log.WithFields(logrus.Fields{
 			"BackendServer": observed.ID, "Suspect": server.health.suspect(), "Observation": observation.String(),
@@ -47,6 +53,13 @@
 	return float64(suspects) >= maxSuspectShare*float64(len(servers))
 }
 
+// hasOtherUsable reports whether another server of the service can get work.
+func (placer *Placer) hasOtherUsable(server *serverState) bool {
+	return slices.ContainsFunc(placer.service(server.Service).servers, func(other *serverState) bool {
+		return other != server && !other.Leaving && !other.health.suspect()
+	})
+}
+
 // SuspectServers returns the servers that need a health check, which counts as a request for
 // those that name a limit.
 func (placer *Placer) SuspectServers() []Server {
