Serve queued work once a suspect server is usable again

What callers saw: calls that were queued behind full servers waited, and were refused, although a server that had been silent answered again and had free places. Cause: an answer ends the suspicion of a server without a look at the queue, unlike a passed health check. The queue was served with the next end of a run or report of another gateway. Change: the queue is served when an observation clears a server. Evidence: TestQueuedWorkWaitsAlthoughASilentServerAnswers failed before (refused after 3 s; the server answers after 1 s) and passes.

--- a/placer/observe.go
+++ b/placer/observe.go
@@ -31,6 +31,10 @@
 		placer.Log.WithFields(logrus.Fields{
 			"BackendServer": observed.ID, "Suspect": server.health.suspect(), "Observation": observation.String(),
 		}).Warn("Health state of a backend server changed.")
+
+		if !server.health.suspect() {
+			placer.reconcile()
+		}
 	}
 }
 
--- a/placer/silence_test.go
+++ b/placer/silence_test.go
@@ -1,7 +1,9 @@
 package placer_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -32,3 +34,23 @@
 		})
 	}
 }
+
+// A server that was silent answers again. Queued work waited for the next change of the load.
+func TestQueuedWorkWaitsAlthoughASilentServerAnswers(t *testing.T) {
+	runFixture(t, func(fixture *fixture) {
+		fixture.setServers("x", "y")
+
+		for range 2 {
+			fixture.place("x")
+		}
+
+		silent, _ := fixture.place("y")
+		silent.Observe(placer.Silent, 0)
+		silent.Observe(placer.Silent, 0)
+		time.AfterFunc(time.Second, func() { silent.Observe(placer.Answered, time.Second) })
+
+		decision := fixture.placer.Place(context.Background(), placer.Work{Service: modelService, MaxWait: 3 * time.Second})
+		require.Equal(t, placer.Placed.String(), decision.Verdict.String())
+		require.Equal(t, time.Second, decision.Waited)
+	})
+}
