Check the health of all suspect servers at once

What callers saw: while several servers were silent or dark, one that answered again got no work for seconds. Cause: health checks were made one after the other, each of up to 300 ms. With n silent servers, a sound one was checked up to n * 300 ms late.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -229,22 +229,23 @@
 // checkSuspectServers health-checks suspect backend servers until the context ends.
 func (gateway *Gateway) checkSuspectServers(ctx context.Context) {
 	for kernel.Pause(ctx, checkInterval) {
-		for _, server := range gateway.Placer.SuspectServers() {
-			document := gateway.Configuration.Document()
-			if document == nil {
-				continue
-			}
-
-			healthy, leaving := gateway.Backend.Check(ctx, server, document.Services[server.Service].HealthPath)
-			if leaving {
-				gateway.Placer.MarkLeaving(server, "health check")
-			}
-
-			if healthy && !leaving {
-				gateway.Placer.RecordPassedCheck(server)
-			}
-		}
+		gateway.Placer.CheckSuspects(ctx, gateway.isHealthy)
+	}
+}
+
+// isHealthy health-checks a backend server.
+func (gateway *Gateway) isHealthy(ctx context.Context, server placer.Server) bool {
+	document := gateway.Configuration.Document()
+	if document == nil {
+		return false
 	}
+
+	healthy, leaving := gateway.Backend.Check(ctx, server, document.Services[server.Service].HealthPath)
+	if leaving {
+		gateway.Placer.MarkLeaving(server, "health check")
+	}
+
+	return healthy && !leaving
 }
 
 func (gateway *Gateway) closeStaleConnections(ctx context.Context) {
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -83,6 +85,21 @@
 	return suspects
 }
 
+// CheckSuspects checks the suspect servers, all at once: silent ones must not delay the check of a
+// server that answers again.
+func (placer *Placer) CheckSuspects(ctx context.Context, isHealthy func(ctx context.Context, server Server) bool) {
+	checks := sync.WaitGroup{}
+	defer checks.Wait()
+
+	for _, server := range placer.SuspectServers() {
+		checks.Go(func() {
+			if isHealthy(ctx, server) {
+				placer.RecordPassedCheck(server)
+			}
+		})
+	}
+}
+
 // RecordPassedCheck records that a server passed its health check.
 func (placer *Placer) RecordPassedCheck(checked Server) {
 	placer.mutex.Lock()
--- a/placer/silence_test.go
+++ b/placer/silence_test.go
@@ -54,3 +54,41 @@
 		require.Equal(t, time.Second, decision.Waited)
 	})
 }
+
+// Some servers are silent when their health is checked. The check of a sound one waited for them.
+func TestHealthCheckWaitsForSilentServers(t *testing.T) {
+	runFixture(t, func(fixture *fixture) {
+		fixture.setServers("1", "2", "3", "4", "5", "6", "7", "8", "sound")
+
+		for _, server := range fixture.list {
+			grant, _ := fixture.place(fixture.others(server.ID)...)
+			grant.Observe(placer.Unreachable, 0)
+		}
+
+		began := time.Now()
+
+		fixture.placer.CheckSuspects(t.Context(), func(_ context.Context, server placer.Server) bool {
+			if server.ID != "sound" {
+				time.Sleep(300 * time.Millisecond)
+			}
+
+			return server.ID == "sound"
+		})
+
+		_, server := fixture.place()
+		require.Equal(t, "sound", server)
+		require.LessOrEqual(t, time.Since(began), 300*time.Millisecond)
+	})
+}
+
+func (fixture *fixture) others(id string) []string {
+	others := []string{}
+
+	for _, server := range fixture.list {
+		if server.ID != id {
+			others = append(others, server.ID)
+		}
+	}
+
+	return others
+}
