Close idle connections at the limit of the configuration in force

What callers saw: after the limit on idle connections was raised, a connection that was idle already was closed at the older limit. A request that its caller sent at that moment got no answer.

Cause: the timer of an idle connection was set once, with the limit that was in force when the connection became idle.

Change: when the timer fires, the limit in force is asked again, and the connection stays open for the rest. A lower limit closes no connection earlier, as before. The limit on heads follows the same rule.

Evidence: TestIdleConnectionsAreClosedAtAnOlderLimit, limit raised after 5 s from 10 s to 13 s with a request at 10.4 s, and from 10 s to 30 s with a request at 24 s. On both fail, as the connection is closed ("io: read/write on closed pipe"); the lowered limit held there too. Now all three pass, also with -race.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -203,6 +203,35 @@
 	})
 }
 
+// An idle connection was closed at the limit of the configuration in which it had become idle.
+func TestIdleConnectionsAreClosedAtAnOlderLimit(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after, pause time.Duration
+	}{
+		"raised by less than a third":     {10 * time.Second, 13 * time.Second, 10400 * time.Millisecond},
+		"raised to three times the limit": {10 * time.Second, 30 * time.Second, 24 * time.Second},
+		"lowered":                         {30 * time.Second, 10 * time.Second, 24 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := testLimits()
+			limits.IdleTimeout = test.before
+
+			withServer(t, limits, func(server *testServer) {
+				server.send(smallRequest, 0)
+				server.expectStatus(http.StatusOK)
+				time.Sleep(test.before / 2)
+
+				limits.IdleTimeout = test.after
+				server.applyLimits(limits)
+
+				server.send(smallRequest, test.pause-test.before/2)
+				server.expectStatus(http.StatusOK)
+				require.Equal(t, test.after, server.waitUntilClosed().Round(time.Millisecond))
+			})
+		})
+	}
+}
+
 // requestWithHead returns a request with a head of about the given size.
 func requestWithHead(bytes int) string {
 	return fmt.Sprintf("GET /x HTTP/1.1\r\nHost: a.example\r\nX-Long: %s\r\n\r\n", strings.Repeat("x", bytes))
--- a/limiter/watched_conn.go
+++ b/limiter/watched_conn.go
@@ -56,6 +56,8 @@
 	mutex   sync.Mutex
 	// phase does not change after it is expired.
 	phase phase
+	// phaseBegan is when the connection entered its phase.
+	phaseBegan time.Time
 	// timer runs in the phases idle and readingHead.
 	timer *time.Timer
 	// openedAt is when the connection was accepted; served is set once it had a request.
@@ -64,13 +66,14 @@
 }
 
 func newWatchedConn(conn net.Conn, limiter *Limiter) *watchedConn {
-	watched := &watchedConn{Conn: conn, limiter: limiter, openedAt: time.Now()}
+	now := time.Now()
+	watched := &watchedConn{Conn: conn, limiter: limiter, openedAt: now, phaseBegan: now}
 	limiter.addConn(watched)
 
 	watched.mutex.Lock()
 	defer watched.mutex.Unlock()
 
-	watched.timer = time.AfterFunc(limiter.effectiveLimits().IdleTimeout, watched.expire)
+	watched.timer = time.AfterFunc(watched.timeout(), watched.expire)
 
 	return watched
 }
@@ -149,21 +152,30 @@
 		return
 	}
 
-	watched.phase = next
+	watched.phase, watched.phaseBegan = next, time.Now()
 	watched.served = watched.served || next == serving
 
 	switch next {
-	case idle:
-		watched.timer.Reset(watched.limiter.effectiveLimits().IdleTimeout)
-	case readingHead:
-		watched.timer.Reset(watched.limiter.effectiveLimits().HeaderTimeout)
+	case idle, readingHead:
+		watched.timer.Reset(watched.timeout())
 	default:
 		watched.timer.Stop()
 	}
 }
 
-// expire closes the connection after its timeout. A caller whose head did not arrive
-// in time is answered with 408, which says that its request was not run.
+// timeout returns the timeout of the phase in the configuration in force.
+func (watched *watchedConn) timeout() time.Duration {
+	limits := watched.limiter.effectiveLimits()
+	if watched.phase == readingHead {
+		return limits.HeaderTimeout
+	}
+
+	return limits.IdleTimeout
+}
+
+// expire closes the connection after its timeout, which may have become longer since the timer was set.
+// A caller whose head did not arrive in time is answered with 408, which says that its request was not
+// run.
 func (watched *watchedConn) expire() {
 	watched.mutex.Lock()
 	previous := watched.phase
@@ -173,6 +185,13 @@
 		return
 	}
 
+	if rest := watched.timeout() - time.Since(watched.phaseBegan); rest > 0 {
+		watched.timer.Reset(rest)
+		watched.mutex.Unlock()
+
+		return
+	}
+
 	watched.phase = expired
 	watched.mutex.Unlock()
 
