--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -66,9 +65,6 @@
 		IdleTimeout:       maxTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 		ConnState:         onStateChange,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
-		},
 	}
 }
 
@@ -77,17 +73,9 @@
 	return &watchedListener{Listener: listener, limiter: limiter}
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// enforceLimits refuses requests whose head is too long, and aborts requests on
-// connections that have timed out, whose caller may have been answered with 408.
+// enforceLimits refuses requests whose head is too long.
 func (limiter *Limiter) enforceLimits(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if watched, found := request.Context().Value(connKey{}).(*watchedConn); found && watched.isExpired() {
-			panic(http.ErrAbortHandler)
-		}
-
 		limit := limiter.effectiveLimits().HeaderBytes
 		if size := headBytes(request); limit > 0 && size > limit {
 			limiter.longHeads.Inc(1)
