--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -390,3 +390,26 @@
 		require.True(t, placed)
 	})
 }
+
+// Work for which only a full server is left stood first in the queue. It kept other work waiting
+// while another server had a free place.
+func TestWorkForFewServersKeepsOthersWaiting(t *testing.T) {
+	waited := time.Duration(0)
+
+	runFixture(t, func(fixture *fixture) {
+		fixture.setServers("x", "y")
+
+		grants := map[string]*placer.Grant{}
+		for grant, id := fixture.place(); grant != nil; grant, id = fixture.place() {
+			grants[id] = grant
+		}
+
+		go fixture.placer.Place(fixture.t.Context(), placer.Work{Service: modelService, Spare: true, MaxWait: 10 * time.Second, Exclude: []string{"x"}})
+		synctest.Wait()
+		time.AfterFunc(100*time.Millisecond, grants["x"].Release)
+
+		waited = fixture.placer.Place(fixture.t.Context(), placer.Work{Service: modelService, MaxWait: 10 * time.Second}).Waited
+	})
+
+	require.Equal(t, 100*time.Millisecond, waited)
+}
