Tell the queue of a place that a leaving caller gave back

What was wrong: a caller who left at the moment at which its queued work got a place gave the place back without serving the queue. Other work waited until something else changed, or its wait ended. Change: the queue is served, as after each release.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -177,6 +177,8 @@
 		}
 
 		placer.releasePlace(grant)
+		// Others may wait for the place.
+		placer.reconcile()
 
 		return decision
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -413,3 +414,31 @@
 
 	require.Equal(t, 100*time.Millisecond, waited)
 }
+
+// Work gave a place back that it got at the moment at which its caller left. Other work in the queue
+// was not told of the place.
+func TestPlaceOfACallerWhoLeavesIsForgotten(t *testing.T) {
+	longest := time.Duration(0)
+
+	for range 50 {
+		runFixture(t, func(fixture *fixture) {
+			fixture.setServers("x")
+
+			grant, _ := fixture.place()
+			_, _ = fixture.place()
+			ctx, cancel := context.WithCancel(fixture.t.Context())
+
+			go fixture.placer.Place(ctx, placer.Work{Service: modelService, MaxWait: 10 * time.Second})
+			synctest.Wait()
+			time.AfterFunc(100*time.Millisecond, func() {
+				cancel()
+				grant.Release()
+			})
+
+			decision := fixture.placer.Place(fixture.t.Context(), placer.Work{Service: modelService, MaxWait: 10 * time.Second})
+			longest = max(longest, decision.Waited)
+		})
+	}
+
+	require.Equal(t, 100*time.Millisecond, longest)
+}
