Let a call wait anew when the wait beside a silent server was in vain

What was wrong: the attempt that is made beside a silent one waits for a place from then on, for 1 s. If the silent server broke off or rejected the call meanwhile, the call ended with the rest of that wait: a stream was cut ("No backend server can continue the answer.") although a stream that broke off waits 1 s for a place. If the silent server had rejected the call, it was refused with a Retry-After of 0, as such work takes no turn of the pacer. Change: when such an attempt gets no place and no other one runs, an ordinary one is made, which waits and is refused as any other. Evidence: TestWaitBesideASilentServerEndsACall was cut and TestRefusalAfterASilenceNamesNoTime got 0 s on; both pass now.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -176,11 +176,12 @@
 	}
 }
 
-// handleUnplaced ends a call without a place, unless another attempt of it runs.
+// handleUnplaced ends a call without a place, unless another attempt of it runs. An attempt that was
+// made beside a silent one has waited while that one was not over yet: the wait begins anew.
 func (delivery *delivery) handleUnplaced(ctx context.Context, current *attempt, decision placer.Decision) (Result, bool) {
 	delivery.end(current)
 
-	if len(delivery.running) == 0 {
+	if len(delivery.running) == 0 && !current.work.Spare {
 		return delivery.resultWithoutPlace(ctx, decision), true
 	}
 
