Ask a server again that was only not needed

What was wrong: when a silent server goes on before the attempt beside it brings an event, that attempt is ended, and its server was listed among those that are not tried again. If the first server broke off later, the call ended ("No backend server can continue the answer.") though the other server was sound and free and attempts were left: always at two servers, and sooner than before at a few. Change: a server whose attempt is ended by another one is not tried again only if it was silent itself. Each attempt still counts.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -264,22 +264,29 @@
 	delivery.running = slices.DeleteFunc(delivery.running, func(other *attempt) bool { return other == ended })
 }
 
-// closeOthers ends all attempts but one, or all if it is nil. Their servers may still end by them.
+// closeOthers ends all attempts but one, or all if it is nil.
 func (delivery *delivery) closeOthers(kept *attempt) {
 	for _, other := range slices.Clone(delivery.running) {
-		if other == kept {
-			continue
+		if other != kept {
+			delivery.abandon(other)
 		}
+	}
+}
 
-		other.stop()
+// abandon ends an attempt that is not needed. Its server may still end by it. It is not tried again if
+// it was silent.
+func (delivery *delivery) abandon(unneeded *attempt) {
+	unneeded.stop()
 
-		if !other.sentAt.IsZero() {
-			other.run.Abandon()
-			delivery.triedServers = append(delivery.triedServers, other.grant.Server.ID)
-		}
+	if !unneeded.sentAt.IsZero() {
+		unneeded.run.Abandon()
+	}
 
-		delivery.end(other)
+	if unneeded.silenceObserved {
+		delivery.triedServers = append(delivery.triedServers, unneeded.grant.Server.ID)
 	}
+
+	delivery.end(unneeded)
 }
 
 // handleFailure goes on after an attempt that got no answer.
--- a/forwarder/race_test.go
+++ b/forwarder/race_test.go
@@ -100,3 +100,17 @@
 	require.Positive(t, result.RetryAfter)
 	require.Zero(t, runs)
 }
+
+// A silent server goes on before the other one answers, and breaks off later. The other one, which
+// was only not needed, was not asked again.
+func TestServerThatWasNotNeededIsNotAskedAgain(t *testing.T) {
+	result, body, runs := callAtFleet(t, route(matcher.Stream, true, 3), func(fleet *fleet) {
+		fleet.servers[0].SetFaults(emulator.EventFaults{StallAfter: 5, StallFor: 200 * time.Millisecond, BreakAfter: 10})
+		fleet.servers[1].FirstEventDelay = 100 * time.Millisecond
+		time.AfterFunc(100*time.Millisecond, fleet.occupy("server-2"))
+	})
+
+	require.Equal(t, forwarder.Answered.String(), result.Outcome.String(), result.Reason)
+	require.Equal(t, eventStream(20), body)
+	require.Equal(t, 3, runs)
+}
