Take no server for silent before its time to answer is over

What was wrong: the attempt beside a silent one is ended after 300 ms, and its server was observed as silent, though a server has half of the route's latency target to answer. Two such observations in a row make a server suspect: it gets no new work until a health check passes. Change: it counts as silent only if its time to answer is over. Evidence: TestServerThatWasNotNeededIsTakenForSilent found server-2 suspect before, and none now. The package passed.

--- a/forwarder/race.go
+++ b/forwarder/race.go
@@ -130,7 +130,7 @@
 	delivery.race.overdueAt = time.Time{}
 
 	if delivery.overlaps() {
-		delivery.dropNewest()
+		delivery.dropNewest(now)
 
 		return
 	}
@@ -139,11 +139,15 @@
 }
 
 // dropNewest ends the attempt that was made last, as two servers must not work on a stream for long.
-func (delivery *delivery) dropNewest() {
+func (delivery *delivery) dropNewest(now time.Time) {
 	newest := delivery.running[len(delivery.running)-1]
 	newest.stop()
 	newest.run.Abandon()
-	newest.grant.Observe(placer.Silent, 0)
+
+	// The limit of the overlap may be shorter than the time in which a server has to answer.
+	if !now.Before(newest.silentAt) {
+		newest.grant.Observe(placer.Silent, 0)
+	}
 
 	delivery.logEntry(newest, "no event in time").Info("Attempt beside a silent one ended.")
 	delivery.triedServers = append(delivery.triedServers, newest.grant.Server.ID)
--- a/forwarder/race_test.go
+++ b/forwarder/race_test.go
@@ -114,3 +114,28 @@
 	require.Equal(t, eventStream(20), body)
 	require.Equal(t, 3, runs)
 }
+
+// A server has a second to answer and is asked beside silent ones, for less. It was taken for silent and
+// got no more work.
+func TestServerThatWasNotNeededIsTakenForSilent(t *testing.T) {
+	suspects := []placer.Server{}
+
+	withFleet(t, 3, func(fleet *fleet) {
+		fleet.servers[0].SetFaults(emulator.EventFaults{StallAfter: 5, StallFor: 600 * time.Millisecond})
+		fleet.servers[1].FirstEventDelay = 400 * time.Millisecond
+		time.AfterFunc(100*time.Millisecond, fleet.occupy("server-2"))
+
+		defer fleet.occupy("server-3")()
+
+		called := route(matcher.Stream, true, 2)
+		called.LatencyTarget = 2 * time.Second
+
+		for range 2 {
+			fleet.forward(context.Background(), called)
+		}
+
+		suspects = fleet.placer.SuspectServers()
+	})
+
+	require.Empty(t, suspects)
+}
