--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -176,11 +176,12 @@
 	}
 }
 
-// handleUnplaced ends a call without a place, unless another attempt of it runs.
+// handleUnplaced ends a call without a place, unless another attempt of it runs. An attempt that was
+// made beside a silent one has waited while that one was not over yet: the wait begins anew.
 func (delivery *delivery) handleUnplaced(ctx context.Context, current *attempt, decision placer.Decision) (Result, bool) {
 	delivery.end(current)
 
-	if len(delivery.running) == 0 {
+	if len(delivery.running) == 0 && !current.work.Spare {
 		return delivery.resultWithoutPlace(ctx, decision), true
 	}
 
@@ -270,22 +271,29 @@
 	delivery.running = slices.DeleteFunc(delivery.running, func(other *attempt) bool { return other == ended })
 }
 
-// closeOthers ends all attempts but one, or all if it is nil. Their servers may still end by them.
+// closeOthers ends all attempts but one, or all if it is nil.
 func (delivery *delivery) closeOthers(kept *attempt) {
 	for _, other := range slices.Clone(delivery.running) {
-		if other == kept {
-			continue
+		if other != kept {
+			delivery.abandon(other)
 		}
+	}
+}
 
-		other.stop()
+// abandon ends an attempt that is not needed. Its server may still end by it. It is not tried again if
+// it was silent.
+func (delivery *delivery) abandon(unneeded *attempt) {
+	unneeded.stop()
 
-		if !other.sentAt.IsZero() {
-			other.run.Abandon()
-			delivery.triedServers = append(delivery.triedServers, other.grant.Server.ID)
-		}
+	if !unneeded.sentAt.IsZero() {
+		unneeded.run.Abandon()
+	}
 
-		delivery.end(other)
+	if unneeded.silenceObserved {
+		delivery.triedServers = append(delivery.triedServers, unneeded.grant.Server.ID)
 	}
+
+	delivery.end(unneeded)
 }
 
 // handleFailure goes on after an attempt that got no answer.
