Wait for custodians that are silent for a while

What callers saw: while the store could not be reached and the custodians were silent for more than a second, a job got 504 though they held it and its caller had time left. While they were silent for more than 0.3 s, a read of such a job through a gateway whose own calls of the store succeed was answered as for a job that does not exist. Cause: a custodian that does not answer within 1 s, or 0.3 s for a query, counted as one that had failed. Change: both have 2 s. A query returns as soon as one custodian holds the job. Evidence: TestSilenceOfCustodiansLosesAJob, before: at 1 s deposited but then not found, at 1.5 s the outcome of the deposit was unknown; passes now at 0.3, 1 and 1.5 s. The answer to the read was not played beyond the query.

--- a/custodian/depositor.go
+++ b/custodian/depositor.go
@@ -22,11 +22,10 @@
 const (
 	// dialTimeout allows for many round trips between data centres.
 	dialTimeout = 200 * time.Millisecond
-	// depositTimeout allows for many disk syncs. A deposit does not wait longer for a
-	// stalled disk.
-	depositTimeout = time.Second
-	// queryTimeout bounds a query whether a job is held.
-	queryTimeout = 300 * time.Millisecond
+	// depositTimeout and queryTimeout allow for a sound custodian that is silent for a while, and for
+	// many disk syncs. They do not wait longer for a stalled disk.
+	depositTimeout = 2 * time.Second
+	queryTimeout   = 2 * time.Second
 	// maxIdlePerCustodian is the maximum number of idle connections to each custodian.
 	maxIdlePerCustodian = 2
 )
@@ -125,7 +124,8 @@
 	}
 }
 
-// HasJob implements batcher.Depositor. complete is false if a custodian did not answer.
+// HasJob implements batcher.Depositor. It returns as soon as one custodian holds the job. complete is
+// false if none does and one did not answer.
 func (depositor *Depositor) HasJob(ctx context.Context, id string) (found, complete bool) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -149,14 +149,14 @@
 	for range addresses {
 		switch <-statuses {
 		case http.StatusOK:
-			found = true
+			return true, complete
 		case http.StatusNotFound:
 		default:
 			complete = false
 		}
 	}
 
-	return found, complete
+	return false, complete
 }
 
 // send sends a job to one custodian. Its outcome is NotDone only if no connection was
