Give silent sidecars the time of Silence before the first frame

What callers saw (entries with sidecars): a request that may not be repeated was answered as possibly run ("replica vanished: frame timeout") although its sidecar was silent for less than the setting Silence, ran it and went on. Cause: before the first frame, a connection counts as broken after FirstFrame (500 ms), and the replica as lost after Reconnects (3) further ones, whatever Silence (3 s) says. Change: a replica that is only silent is asked for the rest of the answer until Silence has passed since the last frame. Refused connections count as before. Evidence: TestSilenceOfASidecarEndsItsAnswer.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -38,6 +38,8 @@
 	// brokenConnections counts the connections that broke since the last frame
 	// that showed progress.
 	brokenConnections int
+	// heardAt is when the request was sent, or when the last frame arrived.
+	heardAt time.Time
 }
 
 // send sends the request and reads its answer to the end.
@@ -59,6 +61,7 @@
 
 	attempt.recordEvent(recorder.KindRouted, attempt.call.ID, "Replica="+attempt.replica.Name, "Incarnation="+formatUint(attempt.incarnation))
 
+	attempt.heardAt = time.Now()
 	attemptResult, err := attempt.followAnswer(ctx, conn, attempt.execute)
 
 	for err != nil {
@@ -69,7 +72,7 @@
 		attempt.brokenConnections++
 		attempt.recordEvent(recorder.KindResumed, attempt.call.ID, "Replica="+attempt.replica.Name, "Cause="+err.Error())
 
-		if attempt.brokenConnections > attempt.Settings.Reconnects {
+		if attempt.isLost(err) {
 			attempt.incarnations.set(attempt.replica.Name, 0)
 
 			return attempt.lostResult("replica " + attempt.replica.Name + " vanished: " + err.Error())
@@ -82,6 +85,14 @@
 	return attemptResult
 }
 
+// isLost reports whether the replica has vanished, as far as a broken connection shows. One that is
+// only silent has the time of Silence.
+func (attempt *attempt) isLost(err error) bool {
+	isSilent := errors.Is(err, errors.Timeout) && time.Since(attempt.heardAt) < attempt.Settings.Silence
+
+	return attempt.brokenConnections > attempt.Settings.Reconnects && !isSilent
+}
+
 // connect returns a connection to the sidecar and determines the sidecar's
 // incarnation. A call that may not be repeated uses a new connection: if it
 // can't be opened, certainly nothing was sent.
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -41,7 +41,9 @@
 	// allExecutors holds the executors of all sidecars, including stopped ones.
 	allExecutors []*executor.Executor
 	stopSidecar  map[string]func()
-	goroutines   sync.WaitGroup
+	// listeners are those of the sidecars.
+	listeners  map[string]emulator.SilentListener
+	goroutines sync.WaitGroup
 	// backendContext ends the backend servers.
 	backendContext context.Context //nolint:containedctx // The fleet's lifetime.
 	stopBackends   func()
@@ -66,6 +68,7 @@
 		services:    map[string]*emulator.Service{},
 		executors:   map[string]*executor.Executor{},
 		stopSidecar: map[string]func(){},
+		listeners:   map[string]emulator.SilentListener{},
 	}
 	fleet.backendContext, fleet.stopBackends = context.WithCancel(context.Background())
 	t.Cleanup(fleet.close)
@@ -117,7 +120,8 @@
 	mux := drpcmux.New()
 	require.NoError(fleet.t, service.RegisterService(mux))
 
-	listener := dialer.NewWriteTimeoutListener(fleet.network.Listen(name))
+	fleet.listeners[name] = emulator.NewSilentListener(fleet.network.Listen(name))
+	listener := dialer.NewWriteTimeoutListener(fleet.listeners[name])
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: dialer.ManagerOptions()})
 	fleet.goroutines.Go(func() { _ = server.Serve(ctx, listener) })
 }
--- a/dispatcher/silence_test.go
+++ b/dispatcher/silence_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +62,42 @@
 	}
 }
 
+// A sound sidecar is silent for less than the setting Silence and goes on. A request that had no frame
+// yet counted as lost.
+func TestSilenceOfASidecarEndsItsAnswer(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 1500 * time.Millisecond, 2900 * time.Millisecond} {
+		for name, silentAt := range map[string]int{"before the request": -1, "during the answer": 20, "before the last event": tokenCount - 1} {
+			t.Run(fmt.Sprint(name, ", ", silence), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newFleet(t, nil)
+					fleet.addReplica("replica-1", modelService)
+					fleet.addReplica("replica-2", modelService)
+
+					require.Equal(t, classifier.Answered, fleet.dispatcher.Do(t.Context(), fleet.newCall(modelService, true), &sink{}).Fate)
+					synctest.Wait()
+
+					fall := func() {
+						for _, listener := range fleet.listeners {
+							listener.Silence(silence)
+						}
+					}
+
+					if silentAt < 0 {
+						fall()
+					}
+
+					call, received := fleet.newCall(modelService, false), &sink{beforeEvent: map[int]func(){silentAt: fall}}
+					outcome := fleet.dispatcher.Do(t.Context(), call, received)
+
+					require.Equal(t, classifier.Answered, outcome.Fate, outcome.Reason)
+					require.Equal(t, completeAnswer(), received.text.String())
+					require.Equal(t, 1, fleet.countStarts(call))
+				})
+			})
+		}
+	}
+}
+
 func TestSlowCallerDoesNotBreakConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(t, nil)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -94,6 +94,8 @@
 		}
 
 		watchdog.Stop()
+
+		attempt.heardAt = time.Now()
 		attempt.Recorder.Clock.Observe(recorder.Stamp(frame.GetClock()))
 		attempt.applyLoad(attempt.replica, frame.GetLoad())
 		attempt.Quarantiner.DecodeFindings(attempt.replica.Name, frame.GetFindings())
