Keep the run of an item at a silent server until another one brings an event

A sound server that fell silent for longer than a second between two events lost the run of its item: the run was closed for the silence alone, its place was given up, the server was avoided and the placer told. Before the first event the limit was two seconds. Nothing asked whether another server could go on.

Beside another server that answers 500, an item was given up though its silent server would have gone on.

Now an attempt is played by an execution, with a goroutine for each run, of the same shape as forwarder's calls. A silent run goes on. After 2 s without an event (silenceLimit) the item is also sent to another server that has a free batch place, and the silent run ends only when that one has brought the next event. Two servers work on an item for at most 300 ms; then the later run ends. Either run makes way for online work at once. An item that is suspected to end its servers is not sent to two. A run without an event for 5 s (deadSilence) ends, as its connection may be lost; the item may then go on at the same server. Failures (500) beside a silent run count as before.

FirstByteDeadline of exchanger and forwarder has no use any more and is removed. Its test keeps the other half: the first byte is awaited until HeadDeadline. That the deadline of the first byte ends an exchange goes with the feature.

--- a/batcher/dispatch.go
+++ b/batcher/dispatch.go
@@ -145,6 +145,31 @@
 	return work
 }
 
+// placeBeside gets a place for an item beside a silent run of it, if there is one now.
+func (batcher *Batcher) placeBeside(active *activeJob, pending *task, exclude []string) (*placer.Grant, *destination) {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	// The configuration may have changed since the silent run was sent.
+	target := routeFor(batcher.Configuration.Document(), active, pending)
+	if target == nil || batcher.leaving {
+		return nil, nil
+	}
+
+	grant, placed := batcher.Placer.PlaceBatch(placer.Work{
+		RequestID: pending.item.ID, Service: target.service, Due: active.job.Due,
+		Exclude:   slices.Concat(pending.avoidServers, exclude),
+		Continues: pending.lastEvent >= 0, Software: pending.software,
+	})
+	if !placed {
+		pending.avoidServers = nil
+
+		return nil, nil
+	}
+
+	return grant, target
+}
+
 // uncommittedBytes is the size of all results that are not committed yet. The mutex
 // must be held.
 func (batcher *Batcher) uncommittedBytes() int {
--- a/batcher/software.go
+++ b/batcher/software.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/exchanger"
-	"limpetrail/placer"
 )
 
 const (
@@ -51,30 +50,25 @@
 	return true
 }
 
-// attestStart records the software version of the server that an item begins at. It is unknown
-// unless the server is certainly the start that is listed; the item begins anew then if it has to go
-// on elsewhere. It returns false if an item must not go on at this server.
-func (batcher *Batcher) attestStart(ctx context.Context, active *activeJob, pending *task, grant *placer.Grant, answer *exchanger.Answer) bool {
-	err, software := error(nil), grant.Server.Software
-	if software != "" {
-		err = batcher.Attester.Confirm(ctx, grant.Server, answer.ConnectedAt)
+// attestStart returns the software version of the server that answers a run. It is unknown unless the
+// server is certainly the start that is listed; an item that begins there begins anew if it has to go on
+// elsewhere. It returns true as well if an item must not go on at this server.
+func (batcher *Batcher) attestStart(ctx context.Context, active *activeJob, run *itemRun) (string, bool) {
+	software := run.grant.Server.Software
+	if software == "" {
+		return "", false
 	}
 
-	continues := pending.eventCount > 0
-
-	if err != nil {
-		batcher.Log.WithFields(logrus.Fields{
-			"JobID": active.job.ID, "RequestID": pending.item.ID, "BackendServer": grant.Server.ID, "Software": software, "Continues": continues, "Reason": err.Error(),
-		}).Info("The software version of the server that answers is not certain.")
-
-		software = ""
+	err := batcher.Attester.Confirm(ctx, run.grant.Server, run.answer.ConnectedAt)
+	if err == nil {
+		return software, false
 	}
 
-	if continues {
-		return !errors.Is(err, exchanger.ErrRestarted)
-	}
+	continues := run.after >= 0
 
-	pending.begins(software)
+	batcher.Log.WithFields(logrus.Fields{
+		"JobID": active.job.ID, "RequestID": run.execution.pending.item.ID, "BackendServer": run.grant.Server.ID, "Software": software, "Continues": continues, "Reason": err.Error(),
+	}).Info("The software version of the server that answers is not certain.")
 
-	return true
+	return "", continues && errors.Is(err, exchanger.ErrRestarted)
 }
--- a/emulator/event_backend.go
+++ b/emulator/event_backend.go
@@ -41,7 +41,7 @@
 
 	answer, err := backend.Exchanger.Exchange(ctx, server.Address,
 		exchanger.Request{Method: http.MethodPost, Target: call.Target, Host: call.Host, Header: header, Body: call.Body},
-		exchanger.ExchangeOptions{FirstByteDeadline: attempt.FirstByteDeadline, HeadDeadline: call.Deadline, Withdrawn: attempt.Withdrawn, Repeatable: attempt.Repeatable})
+		exchanger.ExchangeOptions{HeadDeadline: call.Deadline, Withdrawn: attempt.Withdrawn, Repeatable: attempt.Repeatable})
 	if err != nil {
 		return forwarder.Reply{}, errors.Trace(err)
 	}
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -62,10 +62,6 @@
 		go answer.writeLongRequest(head, request.Body)
 	}
 
-	if err := answer.awaitFirstByte(options); err != nil {
-		return errors.Trace(err)
-	}
-
 	response, err := answer.readHead(request.Method, options.HeadDeadline)
 	if err != nil {
 		return errors.Trace(err)
@@ -108,17 +104,6 @@
 	answer.conn.part = newPartTimer(answer.exchanger.Limits.PartTime, time.Now())
 }
 
-// awaitFirstByte waits for the first byte of the answer until FirstByteDeadline, if there is one.
-func (answer *Answer) awaitFirstByte(options ExchangeOptions) error {
-	if !options.FirstByteDeadline.IsZero() && options.FirstByteDeadline.Before(options.HeadDeadline) {
-		if err := answer.AwaitData(options.FirstByteDeadline); err != nil {
-			return errors.Annotate(err, "awaiting an answer")
-		}
-	}
-
-	return nil
-}
-
 // overduePeekTime is how long a wait still looks for received bytes after its deadline.
 const overduePeekTime = time.Millisecond
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -78,9 +78,6 @@
 
 // ExchangeOptions are the options of an exchange.
 type ExchangeOptions struct {
-	// FirstByteDeadline is when the first byte of the answer must have arrived; zero to wait until
-	// HeadDeadline.
-	FirstByteDeadline time.Time
 	// HeadDeadline is when the head of the answer must have arrived.
 	HeadDeadline time.Time
 	// Withdrawn is called once there is a connection. If it returns true nothing is
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -14,8 +14,6 @@
 type Attempt struct {
 	// Remaining is the time that the server has for the call.
 	Remaining time.Duration
-	// FirstByteDeadline is when the first byte of the answer must have arrived; zero for none.
-	FirstByteDeadline time.Time
 	// Withdrawn is called before anything is sent, and returns whether the server has
 	// begun to leave while a connection was made; then nothing is sent. It may be nil.
 	Withdrawn func() bool
