Do not take over the jobs of a gateway that pauses for 1.5 s

A gateway whose load reports paused for 1.5 s lost its jobs to a peer, though it went on: the peer counted it as silent after four missed reports, 1.68 s with three peers, and the last report before a pause may be 0.42 s old. The items ran again from their last saved output, at both gateways until the first one saw the new head. No result was lost, as only the owner in the head commits.

A gateway now counts as silent when four reports are missed and when it has been silent for 1.6 s (maxPause) beyond a report's interval: after 2.02 s with three peers, 2.1 s with 35. One that was killed loses its jobs that much later.

--- a/gossiper/received_report.go
+++ b/gossiper/received_report.go
@@ -9,6 +9,8 @@
 	// missedUntilSilent is the number of reports missing in a row after which an entry
 	// counts as silent; single datagrams are lost now and then.
 	missedUntilSilent = 4
+	// maxPause is how long an entry may pause and go on; its jobs go on with it.
+	maxPause = 1600 * time.Millisecond
 	// minFreshShare is the share of peers that must be exceeded by those still reporting
 	// before one counts as silent. Otherwise this entry is probably disconnected itself.
 	minFreshShare = 0.5
@@ -69,7 +71,9 @@
 // silenceTimeout is how long after its last report an entry counts as silent.
 // It is longer with many entries, which report less often. The caller holds the mutex.
 func (gossiper *Gossiper) silenceTimeout() time.Duration {
-	return missedUntilSilent * (maxReportInterval + gossiper.reportIntervalLocked())
+	interval := maxReportInterval + gossiper.reportIntervalLocked()
+
+	return max(missedUntilSilent*interval, interval+maxPause)
 }
 
 // mostPeersFresh tells whether more than half of the peers have reported recently.
