Count the silence of an item's server once

Each run beside a silent one told the placer anew that the server of the silent one was silent, so that one item made its server suspect (two in a row do), and all work stayed away until its next health check passed. The placer is now told once for each silence.

A run beside a silent one also began with the progress of its item, so that online work preempted other items before it, although nothing is lost with it. It has no progress until it brings an event.

TestOneSilentRunMakesItsServerSuspect failed on the code before: the server was suspect during a silence of 4.5 s with one item. It passes now.

--- a/batcher/execution.go
+++ b/batcher/execution.go
@@ -49,7 +49,10 @@
 	}
 	execution.running = append(execution.running, added)
 
-	grant.SetProgress(execution.pending.eventCount)
+	// A run beside a silent one has no progress yet that its preemption would lose.
+	if len(execution.running) == 1 {
+		grant.SetProgress(execution.pending.eventCount)
+	}
 
 	go added.play(ctx)
 }
@@ -212,7 +215,7 @@
 	}
 
 	leader.eventCount += added
-	leader.eventAt = time.Now()
+	leader.eventAt, leader.silenceObserved = time.Now(), false
 	leader.grant.SetProgress(pending.eventCount)
 	leader.record.Begin()
 	execution.batcher.clearSuspicion(pending)
--- a/batcher/item_run.go
+++ b/batcher/item_run.go
@@ -43,6 +43,15 @@
 	// item was sent.
 	eventAt    time.Time
 	eventCount int
+	// silenceObserved is set once the placer knows of the present silence.
+	silenceObserved bool
+}
+
+func (run *itemRun) observeSilence() {
+	if !run.silenceObserved {
+		run.silenceObserved = true
+		run.grant.Observe(placer.Silent, 0)
+	}
 }
 
 // runStep is how far a run has come.
--- a/batcher/silence.go
+++ b/batcher/silence.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"limpetrail/kernel"
-	"limpetrail/placer"
 )
 
 const (
@@ -83,7 +82,7 @@
 
 	silent.stop()
 	silent.record.Abandon()
-	silent.grant.Observe(placer.Silent, 0)
+	silent.observeSilence()
 	execution.end(silent, interrupted, "The backend server is silent.")
 }
 
@@ -110,7 +109,7 @@
 		return
 	}
 
-	silent.grant.Observe(placer.Silent, 0)
+	silent.observeSilence()
 	batcher.Log.WithFields(logrus.Fields{
 		"JobID": execution.active.job.ID, "RequestID": pending.item.ID, "BackendServer": silent.grant.Server.ID, "After": pending.lastEvent, "Other": grant.Server.ID,
 	}).Info("Backend server is silent; another one is sent the item.")
--- a/batcher/silence_test.go
+++ b/batcher/silence_test.go
@@ -94,7 +94,7 @@
 func (fleet *fleet) preferFirst() {
 	list := []placer.Server{}
 	for index, server := range fleet.servers {
-		list = append(list, placer.Server{ID: server.ID, Address: server.ID, Service: serviceName, Places: server.Places - 4*index})
+		list = append(list, placer.Server{ID: server.ID, Address: server.ID, Service: serviceName, Places: server.Places - 2*index})
 	}
 
 	fleet.gateways[0].placer.UpdateServers(list)
@@ -258,3 +258,28 @@
 	require.Empty(t, output, "no output is listed")
 	require.Equal(t, 3, runs)
 }
+
+// One silent run, beside which others are made, counted as several and made its server suspect.
+func TestOneSilentRunMakesItsServerSuspect(t *testing.T) {
+	output, suspect := "", false
+
+	newFleet(t, 1, 4, func(fleet *fleet) {
+		fleet.setServerFaults(emulator.EventFaults{NeverAnswer: true})
+		fleet.preferFirst()
+		fleet.servers[0].SetFaults(emulator.EventFaults{StallAfter: 5, StallFor: 4500 * time.Millisecond})
+		fleet.submit(0, 1)
+
+		for range 600 {
+			time.Sleep(10 * time.Millisecond)
+
+			for _, status := range fleet.gateways[0].placer.Status() {
+				suspect = suspect || status.ID == "server-1" && status.Suspect
+			}
+		}
+
+		output, _ = fleet.completeOne()
+	})
+
+	require.Equal(t, expectedOutput(), output)
+	require.False(t, suspect)
+}
