Soak sound servers that fall silent beside changes of the configuration

Callers saw streams cut midway, 502 with time left, and idle connections closed under their next request. No soak had sound servers that fall silent for a second and go on, few free places, or connections that callers keep idle for as long as they may while the limit rises.

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -50,6 +50,9 @@
 	// incarnations counts the starts of each backend server.
 	incarnations [serverCount]atomic.Int64
 
+	// startedServers counts the servers that StartServer started.
+	startedServers atomic.Int64
+
 	gatewaySeeds []string
 }
 
@@ -95,6 +98,14 @@
 	return deployment
 }
 
+// StartServer starts a backend server of a service, with so many places, that is ready from then on.
+func (deployment *Deployment) StartServer(service string, places int) *emulator.EventServer {
+	server := emulator.NewEventServer(fmt.Sprintf("i-%s-%d", service, deployment.startedServers.Add(1)), emulator.PlatformEventHeaders())
+	deployment.Store.Catalog.Put(emulator.PlatformServiceEntry(service, server.ID, deployment.startHTTPServer(server), places))
+
+	return server
+}
+
 // MarkServerReady writes the entry of a backend server to the store, in the state
 // ready.
 func (deployment *Deployment) MarkServerReady(index int) {
--- a/emulator/event_server.go
+++ b/emulator/event_server.go
@@ -48,6 +48,8 @@
 	StallFor time.Duration
 	// SilentBeforeHead is how long the server is silent, with its place, before each answer.
 	SilentBeforeHead time.Duration
+	// Silences draws silences before the events, and before plain bodies; nil for none.
+	Silences *Silences
 	// TrickleInterval is the interval at which a stalled stream sends one byte of an event
 	// that never ends; 0 for none.
 	TrickleInterval time.Duration
@@ -90,6 +92,7 @@
 	runCounts map[string]int
 	// resumedAfter holds the event after which each run of a request started, by ID.
 	resumedAfter map[string][]int
+	runs         []ServerRun
 	maxInFlight  int
 	deadlyParts  []string
 	deadlyBody   string
@@ -237,7 +240,8 @@
 		after = lastEventID
 	}
 
-	faults := server.recordRun(id, after)
+	run, faults := server.recordRun(id, after)
+	defer server.updateRun(run, func(record *ServerRun) { record.End = time.Now() })
 
 	if faults.NeverAnswer {
 		<-request.Context().Done()
@@ -266,7 +270,7 @@
 	}
 
 	if server.EventCount == 0 {
-		pauseFor(request, server.slowedDuration(faults, server.FirstEventDelay))
+		pauseFor(request, server.slowedDuration(faults, server.FirstEventDelay)+faults.Silences.draw())
 
 		if faults.EndProcess {
 			fmt.Fprint(writer, "answer")
@@ -275,14 +279,15 @@
 		}
 
 		fmt.Fprintf(writer, "answer to %s", id) //nolint:gosec // No browser renders this body.
+		server.updateRun(run, func(record *ServerRun) { record.Whole = request.Context().Err() == nil })
 
 		return
 	}
 
-	server.writeEvents(writer, request, faults, after)
+	server.writeEvents(writer, request, faults, after, run)
 }
 
-func (server *EventServer) writeEvents(writer http.ResponseWriter, request *http.Request, faults EventFaults, after int) {
+func (server *EventServer) writeEvents(writer http.ResponseWriter, request *http.Request, faults EventFaults, after, run int) {
 	software, _ := server.start()
 
 	writer.Header().Set("Content-Type", "text/event-stream")
@@ -300,6 +305,14 @@
 			panic(http.ErrAbortHandler)
 		}
 
+		if !pauseFor(request, faults.Silences.draw()) {
+			panic(http.ErrAbortHandler)
+		}
+
+		if sent == 0 {
+			server.updateRun(run, func(record *ServerRun) { record.FirstEvent = time.Now() })
+		}
+
 		if faults.SkipEvent == 0 || number != faults.SkipEvent {
 			fmt.Fprintf(writer, "id: %d\ndata: %s%s\n\n", number, SoftwareText(number, software), faults.Padding)
 		}
@@ -312,6 +325,8 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+
+	server.updateRun(run, func(record *ServerRun) { record.Whole = true })
 }
 
 // stall stops sending. It returns true if the server goes on, and false once the caller has closed the
@@ -393,14 +408,16 @@
 	<-server.usedPlaces
 }
 
-func (server *EventServer) recordRun(id string, after int) EventFaults {
+// recordRun records the start of a run and returns its number and the faults.
+func (server *EventServer) recordRun(id string, after int) (int, EventFaults) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 
 	server.runCounts[id]++
 	server.resumedAfter[id] = append(server.resumedAfter[id], after)
+	server.runs = append(server.runs, ServerRun{RequestID: id, ServerID: server.ID, After: after, Begin: time.Now()})
 
-	return server.faults
+	return len(server.runs) - 1, server.faults
 }
 
 // pauseFor waits for the duration. It returns false if the caller leaves first.
--- a/emulator/platform_protocol.go
+++ b/emulator/platform_protocol.go
@@ -61,6 +61,12 @@
 		`{"service":"model","address":%q,"zone":"a"%s,"slots":8,"state":%q,"born":%d}`, address, version, state, incarnation)
 }
 
+// PlatformServiceEntry returns the key and the entry of a backend server of any service.
+func PlatformServiceEntry(service, id, address string, places int) (string, []byte) {
+	return platformServerPrefix + id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"a","slots":%d,"state":%q,"born":1}`, service, address, places, PlatformReady)
+}
+
 // PlatformJob returns the body of a job whose items have these IDs and use the route of
 // the prefix. Their prompts have the parts, separated by commas, before one of their own.
 func PlatformJob(prefix string, ids []string, parts string) ([]byte, error) {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -63,6 +63,10 @@
 	random *rand.Rand
 }
 
+func newLockedRandom(seed uint64) *lockedRandom {
+	return &lockedRandom{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
 func (random *lockedRandom) intN(limit int) int {
 	random.mutex.Lock()
 	defer random.mutex.Unlock()
@@ -79,7 +83,7 @@
 func NewSoak(deployment *deployer.Deployment, seed uint64) *Soak {
 	soak := &Soak{
 		Deployment: deployment, Seed: seed, PlannedOnly: seed%4 == 0,
-		random:  &lockedRandom{random: rand.New(rand.NewPCG(seed, seed))},
+		random:  newLockedRandom(seed),
 		history: NewHistory(),
 	}
 	soak.version.Store(3)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -30,11 +30,16 @@
 	firstCompoundSeed = 600
 	// firstEndlessSeed has answers of the store that do not end.
 	firstEndlessSeed = 700
+	// firstSilentSeed has sound servers that fall silent and go on.
+	firstSilentSeed = 800
 )
 
 // faultDuration is how long each run injects faults.
 const faultDuration = 12 * time.Second
 
+// silentDuration is how long a run with silent servers lasts.
+const silentDuration = 25 * time.Second
+
 // failedSeeds has the cause of each seed that ever failed. The times of faults differ
 // between runs of a seed, so each cause has a test of its own as well.
 var failedSeeds = map[uint64]string{
@@ -48,7 +53,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -99,7 +104,24 @@
 
 // No process may end, or need more memory than its machine has, when the store answers without end.
 func TestEndlessAnswersOfTheStoreUnderInjectedFaults(t *testing.T) {
-	play(t, func(seed uint64) bool { return seed >= firstEndlessSeed })
+	play(t, func(seed uint64) bool { return seed >= firstEndlessSeed && seed < firstSilentSeed })
+}
+
+// No answer of a sound server that is silent for a second and goes on may be cut, refused after it ran
+// or left out, beside changes of the configuration and with few free places.
+func TestSilentServersBesideChanges(t *testing.T) {
+	for _, seed := range seeds(t) {
+		if seed < firstSilentSeed {
+			continue
+		}
+
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+
+			play := soaker.NewSilentPlay(deployer.NewDeployment(t), seed)
+			require.Empty(t, play.Run(t.Context(), silentDuration))
+		})
+	}
 }
 
 // play runs the selected seeds.
