Revert "Let batch runs go on while the owner of their server is silent for a while"

Batch runs on the servers of a gateway that is cut off went on for a second longer and took places of online work. Batch gives way to online work; an interrupted item goes on elsewhere after its last event, so that what a gateway's silence of more than a second costs here is a pause of its items, and no whole run.

--- a/placer/lists.go
+++ b/placer/lists.go
@@ -66,11 +66,6 @@
 	defer placer.mutex.Unlock()
 
 	placer.listedPeers = entries
-	maps.DeleteFunc(placer.expiredReports, func(peer string, _ time.Time) bool {
-		_, listed := entries[peer]
-
-		return !listed
-	})
 	placer.assignOwners()
 	placer.reconcile()
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,8 +31,6 @@
 	limits map[serverStart]*limit
 	// reports holds the latest reports of other entries by name, until they expire.
 	reports map[string]report
-	// expiredReports holds when the latest report of a listed entry arrived that has expired since.
-	expiredReports map[string]time.Time
 	// listedPeers holds the data centres of the other entries that the platform lists, by
 	// name. reportMissing is set while there is no fresh report of some of them.
 	listedPeers   map[string]string
@@ -59,7 +57,6 @@
 		departures:           map[Departure]time.Time{},
 		limits:               map[serverStart]*limit{},
 		reports:              map[string]report{},
-		expiredReports:       map[string]time.Time{},
 		loadChanged:          make(chan struct{}),
 		batchCapacityChanged: make(chan struct{}),
 	}
--- a/placer/reconcile.go
+++ b/placer/reconcile.go
@@ -2,29 +2,21 @@
 
 import "time"
 
-// ownerSilenceLimit is how long after its last report a batch owner counts as cut off. A sound entry
-// may be silent for a while: until then, the batch work that runs on its servers goes on.
-const ownerSilenceLimit = 2 * time.Second
-
 // reconcile updates all decisions after a change: it drops expired reports, preempts batch
-// work on overfull servers and on those whose batch owner is cut off, and grants free
+// work on overfull servers and on those whose batch owner doesn't report, and grants free
 // places to queued work. The mutex is held.
 func (placer *Placer) reconcile() {
 	placer.expireReports()
 
-	now := time.Now()
-
 	for _, service := range placer.services {
 		for _, server := range service.servers {
-			ownerCutOff := server.ownerSilent && now.Sub(server.ownerReportedAt) > ownerSilenceLimit
-
-			for (server.free() < 0 || ownerCutOff) && placer.preempt(server) {
+			for (server.free() < 0 || server.ownerSilent) && placer.preempt(server) {
 				continue
 			}
 		}
 
 		placer.serveQueue(service)
-		placer.wakeQueue(service, now)
+		placer.wakeQueue(service, time.Now())
 	}
 
 	placer.signalLoadChange()
@@ -71,7 +63,6 @@
 
 		placer.subtractLoads(report)
 		delete(placer.reports, peer)
-		placer.expiredReports[peer] = report.receivedAt
 		placer.Log.WithField("Peer", peer).Info("Load reports from another entry stopped.")
 
 		expired = true
@@ -154,7 +145,6 @@
 func (placer *Placer) assignOwner(server *serverState, owners map[string]string) {
 	owner := ownerOf(server, owners)
 	server.owned, server.ownerSilent = owner == placer.Instance, !placer.hasReport(owner)
-	server.ownerReportedAt = placer.expiredReports[owner]
 	placer.shareLimit(server, owners)
 }
 
--- a/placer/server.go
+++ b/placer/server.go
@@ -42,8 +42,6 @@
 	// ownerSilent is set while the owner is another entry without a fresh report.
 	owned       bool
 	ownerSilent bool
-	// ownerReportedAt is when the last report of a silent owner arrived; zero if none did.
-	ownerReportedAt time.Time
 	// grants are the batch runs of this entry, which can be preempted.
 	grants map[*Grant]bool
 	// preemptedAt is when this entry last preempted batch work on the server.
