Wait for the second answer in the test of unsolicited bytes

The test slept 70 ms for an answer that its server sends after 30 ms. The test now waits until the server has written the answer, so that its verdict hangs on no time.

--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -158,21 +158,66 @@
 	return memory.HeapInuse
 }
 
+// writeListener accepts connections and reports the second write on each.
+type writeListener struct {
+	net.Listener
+
+	secondWrites chan struct{}
+}
+
+// Accept implements net.Listener.
+func (listener writeListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+
+	return &writeConn{Conn: conn, listener: listener}, err
+}
+
+// writeConn is a connection of a writeListener.
+type writeConn struct {
+	net.Conn
+
+	listener writeListener
+	writes   int
+}
+
+// Write implements net.Conn.
+func (conn *writeConn) Write(part []byte) (int, error) {
+	count, err := conn.Conn.Write(part)
+
+	conn.writes++
+	if conn.writes == 2 {
+		conn.listener.secondWrites <- struct{}{}
+	}
+
+	return count, err
+}
+
 // Unsolicited bytes on an idle connection, such as a late second answer, must not reach a
 // later caller; the connection is closed.
 func TestUnsolicitedBytesOnAnIdleConnection(t *testing.T) {
-	address := serveEndless(t, emulator.EndlessServer{Head: completeAnswer, Repeated: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", Pause: 30 * time.Millisecond})
+	const exchanges = 10
+
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+
+	written := writeListener{listener, make(chan struct{}, exchanges)}
+	server := emulator.EndlessServer{Head: completeAnswer, Repeated: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", Pause: 30 * time.Millisecond}
+
+	go server.Serve(written)
+
 	httpExchanger := exchanger.NewExchanger(kernel.NewDiscardCommon("entry"))
 
-	for range 10 {
-		answer, err := httpExchanger.Exchange(t.Context(), address, request(), defaultOptions())
+	for range exchanges {
+		answer, err := httpExchanger.Exchange(t.Context(), listener.Addr().String(), request(), exchanger.ExchangeOptions{HeadDeadline: time.Now().Add(time.Minute), Repeatable: true})
 		require.NoError(t, err)
 
 		body, err := io.ReadAll(answer)
 		require.NoError(t, err)
 		require.Equal(t, "hello", string(body))
 		answer.Close()
-		time.Sleep(70 * time.Millisecond)
+		// The second answer has arrived while the connection was idle, or behind the first one.
+		<-written.secondWrites
 		httpExchanger.CloseStale()
 	}
 }
