Send no item that has failed for good beside its silent run

An item whose run beside a silent one was answered 422 was sent to further servers while the silent one went on, each second, although that answer ends it. The same held for one that had used the attempts of its route.

No run is made beside a silent one any more after a 422 or after the last attempt. The silent run still goes on, and completes the item if it can.

Seen with one silent server and three that answer 422: three runs there before, one now. The case of 422 in TestFailuresBesideASilentRunAreNotCounted failed before; the case of 500 (three runs, as the route allows) passed.

--- a/batcher/silence.go
+++ b/batcher/silence.go
@@ -28,6 +28,12 @@
 	overdueTime = 5 * time.Millisecond
 )
 
+// mayRunBeside reports whether the item may be sent to another server: it is not suspected to end servers,
+// and has not failed for good.
+func (execution *execution) mayRunBeside(silent *itemRun) bool {
+	return !execution.pending.trial && execution.outcome != impossible && execution.pending.failures < silent.target.route.AttemptLimit
+}
+
 // nextDecision returns when a silent run is decided on next.
 func (execution *execution) nextDecision() time.Time {
 	if len(execution.running) > 1 {
@@ -35,8 +41,7 @@
 	}
 
 	silent := execution.running[0]
-	if execution.pending.trial {
-		// An item that may end its servers is not sent to two.
+	if !execution.mayRunBeside(silent) {
 		return silent.eventAt.Add(deadSilence)
 	}
 
--- a/batcher/silence_test.go
+++ b/batcher/silence_test.go
@@ -242,21 +242,25 @@
 
 // An item that fails at each run was sent again and again beside a silent run.
 func TestFailuresBesideASilentRunAreNotCounted(t *testing.T) {
-	runs, output := 0, ""
+	for status, expected := range map[int]int{http.StatusInternalServerError: 3, http.StatusUnprocessableEntity: 1} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			failures, output := 0, ""
 
-	newFleet(t, 1, 2, func(fleet *fleet) {
-		fleet.preferFirst()
-		fleet.servers[0].SetFaults(emulator.EventFaults{NeverAnswer: true})
-		fleet.servers[1].SetFaults(emulator.EventFaults{FailStatus: http.StatusInternalServerError})
+			newFleet(t, 1, 4, func(fleet *fleet) {
+				fleet.preferFirst()
+				fleet.setServerFaults(emulator.EventFaults{FailStatus: status})
+				fleet.servers[0].SetFaults(emulator.EventFaults{NeverAnswer: true})
 
-		output, _ = fleet.completeOne()
-		time.Sleep(time.Minute)
+				output, _ = fleet.completeOne()
+				time.Sleep(time.Minute)
 
-		runs = fleet.servers[1].RunCount(itemID(0))
-	})
+				failures = fleet.startedCount(itemID(0)) - fleet.servers[0].RunCount(itemID(0))
+			})
 
-	require.Empty(t, output, "no output is listed")
-	require.Equal(t, 3, runs)
+			require.Empty(t, output, "no output is listed")
+			require.Equal(t, expected, failures)
+		})
+	}
 }
 
 // One silent run, beside which others are made, counted as several and made its server suspect.
