Let a gateway be silent for 1.5 s before its jobs are taken over

What callers saw: a gateway that was silent for 1.5 s and went on could lose its jobs: another one took them over, and the items that still ran were ended. Cause: an entry counts as silent once 4 reports are missing (1.68 s with few entries). A silence of 1.5 s that begins just before the next report is longer. Change: 5 reports must be missing (2.1 s). Evidence: the case "it is silent for a while between two reports" of TestSilentProcesses failed before and passes. The take-over itself was not played.

--- a/gossiper/received_report.go
+++ b/gossiper/received_report.go
@@ -7,8 +7,9 @@
 
 const (
 	// missedUntilSilent is the number of reports missing in a row after which an entry
-	// counts as silent; single datagrams are lost now and then.
-	missedUntilSilent = 4
+	// counts as silent; single datagrams are lost now and then, and a sound entry may send none for a
+	// second or so.
+	missedUntilSilent = 5
 	// minFreshShare is the share of peers that must be exceeded by those still reporting
 	// before one counts as silent. Otherwise this entry is probably disconnected itself.
 	minFreshShare = 0.5
--- a/gossiper/received_report_test.go
+++ b/gossiper/received_report_test.go
@@ -43,6 +43,12 @@
 	}{
 		"all report":       {func(fixture *fixture) { fixture.report("a", 1) }, false},
 		"reports are lost": {func(fixture *fixture) { time.Sleep(3 * (maxReportInterval + fixture.reportInterval())) }, false},
+		// Its jobs were taken over.
+		"it is silent for a while between two reports": {func(fixture *fixture) {
+			time.Sleep(maxReportInterval + fixture.reportInterval() + 1500*time.Millisecond)
+			fixture.report("b", 1)
+			fixture.report("c", 1)
+		}, false},
 		"it stopped reporting": {func(fixture *fixture) {
 			time.Sleep(fixture.silenceTimeout())
 			fixture.report("b", 1)
