Give places that become free to calls behind one that was tried there

What callers saw: a call that was to run elsewhere than at its silent server, and waited for a place, kept the calls behind it in the queue from the places that became free at that server. They were refused although places were free.

Cause: the queue is served in order until a call finds no place. Only continued streams were passed over, as only some servers can take them; a call that excludes servers is such a call too.

Change: calls that exclude servers are passed over as well. They keep their turn for other places.

Evidence: TestRetriesKeepOtherCallsWaiting failed before ("Refused" in place of "x") and passes. The other tests of the package pass.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -390,3 +390,40 @@
 		require.True(t, placed)
 	})
 }
+
+// A call that a server had been tried for kept all calls behind it from the places that became free
+// there.
+func TestRetriesKeepOtherCallsWaiting(t *testing.T) {
+	runFixture(t, func(fixture *fixture) {
+		fixture.setServers("x", "y")
+
+		grants := map[string]*placer.Grant{}
+
+		for range 4 {
+			grant, server := fixture.place()
+			grants[server] = grant
+		}
+
+		served := make(chan string, 2)
+
+		for _, tried := range [][]string{{"x"}, nil} {
+			go func() {
+				decision := fixture.placer.Place(fixture.t.Context(), placer.Work{Service: modelService, Exclude: tried, MaxWait: time.Second})
+				if decision.Verdict != placer.Placed {
+					served <- decision.Verdict.String()
+
+					return
+				}
+
+				served <- decision.Grant.Server.ID
+			}()
+
+			synctest.Wait()
+		}
+
+		grants["x"].Release()
+		require.Equal(t, "x", <-served)
+		grants["y"].Release()
+		require.Equal(t, "y", <-served)
+	})
+}
--- a/placer/reconcile.go
+++ b/placer/reconcile.go
@@ -35,7 +35,7 @@
 		case grant != nil:
 			service.queue.remove(queued)
 			queued.granted <- grant
-		case queued.work.Continues:
+		case queued.work.Continues || len(queued.work.Exclude) > 0:
 			position++
 		default:
 			return
