Keep idle connections open while a longer limit may be on its way

What callers saw: a caller that knew of a longer limit on idle connections before this process did used its connection, and found it closed at the older limit.

Cause: a configuration reaches callers and processes at different times, up to two seconds apart, and a connection was closed at the very limit that this process knew.

Change: an idle connection is closed two seconds (configurationLag) after its limit. The limit tells callers how long they may rely on a connection; nothing promises that it is closed at that moment. A connection uses its descriptor for two seconds more.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -20,6 +20,8 @@
 	// defaultIdleTimeout closes idle connections if the configuration sets no
 	// timeout; it is longer than common clients keep idle connections.
 	defaultIdleTimeout = 2 * time.Minute
+	// configurationLag is how long after its callers this process may learn of a longer idle timeout.
+	configurationLag = 2 * time.Second
 	// maxTimeout and maxHeadBytes are the limits of the http.Server itself. They
 	// must exceed those of any configuration, since they cannot change while the
 	// server runs.
--- a/limiter/watched_conn.go
+++ b/limiter/watched_conn.go
@@ -197,14 +197,15 @@
 	}
 }
 
-// timeout returns the timeout of the phase in the configuration in force.
+// timeout returns the timeout of the phase in the configuration in force. An idle connection stays open
+// for a little longer, as its caller may use it by a configuration that has not arrived here.
 func (watched *watchedConn) timeout() time.Duration {
 	limits := watched.limiter.effectiveLimits()
 	if watched.phase == readingHead {
 		return limits.HeaderTimeout
 	}
 
-	return limits.IdleTimeout
+	return limits.IdleTimeout + configurationLag
 }
 
 // expire lets the reader close the connection after its timeout, which may have become longer since
