Soak the loss of a holder's disk beside a loss of all other power

Machines that do not count may lose power at the moment at which disks are lost. The wide faults cut all power, but disks outlived it, and no fault came right after a promise.

All jobs and results must be there afterwards. Processes are killed, so what they wrote without a sync outlives the fault here; that is not tested.

--- a/soaker/history.go
+++ b/soaker/history.go
@@ -24,6 +24,8 @@
 	// jobResults holds the results of each job by position, as last read.
 	jobResults map[string]map[int]deployer.Result
 	violations []string
+	// moments tells of the last moment that nobody has taken yet.
+	moments chan moment
 	// deadlyGateways holds the gateway to which each request with the deadly part was sent.
 	deadlyGateways map[string]int
 	complete       int
@@ -37,7 +39,7 @@
 func NewHistory() *History {
 	return &History{
 		sent: map[string]bool{}, unanswered: map[string]string{}, acceptedItems: map[string]int{}, jobResults: map[string]map[int]deployer.Result{},
-		deadlyGateways: map[string]int{},
+		deadlyGateways: map[string]int{}, moments: make(chan moment, 1),
 	}
 }
 
@@ -111,6 +113,7 @@
 	defer history.mutex.Unlock()
 
 	history.acceptedItems[job] = items
+	history.tellMoment(jobAccepted)
 }
 
 // RecordResults records results of a job from a position on. It records a violation
@@ -133,6 +136,10 @@
 
 		recorded[position] = result
 	}
+
+	if len(results) > 0 {
+		history.tellMoment(resultRead)
+	}
 }
 
 // ResultCount returns how many results of a job were read.
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -172,6 +172,11 @@
 
 	soak.injectFaults(ctx, length)
 	soak.clearFaults()
+
+	if soak.hasDiskLoss() {
+		soak.loseDisks(ctx)
+	}
+
 	time.Sleep(recoveryPause)
 	stopLoad()
 	workers.Wait()
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -32,6 +32,8 @@
 	firstEndlessSeed = 700
 	// firstSilentSeed has sound servers that fall silent and go on.
 	firstSilentSeed = 800
+	// firstDiskLossSeed has holders that lose their disks when all else loses power.
+	firstDiskLossSeed = 900
 )
 
 // faultDuration is how long each run injects faults.
@@ -53,7 +55,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800, 901}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -111,7 +113,7 @@
 // or left out, beside changes of the configuration and with few free places.
 func TestSilentServersBesideChanges(t *testing.T) {
 	for _, seed := range seeds(t) {
-		if seed < firstSilentSeed {
+		if seed < firstSilentSeed || seed >= firstDiskLossSeed {
 			continue
 		}
 
@@ -124,6 +126,12 @@
 	}
 }
 
+// No accepted job and no result that was read may be lost when a holder loses its disk at the moment at which
+// all gateways, servers and other holders lose power.
+func TestDiskLossBesideAPowerLoss(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed >= firstDiskLossSeed })
+}
+
 // play runs the selected seeds.
 func play(t *testing.T, selected func(seed uint64) bool) {
 	t.Helper()
