Wait for steps that have happened after a late timer, too

What was wrong: a decision that is due waits 5 ms for steps that have happened already, counted from the time that the timer's channel gives. That is the time for which the timer was set (sendTime in package time subtracts how late it is). A process that was suspended, or got no processor time, for more than 5 ms did not wait at all: it could end an attempt whose event had arrived. Change: the time is read when the timer is handled. Evidence: read in the source of package time; no test: timers under synctest are never late.

--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -98,8 +98,8 @@
 	select {
 	case reported := <-delivery.reports:
 		return delivery.handleReport(ctx, reported)
-	case now := <-delivery.race.wake(delivery.nextDecision()):
-		delivery.handleSilence(ctx, now)
+	case <-delivery.race.wake(delivery.nextDecision()):
+		delivery.handleSilence(ctx)
 
 		return Result{}, false
 	case <-ctx.Done():
--- a/forwarder/race.go
+++ b/forwarder/race.go
@@ -107,10 +107,11 @@
 
 // handleSilence ends an attempt that was made beside a silent one and has not proved itself in time, or
 // makes one. The silent one goes on: it is ended only by another one that brings the answer.
-func (delivery *delivery) handleSilence(ctx context.Context, now time.Time) {
+func (delivery *delivery) handleSilence(ctx context.Context) {
 	delivery.race.firesAt = time.Time{}
 
-	due := delivery.nextDecision()
+	// The timer's own time is the one for which it was set, however late it is.
+	due, now := delivery.nextDecision(), time.Now()
 	if due.IsZero() || now.Before(due) {
 		delivery.race.overdueAt = time.Time{}
 
