Keep the last attempt at a stream when its earlier server stays silent

What was wrong: the attempt beside a silent one ended after 300 ms without an event, always, and counted. When no further one could be made (AttemptLimit 2, or after the second such end at 3), a stream whose server never goes on waited for it until its time ended, though another server would have answered after 0.4 s. Change: the later attempt ends as before while a further one can be made, or if the earlier server has sent the head of its answer meanwhile. Otherwise the earlier one ends: the later one has a place, was sent and was not refused for 300 ms. Two servers still work on a stream for 300 ms at most.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -196,6 +196,11 @@
 	attempt.report(ctx, report{step: partRead, part: body, err: err})
 }
 
+// isSilent reports whether the server should have sent something by now.
+func (attempt *attempt) isSilent(now time.Time) bool {
+	return !attempt.silentAt.IsZero() && !now.Before(attempt.silentAt)
+}
+
 // stop ends the goroutine, and the exchange if it has not ended.
 func (attempt *attempt) stop() {
 	attempt.cancel()
--- a/forwarder/race.go
+++ b/forwarder/race.go
@@ -105,8 +105,8 @@
 	return due
 }
 
-// handleSilence ends an attempt that was made beside a silent one and has not proved itself in time, or
-// makes one. The silent one goes on: it is ended only by another one that brings the answer.
+// handleSilence makes an attempt beside a silent one, which goes on, or ends one of two if neither has
+// brought the answer in time.
 func (delivery *delivery) handleSilence(ctx context.Context) {
 	delivery.race.firesAt = time.Time{}
 
@@ -131,7 +131,7 @@
 	delivery.race.overdueAt = time.Time{}
 
 	if delivery.overlaps() {
-		delivery.dropNewest(now)
+		delivery.endOverlap(now)
 
 		return
 	}
@@ -139,20 +139,26 @@
 	delivery.startBeside(ctx)
 }
 
-// dropNewest ends the attempt that was made last, as two servers must not work on a stream for long.
-func (delivery *delivery) dropNewest(now time.Time) {
-	newest := delivery.running[len(delivery.running)-1]
-	newest.stop()
-	newest.run.Abandon()
+// endOverlap ends one of two attempts, as two servers must not work on a stream for long: the later one
+// while a further one can be made, or if the earlier one is not silent any more. The last one that can
+// be made stays, as nothing could take the place of a server that never goes on.
+func (delivery *delivery) endOverlap(now time.Time) {
+	unneeded := delivery.running[len(delivery.running)-1]
+	if oldest := delivery.running[0]; !delivery.mayTryAgain() && oldest.isSilent(now) {
+		unneeded = oldest
+	}
+
+	unneeded.stop()
+	unneeded.run.Abandon()
 
 	// The limit of the overlap may be shorter than the time in which a server has to answer.
-	if !now.Before(newest.silentAt) {
-		newest.grant.Observe(placer.Silent, 0)
+	if unneeded.isSilent(now) {
+		delivery.observeSilence(unneeded)
 	}
 
-	delivery.logEntry(newest, "no event in time").Info("Attempt beside a silent one ended.")
-	delivery.triedServers = append(delivery.triedServers, newest.grant.Server.ID)
-	delivery.end(newest)
+	delivery.logEntry(unneeded, "no event in time").WithField("First", unneeded == delivery.running[0]).Info("One of two attempts ended.")
+	delivery.triedServers = append(delivery.triedServers, unneeded.grant.Server.ID)
+	delivery.end(unneeded)
 	delivery.race.delay()
 }
 
--- a/forwarder/race_test.go
+++ b/forwarder/race_test.go
@@ -139,3 +139,20 @@
 
 	require.Empty(t, suspects)
 }
+
+// A server never goes on, and the other one is slow to begin. The call waited for the dead one until
+// its time ended.
+func TestServerThatNeverGoesOnKeepsItsStream(t *testing.T) {
+	for name, faults := range map[string]emulator.EventFaults{"before the head": {NeverAnswer: true}, "in the stream": {StallAfter: 5}} {
+		t.Run(name, func(t *testing.T) {
+			result, body, _ := callAtFleet(t, route(matcher.Stream, true, 2), func(fleet *fleet) {
+				fleet.servers[0].SetFaults(faults)
+				fleet.servers[1].FirstEventDelay = 400 * time.Millisecond
+				time.AfterFunc(100*time.Millisecond, fleet.occupy("server-2"))
+			})
+
+			require.Equal(t, forwarder.Answered.String(), result.Outcome.String(), result.Reason)
+			require.Equal(t, eventStream(20), body)
+		})
+	}
+}
