Keep the last attempt at a stream when no further server is left

What was wrong: of two attempts at a stream the later one ended after 300 ms while the route allowed a further one, also if no further server could take it. With two servers and three attempts, a stream whose server never goes on waited for it until its time ended. Change: the earlier, silent one ends then, as when no attempt is left. Evidence: two cases of TestServerThatNeverGoesOnKeepsItsStream (three attempts) failed before and pass; the package passed.

--- a/forwarder/race.go
+++ b/forwarder/race.go
@@ -142,11 +142,13 @@
 }
 
 // endOverlap ends one of two attempts, as two servers must not work on a stream for long: the later one
-// while a further one can be made, or if the earlier one is not silent any more. The last one that can
-// be made stays, as nothing could take the place of a server that never goes on.
+// while a further one can be made elsewhere, or if the earlier one is not silent any more. The last one
+// that can be made stays, as nothing could take the place of a server that never goes on.
 func (delivery *delivery) endOverlap(now time.Time) {
 	unneeded := delivery.running[len(delivery.running)-1]
-	if oldest := delivery.running[0]; !delivery.mayTryAgain() && oldest.isSilent(now) {
+	mayTryFurther := delivery.mayTryAgain() && delivery.forwarder.Placer.HasCandidate(delivery.workBeside())
+
+	if oldest := delivery.running[0]; !mayTryFurther && oldest.isSilent(now) {
 		unneeded = oldest
 	}
 
@@ -170,12 +172,7 @@
 // retry budget, which is charged, is not spent. In an overload many attempts are silent, and repeating
 // them all would add to it.
 func (delivery *delivery) startBeside(ctx context.Context) {
-	work := delivery.placementRequest()
-	work.Spare, work.MaxWait = true, min(resumeQueueLimit, time.Until(delivery.call.Deadline))
-
-	for _, running := range delivery.running {
-		work.Exclude = append(work.Exclude, running.grant.Server.ID)
-	}
+	work := delivery.workBeside()
 
 	if !delivery.forwarder.Placer.HasCandidate(work) || !delivery.chargeRetry() {
 		delivery.race.delay()
@@ -190,6 +187,18 @@
 	delivery.start(ctx, work)
 }
 
+// workBeside describes a further attempt beside those that run.
+func (delivery *delivery) workBeside() placer.Work {
+	work := delivery.placementRequest()
+	work.Spare, work.MaxWait = true, min(resumeQueueLimit, time.Until(delivery.call.Deadline))
+
+	for _, running := range delivery.running {
+		work.Exclude = append(work.Exclude, running.grant.Server.ID)
+	}
+
+	return work
+}
+
 // chargeRetry returns false if the retry budget is spent.
 func (delivery *delivery) chargeRetry() bool {
 	delivery.race.charged = delivery.race.charged || delivery.forwarder.budgets.GetOrCreate(delivery.call.Service).AllowRetry()
--- a/forwarder/race_test.go
+++ b/forwarder/race_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -144,15 +145,18 @@
 // its time ended.
 func TestServerThatNeverGoesOnKeepsItsStream(t *testing.T) {
 	for name, faults := range map[string]emulator.EventFaults{"before the head": {NeverAnswer: true}, "in the stream": {StallAfter: 5}} {
-		t.Run(name, func(t *testing.T) {
-			result, body, _ := callAtFleet(t, route(matcher.Stream, true, 2), func(fleet *fleet) {
-				fleet.servers[0].SetFaults(faults)
-				fleet.servers[1].FirstEventDelay = 400 * time.Millisecond
-				time.AfterFunc(100*time.Millisecond, fleet.occupy("server-2"))
+		// With three attempts there is no third server.
+		for _, attempts := range []int{2, 3} {
+			t.Run(fmt.Sprint(name, ", ", attempts), func(t *testing.T) {
+				result, body, _ := callAtFleet(t, route(matcher.Stream, true, attempts), func(fleet *fleet) {
+					fleet.servers[0].SetFaults(faults)
+					fleet.servers[1].FirstEventDelay = 400 * time.Millisecond
+					time.AfterFunc(100*time.Millisecond, fleet.occupy("server-2"))
+				})
+
+				require.Equal(t, forwarder.Answered.String(), result.Outcome.String(), result.Reason)
+				require.Equal(t, eventStream(20), body)
 			})
-
-			require.Equal(t, forwarder.Answered.String(), result.Outcome.String(), result.Reason)
-			require.Equal(t, eventStream(20), body)
-		})
+		}
 	}
 }
