Wait for the start of a server that is silent after the head of a stream

What callers saw: a stream whose server was silent right after the head of its answer and ended later was cut ("No backend server can continue the answer."), and could not be taken up for 30 s, though other servers had its version. Cause: the question for the server's start had 60 ms, and an answer that came later was not used, so that the version of the stream counted as unknown. Change: while no part of the stream has arrived either, the question goes on, for up to 2 s. If events arrive, the stream waits as short as before. Meanwhile the server counts as silent, and another one may bring the stream. Evidence: TestSilenceAfterTheHeadKeepsAStreamFromGoingOn failed before at 0.3, 1 and 1.5 s and passes.

--- a/attester/attester.go
+++ b/attester/attester.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// askTimeout bounds one question to a server.
-	askTimeout = 300 * time.Millisecond
+	// askTimeout bounds one question to a server. A sound one may be silent for that long.
+	askTimeout = 2 * time.Second
 	// maxServers bounds the servers whose answers are remembered.
 	maxServers = 4096
 )
--- a/emulator/event_backend.go
+++ b/emulator/event_backend.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -78,8 +77,10 @@
 
 // ReportStart implements forwarder.Backend.
 func (backend *EventBackend) ReportStart(ctx context.Context, server placer.Server) (int64, error) {
+	deadline, _ := ctx.Deadline()
+
 	answer, err := backend.Exchanger.Exchange(ctx, server.Address,
-		exchanger.Request{Method: http.MethodGet, Target: reportPath, Host: server.Address, Header: http.Header{}}, exchanger.ExchangeOptions{HeadDeadline: time.Now().Add(time.Second)})
+		exchanger.Request{Method: http.MethodGet, Target: reportPath, Host: server.Address, Header: http.Header{}}, exchanger.ExchangeOptions{HeadDeadline: deadline})
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -24,8 +24,8 @@
 	soleSoftwareTimeouts = 2
 	// readListTimeout bounds how long a stream of unknown origin waits for the list of servers.
 	readListTimeout = 300 * time.Millisecond
-	// attestTimeout bounds how long a stream waits for its server's start. Servers answer within a
-	// few milliseconds.
+	// attestTimeout bounds how long a stream waits for its server's start, unless the server is silent
+	// as a whole. Servers answer within a few milliseconds.
 	attestTimeout = 60 * time.Millisecond
 	// defaultStreamTime applies to routes without a timeout.
 	defaultStreamTime = 30 * time.Second
@@ -143,10 +143,7 @@
 		return nil
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
-	defer cancel()
-
-	err := delivery.forwarder.Attester.Confirm(ctx, server, attempt.answer.ConnectedAt)
+	err := attempt.confirmStart(ctx)
 	if err == nil {
 		return nil
 	}
@@ -167,6 +164,31 @@
 	return nil
 }
 
+// confirmStart asks the server for its start. While no part of the stream has arrived either, waiting for
+// the answer costs nothing.
+func (attempt *attempt) confirmStart(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	confirmed := make(chan error, 1)
+
+	go func() {
+		confirmed <- attempt.delivery.forwarder.Attester.Confirm(ctx, attempt.grant.Server, attempt.answer.ConnectedAt)
+	}()
+
+	for isSilent := true; isSilent; {
+		select {
+		case err := <-confirmed:
+			return err
+		case <-time.After(attestTimeout):
+		}
+
+		isSilent = attempt.answer.AwaitData(time.Now()) != nil
+	}
+
+	return errors.Timeoutf("answer to the question for the server's start")
+}
+
 // recordOrigin records where the stream began, before its first event is passed on.
 func (delivery *delivery) recordOrigin(software string) {
 	delivery.origin = resumer.Origin{Service: delivery.call.Service, Software: software}
--- a/forwarder/silent_fleet_test.go
+++ b/forwarder/silent_fleet_test.go
@@ -107,3 +107,49 @@
 		}
 	}
 }
+
+// A sound server is silent after the head of a stream, also when it is asked for its start, and ends
+// later. The stream was cut, and could not be taken up, for its version counted as unknown.
+func TestSilenceAfterTheHeadKeepsAStreamFromGoingOn(t *testing.T) {
+	for _, silence := range []time.Duration{0, 300 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			result := forwarder.Result{}
+
+			withFleet(t, 2, func(fleet *fleet) {
+				first, headers := emulator.NewEventServer("first", emulator.DefaultEventHeaders()), emulator.DefaultEventHeaders()
+				first.Crash = func() { fleet.network.Crash("first", serverDowntime) }
+				first.SetFaults(emulator.EventFaults{BreakAfter: 15, EndProcess: true})
+
+				listener, goesOnAt := fleet.network.Listen("first"), time.Now().Add(silence)
+				httpServer := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+					if request.Method == http.MethodPost {
+						writer.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
+						writer.Header().Set(headers.Stamp, "first")
+						writer.Header().Set("Content-Type", "text/event-stream")
+						_ = http.NewResponseController(writer).Flush()
+					}
+
+					time.Sleep(time.Until(goesOnAt))
+					first.ServeHTTP(writer, request)
+				})}
+
+				go func() { _ = httpServer.Serve(listener) }()
+
+				defer httpServer.Close()
+
+				list := fleet.listed("v1", "v1")
+				began := list[0]
+				began.ID, began.Address = "first", "first"
+				first.SetStart("v1", 0)
+
+				// The other servers are listed once the stream has begun.
+				entry := fleet.newEntry(newHolders().newResumer(), []placer.Server{began})
+				time.AfterFunc(silence+150*time.Millisecond, func() { entry.placer.UpdateServers(append(list, began)) })
+
+				result = entry.Forward(context.Background(), fleet.newCall(streamRoute(), "", -1), &recordedAnswer{})
+			})
+
+			require.Equal(t, forwarder.Answered.String(), result.Outcome.String(), result.Reason)
+		})
+	}
+}
