Give the place of a cancelled call to the queue

What callers saw: a call that was cancelled in the moment in which it got a place kept that place from the calls behind it until the next change of the load; they were refused although the place was free. Since silent attempts go on, attempts that wait for a place are cancelled more often.

Cause: the place was released without serving the queue again.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -177,6 +177,7 @@
 		}
 
 		placer.releasePlace(grant)
+		placer.reconcile()
 
 		return decision
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -427,3 +428,38 @@
 		require.Equal(t, "y", <-served)
 	})
 }
+
+// A call that was cancelled in the moment in which it got a place kept the place from the calls behind
+// it.
+func TestPlacesOfCancelledCallsStayUnused(t *testing.T) {
+	runFixture(t, func(fixture *fixture) {
+		fixture.setServers("x")
+
+		work := placer.Work{Service: modelService, MaxWait: time.Second}
+
+		for range 20 {
+			first, _ := fixture.place()
+			second, _ := fixture.place()
+			cancelled, cancel := context.WithCancel(fixture.t.Context())
+			served := make(chan placer.Decision, 1)
+
+			go func() {
+				if decision := fixture.placer.Place(cancelled, work); decision.Grant != nil {
+					decision.Grant.Release()
+				}
+			}()
+			synctest.Wait()
+
+			go func() { served <- fixture.placer.Place(fixture.t.Context(), work) }()
+			synctest.Wait()
+
+			cancel()
+			first.Release()
+
+			decision := <-served
+			require.Equal(t, placer.Placed.String(), decision.Verdict.String())
+			decision.Grant.Release()
+			second.Release()
+		}
+	})
+}
