Check the health of the stand-in's servers by connecting to them

Cause, traced: the fleet of the test passed the health checks of servers that had crashed, so that a sound item was placed at servers that refuse connections, and its pauses grew beyond the 5 s of the test. Change: a check passes only where a connection can be made, as a gateway's does. No assertion is changed.

--- a/batcher/fleet_test.go
+++ b/batcher/fleet_test.go
@@ -188,12 +188,18 @@
 	}
 
 	fleet.goroutines.Go(func() { memberRegistrar.Run(serving) })
-	// Health checks pass: the servers are reachable, whatever they answer.
+	// Health checks pass where a server can be reached, whatever it answers.
 	fleet.goroutines.Go(func() {
 		for serving.Err() == nil {
 			time.Sleep(400 * time.Millisecond)
 
 			for _, suspect := range places.SuspectServers() {
+				conn, err := fleet.network.DialContext(serving, "tcp", suspect.Address)
+				if err != nil {
+					continue
+				}
+
+				conn.Close()
 				places.RecordPassedCheck(suspect)
 			}
 		}
