--- a/custodian/silence_test.go
+++ b/custodian/silence_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,8 @@
 
 // silentCustodians hold what they are sent, and answer nothing before a time.
 type silentCustodians struct {
-	until time.Time
+	// until is that time in Unix nanoseconds.
+	until atomic.Int64
 	held  sync.Map
 }
 
@@ -31,7 +33,7 @@
 	}
 
 	select {
-	case <-time.After(time.Until(custodians.until)):
+	case <-time.After(time.Until(time.Unix(0, custodians.until.Load()))):
 	case <-request.Context().Done():
 		return nil, errors.Trace(request.Context().Err())
 	}
@@ -50,7 +52,9 @@
 	for _, silence := range []time.Duration{300 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
 		t.Run(fmt.Sprint(silence), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				custodians := &silentCustodians{until: time.Now().Add(silence)}
+				custodians := &silentCustodians{}
+				custodians.until.Store(time.Now().Add(silence).UnixNano())
+
 				depositor := custodian.NewDepositor(kernel.NewDiscardCommon("entry"), 2)
 				depositor.Client = &http.Client{Transport: custodians}
 				depositor.SetCustodians(map[string]string{"a": "a", "b": "b", "c": "c"})
@@ -60,7 +64,7 @@
 
 				require.Equal(t, bookkeeper.OK, depositor.Deposit(ctx, newJob("x")))
 
-				custodians.until = time.Now().Add(silence)
+				custodians.until.Store(time.Now().Add(silence).UnixNano())
 				found, _ := depositor.HasJob(t.Context(), "x")
 				require.True(t, found)
 			})
