Bound the idleness of a closed connection by the times at the servers

The soak with silent servers took the idleness of a closed connection from its caller's clock alone.

A caller now compares its idleness with the limit after it has the limit, and the check uses the longest idleness that is possible: from the end of the run before, at its server, to the end of the write. A request that ran and got no answer is a violation in any case, as is a refusal (408, 421, 429, 503) of one that ran and is not idempotent, and a 503 without Retry-After; these two were not checked.

--- a/soaker/kept_caller.go
+++ b/soaker/kept_caller.go
@@ -27,6 +27,9 @@
 	reader *bufio.Reader
 	// idleSince is when the last answer ended.
 	idleSince time.Time
+	// lastID is the ID of the last request, which began at lastBegan.
+	lastID    string
+	lastBegan time.Time
 }
 
 // keptAnswer is the outcome of a request on a kept connection.
@@ -37,6 +40,11 @@
 	Elapsed time.Duration
 	// Idle is how long the connection was idle before the request; 0 for a new connection.
 	Idle time.Duration
+	// Sent is when the request was written, and BeforeID and BeforeBegan are those of the request before it
+	// on the connection.
+	Sent        time.Time
+	BeforeID    string
+	BeforeBegan time.Time
 }
 
 // idleFor returns how long the connection has been idle; 0 if there is none.
@@ -69,10 +77,11 @@
 
 		caller.conn, caller.reader = conn, bufio.NewReader(conn)
 	} else {
-		answer.Idle = caller.idleFor()
+		answer.Idle, answer.BeforeID, answer.BeforeBegan = caller.idleFor(), caller.lastID, caller.lastBegan
 	}
 
 	began := time.Now()
+	caller.lastID, caller.lastBegan = id, began
 	keep := caller.exchange(ctx, target, id, &answer)
 	answer.Elapsed = time.Since(began)
 	caller.idleSince = time.Now()
@@ -100,7 +109,10 @@
 
 	_ = caller.conn.SetDeadline(time.Now().Add(caller.budget + 2*time.Second))
 
-	if answer.Err = request.Write(caller.conn); answer.Err != nil {
+	answer.Err = request.Write(caller.conn)
+	answer.Sent = time.Now()
+
+	if answer.Err != nil {
 		return false
 	}
 
--- a/soaker/silent_check.go
+++ b/soaker/silent_check.go
@@ -92,6 +92,40 @@
 	return entries
 }
 
+// closedConn is a request whose connection was closed without an answer, and how long callers might leave a
+// connection idle then.
+type closedConn struct {
+	id     string
+	answer keptAnswer
+	usable time.Duration
+}
+
+// checkClosed checks that no connection was closed that had been idle for no longer than callers may leave it,
+// or whose request ran. Its caller may stand still between the end of an answer and its clock, or between
+// its clock and a write; the times at the servers and after the write bound that.
+func (play *SilentPlay) checkClosed(runs map[string][]emulator.ServerRun) {
+	for _, closed := range play.closed {
+		ended := closed.answer.BeforeBegan
+
+		for _, run := range runs[closed.answer.BeforeID] {
+			if run.Whole {
+				ended = run.End
+			}
+		}
+
+		idle := closed.answer.Sent.Sub(ended)
+		play.T.Logf("%s: idle for %s by the caller's clock, for %s at most, of %s", closed.id, closed.answer.Idle, idle, closed.usable)
+
+		if idle > closed.usable && len(runs[closed.id]) == 0 {
+			play.count("connections closed that were idle for too long")
+
+			continue
+		}
+
+		play.violate("idle connections closed", "LOST: %s met the close of its connection after at most %s of idleness, of %s: %v", closed.id, idle, closed.usable, closed.answer.Err)
+	}
+}
+
 // checkRuns checks the runs of streams and of requests that may run once.
 func (play *SilentPlay) checkRuns() {
 	runs := map[string][]emulator.ServerRun{}
@@ -105,11 +139,21 @@
 	// Health checks have no ID.
 	delete(runs, "")
 
+	play.checkClosed(runs)
+
+	for _, id := range play.history.refused {
+		if len(runs[id]) > 0 && !isIdempotent(id) {
+			play.violate("refused after a run", "REFUSED: %s ran although its answer said that it has not", id)
+		}
+	}
+
 	for id, all := range runs {
 		slices.SortFunc(all, func(a, b emulator.ServerRun) int { return a.Begin.Compare(b.Begin) })
 
 		if id[0] == 'w' {
-			play.checkWhole(id, all)
+			if len(all) > 1 && !isIdempotent(id) {
+				play.violate("TWICE", "TWICE: %s ran %d times", id, len(all))
+			}
 
 			continue
 		}
@@ -120,15 +164,12 @@
 	}
 }
 
-// checkWhole checks that a request to /act/ ran once at most.
-func (play *SilentPlay) checkWhole(id string, runs []emulator.ServerRun) {
+// isIdempotent reports whether a request of a caller was sent to /plain/: a whole one of an odd caller.
+func isIdempotent(id string) bool {
 	number := 0
-	// Even callers send to /act/.
-	_, _ = fmt.Sscanf(id, "w-%d-", &number)
+	count, _ := fmt.Sscanf(id, "w-%d-", &number)
 
-	if number%2 == 0 && len(runs) > 1 {
-		play.violate("TWICE", "TWICE: %s ran %d times", id, len(runs))
-	}
+	return count == 1 && number%2 == 1
 }
 
 // checkMove checks that a run ended soon after the stream went on elsewhere.
--- a/soaker/silent_play.go
+++ b/soaker/silent_play.go
@@ -81,6 +81,7 @@
 	version int
 	limits  []idleLimit
 	counts  map[string]int
+	closed  []closedConn
 }
 
 type idleLimit struct {
@@ -222,7 +223,20 @@
 	case answer.Status == http.StatusBadGateway && answer.Elapsed < soundTime:
 		play.violate("streams 502", "LOST: %s got 502 after %s: %s", id, answer.Elapsed, answer.Body)
 	default:
-		play.count("streams " + strconv.Itoa(answer.Status))
+		play.recordRefusal("streams", id, answer)
+	}
+}
+
+// recordRefusal records an answer that says that a request has not run.
+func (play *SilentPlay) recordRefusal(kind, id string, answer keptAnswer) {
+	play.count(fmt.Sprintf("%s %d", kind, answer.Status))
+
+	if answer.Status == http.StatusServiceUnavailable && answer.Header.Get("Retry-After") == "" {
+		play.violate("no Retry-After", "REFUSED: %s got 503 without Retry-After", id)
+	}
+
+	if meansNotRun(answer.Status) {
+		play.history.RecordAnswer(id, answer.Answer)
 	}
 }
 
@@ -242,7 +256,7 @@
 	case answer.Status != 0:
 		return false
 	case answer.closedUnanswered() && answer.Idle > 0:
-		play.violate("idle connections closed", "LOST: %s met the close of its connection after %s of idleness and %s: %v", id, answer.Idle, answer.Elapsed, answer.Err)
+		play.recordClosed(id, answer)
 	default:
 		play.violate("unanswered", "LOST: %s got no answer within %s: %v", id, answer.Elapsed, answer.Err)
 	}
@@ -250,6 +264,16 @@
 	return true
 }
 
+// recordClosed records a request whose connection was closed without an answer.
+func (play *SilentPlay) recordClosed(id string, answer keptAnswer) {
+	usable := play.usableIdle()
+
+	play.mutex.Lock()
+	defer play.mutex.Unlock()
+
+	play.closed = append(play.closed, closedConn{id: id, answer: answer, usable: usable})
+}
+
 // violate records a violation and counts it.
 func (play *SilentPlay) violate(name, format string, arguments ...any) {
 	play.count(name)
@@ -286,7 +310,7 @@
 		case answer.Status == http.StatusOK || answer.Status == http.StatusBadGateway:
 			play.violate("whole answers lost", "LOST: %s got %d after %s: %q, %v", id, answer.Status, answer.Elapsed, answer.Body, answer.Err)
 		default:
-			play.count("whole " + strconv.Itoa(answer.Status))
+			play.recordRefusal("whole", id, answer)
 		}
 
 		play.waitAsTold(ctx, answer)
@@ -313,7 +337,7 @@
 
 // closeExpired closes a connection that has been idle for longer than callers use one.
 func (play *SilentPlay) closeExpired(caller *keptCaller) {
-	if caller.idleFor() > play.usableIdle() {
+	if usable := play.usableIdle(); caller.idleFor() > usable {
 		caller.close()
 	}
 }
