--- a/forwarder/race.go
+++ b/forwarder/race.go
@@ -107,12 +107,13 @@
 	return due
 }
 
-// handleSilence ends an attempt that was made beside a silent one and has not proved itself in time, or
-// makes one. The silent one goes on: it is ended only by another one that brings the answer.
-func (delivery *delivery) handleSilence(ctx context.Context, now time.Time) {
+// handleSilence makes an attempt beside a silent one, which goes on, or ends one of two if neither has
+// brought the answer in time.
+func (delivery *delivery) handleSilence(ctx context.Context) {
 	delivery.race.firesAt = time.Time{}
 
-	due := delivery.nextDecision()
+	// The timer's own time is the one for which it was set, however late it is.
+	due, now := delivery.nextDecision(), time.Now()
 	if due.IsZero() || now.Before(due) {
 		delivery.race.overdueAt = time.Time{}
 
@@ -132,7 +133,7 @@
 	delivery.race.overdueAt = time.Time{}
 
 	if delivery.overlaps() {
-		delivery.dropNewest(now)
+		delivery.endOverlap(now)
 
 		return
 	}
@@ -140,21 +141,30 @@
 	delivery.startBeside(ctx)
 }
 
-// dropNewest ends the attempt that was made last, as two servers must not work on a stream for long.
-func (delivery *delivery) dropNewest(now time.Time) {
-	newest := delivery.running[len(delivery.running)-1]
-	newest.stop()
-	newest.run.Abandon()
+// endOverlap ends one of two attempts, as two servers must not work on a stream for long: the later one
+// while a further one can be made elsewhere, or if the earlier one is not silent any more. The last one
+// that can be made stays, as nothing could take the place of a server that never goes on.
+func (delivery *delivery) endOverlap(now time.Time) {
+	unneeded := delivery.running[len(delivery.running)-1]
+	mayTryFurther := delivery.mayTryAgain() && delivery.forwarder.Placer.HasCandidate(delivery.workBeside())
 
-	// The limit of the overlap may be shorter than the time in which a server has to answer.
-	if !now.Before(newest.silentAt) {
-		newest.grant.Observe(placer.Silent, 0)
+	if oldest := delivery.running[0]; !mayTryFurther && oldest.isSilent(now) {
+		unneeded = oldest
 	}
 
 	delivery.countRace("Dropped")
-	delivery.logEntry(newest, "no event in time").Info("Attempt beside a silent one ended.")
-	delivery.triedServers = append(delivery.triedServers, newest.grant.Server.ID)
-	delivery.end(newest)
+
+	unneeded.stop()
+	unneeded.run.Abandon()
+
+	// The limit of the overlap may be shorter than the time in which a server has to answer.
+	if unneeded.isSilent(now) {
+		delivery.observeSilence(unneeded)
+	}
+
+	delivery.logEntry(unneeded, "no event in time").WithField("First", unneeded == delivery.running[0]).Info("One of two attempts ended.")
+	delivery.triedServers = append(delivery.triedServers, unneeded.grant.Server.ID)
+	delivery.end(unneeded)
 	delivery.race.delay()
 }
 
@@ -162,12 +172,7 @@
 // retry budget, which is charged, is not spent. In an overload many attempts are silent, and repeating
 // them all would add to it.
 func (delivery *delivery) startBeside(ctx context.Context) {
-	work := delivery.placementRequest()
-	work.Spare, work.MaxWait = true, min(resumeQueueLimit, time.Until(delivery.call.Deadline))
-
-	for _, running := range delivery.running {
-		work.Exclude = append(work.Exclude, running.grant.Server.ID)
-	}
+	work := delivery.workBeside()
 
 	if !delivery.forwarder.Placer.HasCandidate(work) || !delivery.chargeRetry() {
 		delivery.race.delay()
@@ -182,6 +187,18 @@
 	delivery.start(ctx, work)
 }
 
+// workBeside describes a further attempt beside those that run.
+func (delivery *delivery) workBeside() placer.Work {
+	work := delivery.placementRequest()
+	work.Spare, work.MaxWait = true, min(resumeQueueLimit, time.Until(delivery.call.Deadline))
+
+	for _, running := range delivery.running {
+		work.Exclude = append(work.Exclude, running.grant.Server.ID)
+	}
+
+	return work
+}
+
 // chargeRetry returns false if the retry budget is spent.
 func (delivery *delivery) chargeRetry() bool {
 	delivery.race.charged = delivery.race.charged || delivery.forwarder.budgets.GetOrCreate(delivery.call.Service).AllowRetry()
