Let items wait for their server's start only while it is silent

Change: the wait of streams, for longer only while nothing has arrived, moves to attester and is used by items too, with their 0.3 s. Evidence: TestSilenceEndsOrDelaysAnInquiry; attester, forwarder and batcher pass. The delay of items was read in the code, not measured.

--- a/attester/attester.go
+++ b/attester/attester.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// ConfirmWhile is Confirm that waits for longer than the patience only while isSilent holds. While
+// nothing else has arrived from the server either, waiting for its answer costs nothing.
+func (attester *Attester) ConfirmWhile(ctx context.Context, server placer.Server, connectedAt time.Time, patience time.Duration, isSilent func() bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	confirmed := make(chan error, 1)
+
+	go func() { confirmed <- attester.Confirm(ctx, server, connectedAt) }()
+
+	for {
+		select {
+		case err := <-confirmed:
+			return err
+		case <-time.After(patience):
+		}
+
+		if !isSilent() {
+			return errors.Timeoutf("answer to the question for the server's start")
+		}
+	}
+}
+
 // inquiryFor returns an inquiry that began after the connection was opened.
 func (attester *Attester) inquiryFor(ctx context.Context, server placer.Server, connectedAt time.Time) *inquiry {
 	attester.mutex.Lock()
--- a/attester/attester_test.go
+++ b/attester/attester_test.go
@@ -87,3 +87,38 @@
 		require.Equal(t, 3, server.asked, "another start is listed")
 	})
 }
+
+// A server is silent when it is asked for its start. Its answer was not awaited, or kept what had arrived
+// from it waiting.
+func TestSilenceEndsOrDelaysAnInquiry(t *testing.T) {
+	const listed, patience = 7, 100 * time.Millisecond
+
+	for name, scenario := range map[string]struct {
+		delay, arrives time.Duration
+		confirmed      bool
+		took           time.Duration
+	}{
+		"nothing else arrives":        {1500 * time.Millisecond, time.Minute, true, 1500 * time.Millisecond},
+		"a part arrives meanwhile":    {1500 * time.Millisecond, 250 * time.Millisecond, false, 300 * time.Millisecond},
+		"a part has arrived before":   {1500 * time.Millisecond, 0, false, patience},
+		"the server never says it":    {time.Minute, time.Minute, false, 2 * time.Second},
+		"the answer comes in between": {50 * time.Millisecond, 0, true, 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err, took := error(nil), time.Duration(0)
+
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				subject := attester.NewAttester(kernel.NewDiscardCommon("gateway"), &reporter{start: listed, delay: scenario.delay})
+				err = subject.ConfirmWhile(t.Context(), placer.Server{ID: "s", Incarnation: listed}, began, patience, func() bool { return time.Since(began) < scenario.arrives })
+				took = time.Since(began)
+
+				// The inquiry goes on for others.
+				time.Sleep(time.Minute)
+			})
+
+			require.Equal(t, scenario.confirmed, err == nil)
+			require.Equal(t, scenario.took, took)
+		})
+	}
+}
--- a/batcher/software.go
+++ b/batcher/software.go
@@ -15,6 +15,9 @@
 	softwareRecheck = 200 * time.Millisecond
 	// softwareWait is how long an item waits for such a place before it begins anew.
 	softwareWait = 10 * time.Second
+	// attestTimeout bounds how long an item waits for its server's start, unless the server is silent as
+	// a whole.
+	attestTimeout = 300 * time.Millisecond
 )
 
 // discardIfGone lets an item begin anew if no server has the software version that sent its output:
@@ -59,7 +62,7 @@
 		return "", false
 	}
 
-	err := batcher.Attester.Confirm(ctx, run.grant.Server, run.answer.ConnectedAt)
+	err := batcher.Attester.ConfirmWhile(ctx, run.grant.Server, run.answer.ConnectedAt, attestTimeout, run.answer.IsSilent)
 	if err == nil {
 		return software, false
 	}
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -138,6 +138,11 @@
 	return nil
 }
 
+// IsSilent reports whether no part of the answer can be read now.
+func (answer *Answer) IsSilent() bool {
+	return answer.AwaitData(time.Now()) != nil
+}
+
 // writeLongRequest writes the request while the answer is awaited. After an error
 // reading the answer fails, or at least the connection is not reused.
 func (answer *Answer) writeLongRequest(head, body []byte) {
--- a/forwarder/continuation.go
+++ b/forwarder/continuation.go
@@ -143,7 +143,7 @@
 		return nil
 	}
 
-	err := attempt.confirmStart(ctx)
+	err := delivery.forwarder.Attester.ConfirmWhile(ctx, server, attempt.answer.ConnectedAt, attestTimeout, attempt.answer.IsSilent)
 	if err == nil {
 		return nil
 	}
@@ -164,31 +164,6 @@
 	return nil
 }
 
-// confirmStart asks the server for its start. While no part of the stream has arrived either, waiting for
-// the answer costs nothing.
-func (attempt *attempt) confirmStart(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-
-	confirmed := make(chan error, 1)
-
-	go func() {
-		confirmed <- attempt.delivery.forwarder.Attester.Confirm(ctx, attempt.grant.Server, attempt.answer.ConnectedAt)
-	}()
-
-	for isSilent := true; isSilent; {
-		select {
-		case err := <-confirmed:
-			return err
-		case <-time.After(attestTimeout):
-		}
-
-		isSilent = attempt.answer.AwaitData(time.Now()) != nil
-	}
-
-	return errors.Timeoutf("answer to the question for the server's start")
-}
-
 // recordOrigin records where the stream began, before its first event is passed on.
 func (delivery *delivery) recordOrigin(software string) {
 	delivery.origin = resumer.Origin{Service: delivery.call.Service, Software: software}
