Commit no result twice whose rejected segment took effect before

A commit of four results took effect, but its answer was lost. The retry was rejected, as the store accepted only shorter values by then, so that the results went back to those to be committed. The segment was then read from the store, and the next commit stood behind it with all six results: rebase only drops committed results if a segment is proposed, and after a rejection none is.

Results that are committed are now dropped also if no segment is proposed.

--- a/batcher/commit.go
+++ b/batcher/commit.go
@@ -341,6 +341,9 @@
 // must be held.
 func (active *activeJob) rebase() {
 	if active.proposed == nil && len(active.fragments) == 0 {
+		// An earlier commit of a rejected segment, whose outcome was unknown, may have taken effect.
+		active.uncommitted = withoutCommitted(active.uncommitted, active.record.CommittedIDs())
+
 		return
 	}
 
--- a/batcher/rejection_test.go
+++ b/batcher/rejection_test.go
@@ -71,6 +71,35 @@
 	}
 }
 
+// Results whose commit took effect without an answer, and was rejected when it was tried again, were committed
+// once more behind themselves.
+func TestARejectedRetryCommitsNoResultTwice(t *testing.T) {
+	const items = 20
+
+	newFleet(t, 1, 1, func(fleet *fleet) {
+		require.Equal(t, bookkeeper.OK, fleet.submit(0, items))
+		fleet.setCatalogFaults(emulator.FaultSwitches{DropAnswers: 1000})
+
+		for {
+			page, err := fleet.catalog.NewClient().Range(fleet.t.Context(), bookkeeper.ResultsPrefix(jobID), "", false)
+			require.NoError(t, err)
+
+			if len(page.Items) > 0 {
+				break
+			}
+
+			time.Sleep(time.Millisecond)
+		}
+
+		fleet.setCatalogFaults(emulator.FaultSwitches{})
+		fleet.catalog.SetValueBytes(100)
+		time.Sleep(time.Second)
+		fleet.catalog.SetValueBytes(valueBytes)
+		time.Sleep(completionTimeout)
+		fleet.requireListed(items, 0)
+	})
+}
+
 // One value that the key-value service rejects kept the results of all other jobs of the gateway
 // out, and opened the circuit breaker to a sound service.
 func TestARejectedValueKeepsNoOtherJobOut(t *testing.T) {
