--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -45,7 +45,8 @@
 // failedSeeds has the cause of each seed that ever failed. The times of faults differ
 // between runs of a seed, so each cause has a test of its own as well.
 var failedSeeds = map[uint64]string{
-	9: "a custodian committed a job to the store between a reader's two queries: 404",
+	9:   "a custodian committed a job to the store between a reader's two queries: 404",
+	901: "results whose commit took effect without an answer were rejected at the retry, and committed twice",
 }
 
 // seeds returns the seeds that CI runs: one with planned work only, one with the
@@ -55,7 +56,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800, 901}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
