--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -16,6 +16,8 @@
 	Host   string
 	// Caller identifies who sent the call, by the credentials in it; empty if it has none.
 	Caller string
+	// Workspace is the workspace of the caller's key; empty if it has none.
+	Workspace string
 	// Header holds the end-to-end headers.
 	Header http.Header
 	Body   []byte
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -115,6 +115,7 @@
 	work := placer.Work{
 		RequestID: delivery.call.ID,
 		Service:   delivery.call.Service,
+		Workspace: delivery.call.Workspace,
 		Priority:  delivery.call.Route.Priority,
 		MaxWait:   min(fraction(queueShare, latencyTarget(delivery.call.Route)), time.Until(delivery.call.Deadline)),
 		Elapsed:   delivery.spentBefore,
--- a/matcher/document.go
+++ b/matcher/document.go
@@ -13,7 +13,12 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces holds the workspaces by name. It is nil if the configuration has none, and
+	// then requests need no key.
+	Workspaces map[string]*Workspace
 
+	// workspaceByKey holds the workspaces by key.
+	workspaceByKey map[string]*Workspace
 	// routesByHost holds the routes by lower-case host, the longest prefix first.
 	routesByHost map[string][]*Route
 }
@@ -35,6 +40,31 @@
 	return document
 }
 
+// SetWorkspaces sets the workspaces of a document that is not in force yet. An empty list, unlike
+// none, means that no key is known.
+func (document *Document) SetWorkspaces(workspaces []Workspace) {
+	document.Workspaces, document.workspaceByKey = map[string]*Workspace{}, map[string]*Workspace{}
+
+	for index := range workspaces {
+		workspace := &workspaces[index]
+		document.Workspaces[workspace.Name] = workspace
+
+		for _, key := range workspace.Keys {
+			document.workspaceByKey[key] = workspace
+		}
+	}
+}
+
+// RequiresKeys reports whether requests need a key, except on exempt routes.
+func (document *Document) RequiresKeys() bool {
+	return document.Workspaces != nil
+}
+
+// WorkspaceOfKey returns the workspace that holds the key, or nil.
+func (document *Document) WorkspaceOfKey(key string) *Workspace {
+	return document.workspaceByKey[key]
+}
+
 // Match returns the host's route with the longest prefix of the path, or nil. The
 // host may include a port, which is ignored.
 func (document *Document) Match(host, path string) *Route {
--- a/matcher/route.go
+++ b/matcher/route.go
@@ -39,6 +39,8 @@
 	// Expiry is the time from a job's submission until its unfinished items may be given
 	// up.
 	Expiry time.Duration
+	// KeyExempt routes serve requests without a key.
+	KeyExempt bool
 }
 
 // Repeatable reports whether the route's requests may run more than once.
--- a/placer/work.go
+++ b/placer/work.go
@@ -6,6 +6,8 @@
 type Work struct {
 	RequestID string
 	Service   string
+	// Workspace is the caller's workspace; empty if it has none.
+	Workspace string
 	// Priority is 0 for the most urgent.
 	Priority int
 	// MaxWait is the longest wait in the queue after which the answer is still in time.
