Leave scarce free places to one gateway at a time

Cause: with reports 48 ms old, 20 gateways with waiting callers all send to the same place that one of them reports free.

--- a/placer/allowance.go
+++ b/placer/allowance.go
@@ -7,25 +7,17 @@
 )
 
 // shareLimit sets the share that this entry has of the server's limit among the entries,
-// whose data centres are given by name. Those in the server's data centre come first, as
-// they reach it best.
+// whose data centres are given by name.
 func (placer *Placer) shareLimit(server *serverState, entries map[string]string) {
 	if server.limit == nil {
 		return
 	}
 
-	own, share := placeInOrder(server, placer.Instance, placer.DataCentre), throttler.Share{Entries: len(entries)}
-
-	for entry, dataCentre := range entries {
-		if entry != placer.Instance && placeInOrder(server, entry, dataCentre).before(own) {
-			share.Rank++
-		}
-	}
-
-	server.limit.SetShare(share, time.Now())
+	server.limit.SetShare(throttler.Share{Entries: len(entries), Rank: server.rank}, time.Now())
 }
 
-// orderPlace is an entry's place in the order of the entries that share a server's limit.
+// orderPlace is an entry's place in the order of the entries that share a server. Those in the
+// server's data centre come first, as they reach it best.
 type orderPlace struct {
 	local bool
 	hash  uint64
--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -62,7 +62,7 @@
 // many of their places are free is unknown here.
 func (chooser chooser) chooseFree(servers []*serverState, ownerSilent bool) *serverState {
 	return cheapest(servers, func(server *serverState) (float64, bool) {
-		return chooser.cost(server), chooser.canSend(server) && server.ownerSilent == ownerSilent && server.free() > 0
+		return chooser.cost(server), chooser.canSend(server) && server.ownerSilent == ownerSilent && server.free() > 0 && chooser.turnDelay(server) == 0
 	})
 }
 
@@ -78,7 +78,9 @@
 	}
 
 	return cheapest(servers, func(server *serverState) (float64, bool) {
-		return float64(server.totalOnline()), chooser.canSend(server) && server.others.Batch > 0 && server.totalOnline() < server.Places
+		reclaimable := min(server.others.Batch, server.Places-server.totalOnline())
+
+		return chooser.cost(server), chooser.canSend(server) && reclaimable > 0 && chooser.turn(server).Delay(reclaimable) == 0
 	})
 }
 
--- a/placer/place.go
+++ b/placer/place.go
@@ -56,6 +56,7 @@
 		placer.service(server.Service).running[grant] = true
 	}
 
+	server.recordFree(grant.grantedAt)
 	placer.signalLoadChange()
 
 	return grant
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -121,6 +121,10 @@
 	decision.QueuedAhead = service.queue.ahead(work.Priority)
 	decision.ExpectedWait = placer.expectedWait(service, work, now, decision.QueuedAhead)
 
+	if turn, found := placer.newChooser(work).nextTurn(service.servers, decision.QueuedAhead); found {
+		decision.ExpectedWait = min(decision.ExpectedWait, turn)
+	}
+
 	if decision.ExpectedWait > work.MaxWait {
 		placer.refuse(service, work, &decision)
 		placer.mutex.Unlock()
--- a/placer/reconcile.go
+++ b/placer/reconcile.go
@@ -8,8 +8,12 @@
 func (placer *Placer) reconcile() {
 	placer.expireReports()
 
+	now := time.Now()
+
 	for _, service := range placer.services {
 		for _, server := range service.servers {
+			server.recordFree(now)
+
 			for (server.free() < 0 || server.ownerSilent) && placer.preempt(server) {
 				continue
 			}
@@ -145,6 +149,7 @@
 func (placer *Placer) assignOwner(server *serverState, owners map[string]string) {
 	owner := ownerOf(server, owners)
 	server.owned, server.ownerSilent = owner == placer.Instance, !placer.hasReport(owner)
+	server.rank = placer.rankOf(server, owners)
 	placer.shareLimit(server, owners)
 }
 
--- a/placer/server.go
+++ b/placer/server.go
@@ -42,6 +42,12 @@
 	// ownerSilent is set while the owner is another entry without a fresh report.
 	owned       bool
 	ownerSilent bool
+	// rank is this entry's place in the order in which entries may use the server's free places.
+	rank int
+	// freeSince is since when none of its free places has been taken; zero if it has none.
+	freeSince time.Time
+	// recordedFree is the number of free places when freeSince was last updated.
+	recordedFree int
 	// grants are the batch runs of this entry, which can be preempted.
 	grants map[*Grant]bool
 	// preemptedAt is when this entry last preempted batch work on the server.
