--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -36,14 +36,18 @@
 
 // Report is what one entry tells its peers.
 type Report struct {
-	Instance   string
-	DataCentre string
-	// Process identifies this start of the entry, as in the list of members.
-	Process string
+	Instance string
+	// DataCentre and Process are only in reports with all loads. Process identifies this start
+	// of the entry, as in the list of members.
+	DataCentre string `json:",omitempty"`
+	Process    string `json:",omitempty"`
 	// Incarnation and Number order the reports of an entry.
 	Incarnation int64
 	Number      int64
-	Loads       map[string]placer.Load
+	// Since is 0 if Loads holds all loads of the entry. Otherwise it holds those that changed
+	// after the report of that number, and a zero load for a server at which nothing runs now.
+	Since int64                  `json:",omitempty"`
+	Loads map[string]placer.Load `json:",omitempty"`
 	// Departures are the listed backend servers that announced that they are leaving.
 	Departures []placer.Departure `json:",omitempty"`
 	// Limits are what backend servers said to the entry lately of the requests that they take.
@@ -145,17 +149,23 @@
 }
 
 func (gossiper *Gossiper) send(ctx context.Context, socket *net.UDPConn) {
-	report := Report{Instance: gossiper.Instance, DataCentre: gossiper.DataCentre, Process: gossiper.Process, Incarnation: time.Now().UnixNano()}
+	incarnation, changes, marks := time.Now().UnixNano(), newLoadChanges(), newMarkChanges()
+	report := Report{Incarnation: incarnation}
 
 	for ctx.Err() == nil {
 		changed := gossiper.Placer.LoadChanged()
-		report.Number++
-		report.Loads = gossiper.Placer.OwnLoads()
+		report = Report{Instance: gossiper.Instance, Incarnation: incarnation, Number: report.Number + 1}
+		changes.fill(&report, gossiper.Placer.OwnLoads(), time.Now())
+
+		if report.Since == 0 {
+			report.DataCentre, report.Process = gossiper.DataCentre, gossiper.Process
+		}
+
 		report.Departures = gossiper.Placer.Departures()
 		report.Limits = gossiper.Placer.ReportedLimits()
 
 		if gossiper.NewestRevisions != nil {
-			report.Marks = gossiper.NewestRevisions()
+			marks.fill(&report, gossiper.NewestRevisions())
 		}
 
 		if gossiper.Findings != nil {
@@ -237,7 +247,8 @@
 	outdated := last.supersedes(report)
 
 	if known && !outdated {
-		gossiper.lastReports[report.Instance] = last.updated(report)
+		last = last.updated(report)
+		gossiper.lastReports[report.Instance] = last
 	}
 
 	gossiper.mutex.Unlock()
@@ -251,7 +262,10 @@
 			gossiper.ApplyFindings(report.Instance, report.Findings)
 		}
 
-		gossiper.Placer.ApplyReport(report.Instance, report.DataCentre, report.Loads)
+		if last.loads != nil {
+			gossiper.Placer.ApplyReport(report.Instance, last.dataCentre, last.loads)
+		}
+
 		gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
 		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
 	}
--- a/gossiper/received_report.go
+++ b/gossiper/received_report.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"limpetrail/placer"
 )
 
 const (
@@ -19,7 +21,12 @@
 // receivedReport holds the parts of an entry's newest report that later ones are
 // compared with.
 type receivedReport struct {
-	process string
+	process    string
+	dataCentre string
+	// loads are the entry's loads as of the report loadsNumber; nil until a report had all of
+	// them. A received map is not changed.
+	loads       map[string]placer.Load
+	loadsNumber int64
 	// previousProcess is the process that reported for the entry before its last restart.
 	previousProcess     string
 	incarnation, number int64
@@ -34,8 +41,22 @@
 // updated returns what is kept of a newer report of the entry.
 func (received receivedReport) updated(report Report) receivedReport {
 	result := received
+
+	if loads, follows := received.mergedLoads(report); follows {
+		result.loads, result.loadsNumber = loads, report.Number
+	} else if report.Incarnation != received.incarnation {
+		// Nothing is known of the loads of a new process before its first full report.
+		result.loads = nil
+	}
+
 	result.incarnation, result.number, result.receivedAt = report.Incarnation, report.Number, time.Now()
 
+	if report.Since > 0 {
+		return result
+	}
+
+	result.dataCentre = report.DataCentre
+
 	if report.Process != received.process {
 		result.process, result.previousProcess = report.Process, received.process
 	}
