Confirm only requests that were written whole, with a valid status

Cause: net/http has the same race in driver, and a 200 before the request was written confirmed deposits, handovers and copies. The relay took any other status as the peer's refusal, also one that is no answer. Change: kernel.RequestWrite traces whether a request was written; driver (answers without a length), custodian, conveyer and relayer ask it. Invalid statuses are errors in driver, relayer and commander.

--- a/commander/client.go
+++ b/commander/client.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/classifier"
+	"limpetrail/kernel"
 )
 
 // maxAnswerBytes limits the size of an answer.
@@ -55,6 +56,12 @@
 		return nil, errors.Annotatef(err, "calling entry %s", client.entry)
 	}
 
+	if !kernel.IsFinalStatus(response.StatusCode) {
+		response.Body.Close()
+
+		return nil, errors.NotValidf("entry %s: answer with the status %03d", client.entry, response.StatusCode)
+	}
+
 	if response.StatusCode < http.StatusBadRequest {
 		return response, nil
 	}
--- a/conveyer/conveyer.go
+++ b/conveyer/conveyer.go
@@ -68,7 +68,9 @@
 		return errors.Trace(err)
 	}
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(encoded))
+	writing, write := kernel.TraceRequestWrite(ctx)
+
+	request, err := http.NewRequestWithContext(writing, http.MethodPost, "http://"+address+Path, bytes.NewReader(encoded))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -83,5 +85,6 @@
 		return errors.Errorf("process answered %s", response.Status)
 	}
 
-	return nil
+	// A process that has not received the handover cannot accept it.
+	return errors.Trace(write.Confirm(ctx))
 }
--- a/conveyer/conveyer_test.go
+++ b/conveyer/conveyer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"limpetrail/batcher"
 	"limpetrail/bookkeeper"
 	"limpetrail/conveyer"
+	"limpetrail/emulator"
 	"limpetrail/kernel"
 )
 
@@ -60,6 +62,24 @@
 	}
 }
 
+// A process that answered 200 before it had received a handover, and reset the connection, counted as
+// its new owner.
+func TestHandoverAnsweredBeforeItWasReceived(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+
+	go emulator.EarlyServer{Answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Delay: 50 * time.Millisecond}.Serve(listener)
+
+	sender := conveyer.NewConveyer(kernel.NewDiscardCommon("gateway-1"), http.DefaultClient)
+	sender.SetMembers(map[string]string{successor: listener.Addr().String()})
+
+	// The system's buffers do not hold the handover.
+	long := newHandover()
+	long.Job.Items[0].Body = make([]byte, 16_000_000)
+	require.False(t, sender.HandOver(t.Context(), successor, long))
+}
+
 // HandOver returns false if the process is not registered, refuses connections or does
 // not answer in time.
 func TestHandoverToUnavailableProcess(t *testing.T) {
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -15,6 +16,7 @@
 	"limpetrail/archiver"
 	"limpetrail/bookkeeper"
 	"limpetrail/custodian"
+	"limpetrail/emulator"
 	"limpetrail/kernel"
 )
 
@@ -216,6 +218,24 @@
 	}
 }
 
+// A process that answered 200 before it had received a job, and reset the connection, counted as a
+// custodian that holds the job.
+func TestDepositAnsweredBeforeItWasReceived(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+
+	go emulator.EarlyServer{Answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Delay: 50 * time.Millisecond}.Serve(listener)
+
+	depositor := custodian.NewDepositor(kernel.NewDiscardCommon("entry"), 2)
+	depositor.SetCustodians(map[string]string{"a": listener.Addr().String(), "b": listener.Addr().String()})
+
+	// The system's buffers do not hold the job.
+	job := newJob("x")
+	job.Items[0].Body = make([]byte, 16_000_000)
+	require.Equal(t, bookkeeper.Unknown, depositor.Deposit(t.Context(), job))
+}
+
 func contains(states []int, wanted int) bool {
 	for _, state := range states {
 		if state == wanted {
--- a/custodian/depositor.go
+++ b/custodian/depositor.go
@@ -184,7 +184,9 @@
 		content = bytes.NewReader(body)
 	}
 
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+Path+query, content)
+	writing, write := kernel.TraceRequestWrite(ctx)
+
+	request, err := http.NewRequestWithContext(writing, method, "http://"+address+Path+query, content)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
@@ -194,7 +196,12 @@
 		return 0, errors.Trace(err)
 	}
 
-	return response.StatusCode, errors.Trace(response.Body.Close())
+	if err := response.Body.Close(); err != nil {
+		return response.StatusCode, errors.Trace(err)
+	}
+
+	// A process that has not received the call cannot confirm it.
+	return response.StatusCode, errors.Trace(write.Confirm(ctx))
 }
 
 func (depositor *Depositor) listAddresses() []string {
--- a/driver/http_client.go
+++ b/driver/http_client.go
@@ -52,6 +52,10 @@
 	response, err := client.Do(request)
 
 	switch {
+	case err == nil && !kernel.IsFinalStatus(response.StatusCode):
+		response.Body.Close()
+
+		return nil, errors.NotValidf("answer with the status %03d", response.StatusCode)
 	case err == nil:
 		server.recordAnswer(response)
 
--- a/driver/http_service.go
+++ b/driver/http_service.go
@@ -44,7 +44,9 @@
 
 // Call implements Service. The caller has a reservation.
 func (service *HTTPService) Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error) {
-	response, err := service.send(ctx, service.Client, service.Address, call.Path, call.Body, http.Header{
+	writing, write := kernel.TraceRequestWrite(ctx)
+
+	response, err := service.send(writing, service.Client, service.Address, call.Path, call.Body, http.Header{
 		"Content-Type":  {call.ContentType},
 		RequestIDHeader: {call.RequestID},
 	})
@@ -58,6 +60,13 @@
 		return ServiceAnswer{}, errors.Annotate(err, "reading the service's answer")
 	}
 
+	// The client may receive the reset of a connection while it writes, and then reads a clean end.
+	if !exchanger.IsFramed(response) {
+		if err := write.Confirm(ctx); err != nil {
+			return ServiceAnswer{}, errors.Annotate(err, "the service's answer does not mark its end")
+		}
+	}
+
 	// A service that stops right after the head of such an answer leaves no other sign.
 	if !exchanger.IsFramed(response) && (len(body) == 0 || refuses(ctx, service.Client, service.Address)) {
 		return ServiceAnswer{}, errors.Annotate(io.ErrUnexpectedEOF, "the service ended with an answer that does not mark its end")
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -262,6 +262,10 @@
 	}
 	defer response.Body.Close()
 
+	if !kernel.IsFinalStatus(response.StatusCode) {
+		return reply{}, errors.NotValidf("answer with the status %03d", response.StatusCode)
+	}
+
 	if response.StatusCode != http.StatusOK {
 		// The other gateway refused the call before starting it.
 		return notStartedReply(), errors.Errorf("gateway answered %s", response.Status)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -116,6 +117,23 @@
 	}
 }
 
+// A status that is no answer counted as the other gateway's refusal, so that a write that may have been
+// applied was repeated.
+func TestRelayedWriteAnsweredWithAnInvalidStatus(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+
+	go emulator.EarlyServer{Answer: "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n"}.Serve(listener)
+
+	relay := newFixture(t).relay
+	relay.SetPeers([]string{listener.Addr().String()})
+
+	result, err := relay.Transact(t.Context(), keeper.Transaction{Conditions: []keeper.Condition{{Key: "key"}}, Puts: []keeper.Put{{Key: "key"}}})
+	require.Error(t, err)
+	require.Equal(t, keeper.WriteUnknown, result.Applied)
+}
+
 // Without a condition, a transaction could take effect twice, so it isn't relayed.
 func TestUnconditionalWriteIsNotRelayed(t *testing.T) {
 	result, err := newFixture(t).relay.Transact(t.Context(), keeper.Transaction{Puts: []keeper.Put{{Key: "key"}}})
--- a/relayer/sharer.go
+++ b/relayer/sharer.go
@@ -208,7 +208,9 @@
 		return errors.Trace(err)
 	}
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+holder+PathCopies, bytes.NewReader(encoded))
+	writing, write := kernel.TraceRequestWrite(ctx)
+
+	request, err := http.NewRequestWithContext(writing, http.MethodPost, "http://"+holder+PathCopies, bytes.NewReader(encoded))
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -226,5 +228,6 @@
 		return errors.Errorf("the holder answered %s", response.Status)
 	}
 
-	return nil
+	// A holder that has not received the copy cannot keep it.
+	return errors.Trace(write.Confirm(ctx))
 }
