--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -46,6 +46,8 @@
 	impossible bool
 	// medianFirstBytes is the median time to the first bytes over the service's servers.
 	medianFirstBytes time.Duration
+	// meanRun is the mean length of an online run of the service.
+	meanRun time.Duration
 	// staleness is the age of reports as a multiple of the shortest report interval,
 	// from 1 to maxStaleness.
 	staleness float64
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -22,6 +22,8 @@
 	interval time.Duration
 	// ratePerServer is the mean rate of online requests a second.
 	ratePerServer float64
+	// runTime is the length of an online run; 0 for fleetRunDuration.
+	runTime time.Duration
 	// unlistedShare is the share of the servers that is missing from the list.
 	unlistedShare float64
 }
@@ -60,6 +62,10 @@
 }
 
 func newFleet(size fleetSize, random *rand.Rand) *fleet {
+	if size.runTime == 0 {
+		size.runTime = fleetRunDuration
+	}
+
 	fleet := &fleet{fleetSize: size, running: make([]int, size.servers)}
 	listed, dataCentreByName := []placer.Server{}, map[string]string{}
 
@@ -187,7 +193,7 @@
 	fleet.maxRunning = max(fleet.maxRunning, fleet.running[index])
 	fleet.mutex.Unlock()
 
-	time.Sleep(fleetRunDuration + time.Duration(max(0, ahead))*fleetRunDuration/places)
+	time.Sleep(fleet.runTime + time.Duration(max(0, ahead))*fleet.runTime/places)
 
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
--- a/placer/overload_test.go
+++ b/placer/overload_test.go
@@ -25,3 +25,15 @@
 		require.LessOrEqual(t, float64(result.queued+result.rejected), maxQueued*float64(result.sends))
 	}
 }
+
+// Runs that are shorter than the time in which entries hear of each other's places must not wait for a turn:
+// callers of a small service were refused while its places were free.
+func TestShortRunsAreNotRefusedWhilePlacesAreFree(t *testing.T) {
+	size := fleetSize{entries: 20, servers: 3, dataCentres: 3, interval: 48 * time.Millisecond, ratePerServer: 40, runTime: 60 * time.Millisecond}
+
+	for seed := range uint64(3) {
+		result := simulateFleet(t, size, seed)
+		t.Logf("sends %d queued %d rejected %d refused %d answered %d max running %d", result.sends, result.queued, result.rejected, result.refused, result.answered, result.maxRunning)
+		require.Less(t, float64(result.refused), 0.01*float64(result.answered))
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -257,6 +257,7 @@
 		now:              now,
 		work:             work,
 		medianFirstBytes: service.medianFirstBytesAt(now),
+		meanRun:          service.meanRun,
 		staleness:        reportStaleness(len(placer.reports)),
 	}
 }
--- a/placer/turns.go
+++ b/placer/turns.go
@@ -13,16 +13,20 @@
 	reportInterval = 20 * time.Millisecond
 	// transitFactor covers the way of a report besides the interval.
 	transitFactor = 1.5
+	// minRunIntervals is how many intervals a run must last on average for turns: the places of shorter
+	// runs are free again before their turn comes, and callers would wait for nothing.
+	minRunIntervals = 4
 )
 
-// turn returns this entry's claim to the free places of a server. With fresh reports all
-// entries may use them at once.
+// turn returns this entry's claim to the free places of a server. With reports that are fresh
+// compared with the runs all entries may use them at once.
 func (chooser chooser) turn(server *serverState) allocator.Turn {
-	if chooser.staleness <= 1 {
+	interval := time.Duration(transitFactor * chooser.staleness * float64(reportInterval))
+	if chooser.staleness <= 1 || chooser.meanRun < minRunIntervals*interval {
 		return allocator.Turn{}
 	}
 
-	return allocator.Turn{Rank: server.rank, Interval: time.Duration(transitFactor * chooser.staleness * float64(reportInterval))}
+	return allocator.Turn{Rank: server.rank, Interval: interval}
 }
 
 // turnDelay returns how long until this entry may use a free place of the server; 0 if it may now.
