Verify copies by lists beside the watches

Cause: a watch that receives nothing, or whose answer moves the revision past a change it does not bring, hid the change until the watch was cut. Change: a follower with a bound lists its prefix in turn with its peers, or alone after 0.6 to 0.7 of the bound, and compares the digest of keys and revisions with the states of its copy. A missed change ends the watch and lists the prefix. A watch that is cut or answered with 410 is listed at once.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,9 @@
 	// Share receives each published copy that was read from the service; nil for none.
 	Share func(prefix string, items []keeper.Item, revision keeper.Revision)
 
+	// Verified is called after each verification of the copy; nil for none.
+	Verified func()
+
 	// snapshot is the last published copy, for other processes.
 	snapshot atomic.Pointer[keeper.Page]
 
@@ -60,11 +64,22 @@
 	// doesn't cause endless restarts.
 	checkedPeerRevision uint64
 
+	verification *verification
+	// verificationFailed tells whether the last verification failed; only superviseCopy uses it.
+	verificationFailed bool
+	// missed receives when the copy lacks a known change and must be listed.
+	missed chan struct{}
+
 	current Copy
+	// digest is that of the items in the copy, without the removed ones.
+	digest uint64
 	// removed holds when each removed key is dropped from the copy.
 	removed     map[string]time.Time
 	revision    keeper.Revision
 	watchFailed bool
+	// lostInRow is the number of watches that were lost at once since one was last answered or
+	// waited for retryPause.
+	lostInRow int
 	// syncedAt is when the last answer of the service arrived; zero if there was none.
 	syncedAt time.Time
 }
@@ -79,6 +94,9 @@
 		Apply:     apply,
 		current:   Copy{},
 		removed:   map[string]time.Time{},
+
+		verification: newVerification(),
+		missed:       make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(follower)
@@ -89,6 +107,11 @@
 
 // Run follows the prefix until the context ends.
 func (follower *Follower) Run(ctx context.Context) {
+	supervision := sync.WaitGroup{}
+	supervision.Go(func() { follower.superviseCopy(ctx) })
+
+	defer supervision.Wait()
+
 	for ctx.Err() == nil {
 		if err := follower.list(ctx); err != nil {
 			follower.reportFailure(ctx, err)
@@ -97,23 +120,47 @@
 		}
 
 		follower.reportRecovery()
+		follower.watchUntilLost(ctx)
+	}
+}
 
-		for ctx.Err() == nil {
-			err := follower.watch(ctx)
-			if errors.Is(err, keeper.ErrCompacted) {
-				follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Info("Key-value history was compacted; listing the prefix again.")
+// watchUntilLost watches the prefix until it has to be listed again.
+func (follower *Follower) watchUntilLost(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
 
-				break
-			}
+		err := follower.watch(ctx)
+		if err == nil {
+			follower.lostInRow = 0
 
-			if err != nil {
-				follower.reportFailure(ctx, err)
+			continue
+		}
 
-				continue
-			}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, errMissed):
+			follower.logMissed()
+
+			return
+		case errors.Is(err, keeper.ErrCompacted):
+			follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Info("Key-value history was compacted; listing the prefix again.")
+		default:
+			follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Info("Watch was cut; listing the prefix again.")
+		}
+
+		if time.Since(began) >= retryPause {
+			follower.lostInRow = 0
+		}
+
+		follower.lostInRow++
 
-			follower.reportRecovery()
+		// The first loss is followed by a list at once, as changes may have been missed.
+		if follower.lostInRow > 1 {
+			follower.pauseAfterFailure(ctx)
 		}
+
+		return
 	}
 }
 
@@ -122,16 +169,23 @@
 	items    []keeper.Item
 	revision keeper.Revision
 	err      error
+	// began is when the list was requested, and peerNewest the newest revision of a peer
+	// that was known then.
+	began      time.Time
+	peerNewest uint64
 }
 
 // list reads all items below the prefix. A process without a copy meanwhile uses another
 // process's, since the service may be unavailable without the call failing soon.
 func (follower *Follower) list(ctx context.Context) error {
 	listings := make(chan listing, 1)
+	began, peerNewest := time.Now(), follower.progress.peerNewest.Load()
+
+	follower.verification.recordAttempt(began)
 
 	go func() {
 		items, revision, err := follower.Client.RangeAll(ctx, follower.Prefix)
-		listings <- listing{items: items, revision: revision, err: err}
+		listings <- listing{items: items, revision: revision, err: err, began: began, peerNewest: peerNewest}
 	}()
 
 	fallback := follower.fetchFallback(ctx)
@@ -166,7 +220,7 @@
 }
 
 // applyListing updates the copy from a listing. Keys missing from it were removed while
-// no watch was running.
+// no watch was running, or the watch has missed their removal.
 func (follower *Follower) applyListing(listing listing) {
 	present := map[string]bool{}
 
@@ -176,24 +230,44 @@
 	}
 
 	age := time.Since(follower.syncedAt)
+	// The answers of a watch that misses changes don't show that the copy was complete.
+	if verified := follower.verification.lastVerified(); follower.verification.within > 0 && verified.Before(follower.syncedAt) {
+		age = time.Since(verified)
+	}
+
+	removed := false
 
 	for name := range follower.current {
 		if !present[name] {
-			follower.remove(name, age)
+			removed = follower.remove(name, age) || removed
 		}
 	}
 
+	if removed {
+		follower.progress.recordRemoval(uint64(listing.revision))
+	}
+
 	follower.revision = listing.revision
 	follower.syncedAt = time.Now()
 	follower.recordSynced()
+	follower.progress.recordListed(uint64(listing.revision), listing.peerNewest)
+	follower.verification.recordApplied(listing.began, follower.digest)
+
+	// This list contains the change that a signal sent before was about.
+	select {
+	case <-follower.missed:
+	default:
+	}
+
 	follower.dropExpired()
 	follower.publish()
+	follower.reportVerified()
 }
 
 func (follower *Follower) watch(ctx context.Context) error {
 	// After a failed watch, changes have gathered for long enough.
-	if follower.Pause != nil && !follower.watchFailed {
-		follower.pause(ctx, follower.Pause())
+	if follower.Pause != nil && follower.lostInRow == 0 && follower.pause(ctx, follower.Pause()) {
+		return errors.Trace(errMissed)
 	}
 
 	var (
@@ -201,7 +275,16 @@
 		err     error
 	)
 
-	follower.dropExpiredDuring(func() { changes, err = follower.watchOnce(ctx) })
+	revision := follower.revision
+	follower.verification.setWatching(time.Now())
+
+	missed := follower.dropExpiredDuring(ctx, follower.missed, func(ctx context.Context) { changes, err = follower.watchOnce(ctx, revision) })
+
+	follower.verification.setWatching(time.Time{})
+
+	if missed {
+		return errors.Trace(errMissed)
+	}
 
 	if err != nil {
 		return errors.Trace(err)
@@ -219,6 +302,8 @@
 		} else {
 			follower.put(event.Item)
 		}
+
+		follower.verification.recordState(follower.digest)
 	}
 
 	follower.revision = max(follower.revision, changes.Revision)
@@ -237,14 +322,15 @@
 	return nil
 }
 
-// pause waits for the duration, unless the context ends before.
-func (follower *Follower) pause(ctx context.Context, duration time.Duration) {
-	follower.dropExpiredDuring(func() { kernel.Pause(ctx, duration) })
+// pause waits for the duration, unless the context ends before. It ends early and returns
+// true if the prefix must be listed.
+func (follower *Follower) pause(ctx context.Context, duration time.Duration) bool {
+	return follower.dropExpiredDuring(ctx, follower.missed, func(ctx context.Context) { kernel.Pause(ctx, duration) })
 }
 
 // watchOnce makes one watch call. A long watch that superviseLongWatch cancels returns
 // no changes and no error, so that the caller watches again.
-func (follower *Follower) watchOnce(ctx context.Context) (keeper.Changes, error) {
+func (follower *Follower) watchOnce(ctx context.Context, revision keeper.Revision) (keeper.Changes, error) {
 	wait := follower.nextWait()
 	watchCtx, cancel := context.WithCancel(ctx)
 
@@ -254,7 +340,7 @@
 		go follower.superviseLongWatch(watchCtx, cancel)
 	}
 
-	changes, err := follower.Client.Watch(watchCtx, follower.Prefix, follower.revision, wait)
+	changes, err := follower.Client.Watch(watchCtx, follower.Prefix, revision, wait)
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
 		follower.checkedPeerRevision = follower.progress.peerNewest.Load()
 
@@ -282,6 +368,11 @@
 
 	storeMax(&follower.progress.newest, uint64(item.Revision))
 
+	if known, found := follower.current[name]; found && follower.removed[name].IsZero() {
+		follower.digest ^= digestOf(known)
+	}
+
+	follower.digest ^= digestOf(item)
 	follower.current[name] = item
 	delete(follower.removed, name)
 }
@@ -349,7 +440,12 @@
 		follower.Log.WithField("Prefix", follower.Prefix).WithField("Error", err).Warn("Watch is lost; the last copy remains in use.")
 	}
 
-	follower.pause(ctx, retryPause/2+rand.N(retryPause))
+	follower.pauseAfterFailure(ctx)
+}
+
+// pauseAfterFailure pauses before the next list.
+func (follower *Follower) pauseAfterFailure(ctx context.Context) {
+	follower.dropExpiredDuring(ctx, nil, func(ctx context.Context) { kernel.Pause(ctx, retryPause/2+rand.N(retryPause)) })
 }
 
 func (follower *Follower) reportRecovery() {
--- a/follower/removals.go
+++ b/follower/removals.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -8,21 +9,20 @@
 	"github.com/sirupsen/logrus"
 )
 
-// remove drops a key from the copy, or does so after a delay. Age is the longest time that
-// may have passed since the key's removal.
-func (follower *Follower) remove(name string, age time.Duration) {
-	if _, found := follower.current[name]; !found {
-		return
+// remove drops a key from the copy, or does so after a delay, and tells whether the removal
+// is new. Age is the longest time that may have passed since the key's removal.
+func (follower *Follower) remove(name string, age time.Duration) bool {
+	item, found := follower.current[name]
+	if _, pending := follower.removed[name]; !found || pending {
+		return false
 	}
 
+	follower.digest ^= digestOf(item)
+
 	if !follower.DelayRemovals {
 		delete(follower.current, name)
 
-		return
-	}
-
-	if _, pending := follower.removed[name]; pending {
-		return
+		return true
 	}
 
 	now, outage := time.Now(), follower.Client.Outage()
@@ -31,6 +31,8 @@
 	follower.Log.WithFields(logrus.Fields{
 		"Prefix": follower.Prefix, "Key": name, "Revision": follower.revision, "Delay": expiry.Sub(now), "MaxAge": age, "LastFailure": outage.LastFailure, "Available": outage.End,
 	}).Info("Key was removed; it leaves the copy after a delay.")
+
+	return true
 }
 
 // nextExpiry returns a channel that receives when the next removed key must leave the copy;
@@ -71,22 +73,30 @@
 }
 
 // dropExpiredDuring makes a call that takes a while and drops removed keys from the copy
-// meanwhile, whether the service answers or not.
-func (follower *Follower) dropExpiredDuring(call func()) {
+// meanwhile, whether the service answers or not. It ends the call's context and returns true
+// if it receives from missed.
+func (follower *Follower) dropExpiredDuring(ctx context.Context, missed <-chan struct{}, call func(ctx context.Context)) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
 	done := make(chan struct{})
 
 	go func() {
 		defer close(done)
 
-		call()
+		call(ctx)
 	}()
 
-	for {
+	for ended := false; ; {
 		select {
 		case <-done:
-			return
+			return ended
 		case <-follower.nextExpiry():
 			follower.publishExpired()
+		case <-missed:
+			ended = true
+
+			cancel()
 		}
 	}
 }
--- a/follower/watch_progress.go
+++ b/follower/watch_progress.go
@@ -26,6 +26,35 @@
 	newest atomic.Uint64
 	// peerNewest is the revision of the newest change that any other process saw.
 	peerNewest atomic.Uint64
+	// listed is the revision of the last list that the copy is known to contain. A watch's
+	// answer without changes does not move it, since the watch may miss changes.
+	listed atomic.Uint64
+	// checked is the newest revision of a peer that was known when that list was requested.
+	checked atomic.Uint64
+}
+
+// recordListed records a list that the copy contains, and the newest revision of a peer that
+// was known when it was requested.
+func (progress *watchProgress) recordListed(revision, peerNewest uint64) {
+	storeMax(&progress.listed, revision)
+	storeMax(&progress.checked, peerNewest)
+}
+
+// known returns the revision up to which peers' revisions show no change that the copy lacks.
+func (progress *watchProgress) known() uint64 {
+	return max(progress.listed.Load(), progress.checked.Load(), progress.newest.Load())
+}
+
+// recordRemoval records that a list showed the removal of a key. The revision of the removal
+// is unknown: it is at most that of the list. If a peer saw a change up to there, its revision
+// is used, so that processes that find the same removal agree and list only once.
+func (progress *watchProgress) recordRemoval(listed uint64) {
+	revision := listed
+	if heard := progress.peerNewest.Load(); heard > progress.newest.Load() && heard < listed {
+		revision = heard
+	}
+
+	storeMax(&progress.newest, revision)
 }
 
 // WithLongWatches lets watches wait long while allowed returns true. It should do so
@@ -54,7 +83,7 @@
 
 // IsOutdated tells whether another process saw a newer change than this copy contains.
 func (follower *Follower) IsOutdated() bool {
-	return follower.progress.peerNewest.Load() > max(follower.progress.synced.Load(), follower.progress.newest.Load())
+	return follower.progress.peerNewest.Load() > follower.progress.known()
 }
 
 // storeMax sets the number to the value unless it is already as great.
