Share verifications among gateways, within ApplyWithin

Cause: each gateway would have to list each prefix by itself: 100 calls a second at 200 processes. Change: load reports carry the age and digest of recent verifications, and gossiper tells the turns. Gateways verify op/ within [Follow] ApplyWithin, servers within DropRemoved, heads within 3 s, members within 6 s; holders verify retirements and their own entry. Not measured with real processes.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -61,6 +61,11 @@
 	// membersWatchWait may be long: load reports show which members share the backend
 	// servers, and the first process to notice a lost member takes over its jobs.
 	membersWatchWait = 6 * time.Second
+	// membersBound is the time within which a change of the members must be detected even if
+	// watches receive nothing: the same as for a watch whose answer was lost.
+	membersBound = membersWatchWait
+	// headsBound is the platform's bound for work on an ended job.
+	headsBound = 3 * time.Second
 	// watchSilenceMargin is subtracted from the time in which a lost watch must be noticed:
 	// the answer may take longer than the wait, and the next watch takes time too.
 	watchSilenceMargin = time.Second
--- a/app/gateway_followers.go
+++ b/app/gateway_followers.go
@@ -24,16 +24,17 @@
 	gateway.followersByPrefix = map[string]*follower.Follower{}
 
 	for _, prefixFollower := range []*follower.Follower{
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, fallback, share, follower.WithWatchWait(watchWait), longWatches),
-		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, fallback, share, follower.WithRemovalDelay(serverBounds), follower.WithWatchWait(watchWait), longWatches, gateway.pauseByFleetSize(serversPause, maxServersPause)),
-		follower.NewFollower(gateway.Common, gateway.Client, registrar.MembersPrefix, gateway.applyMembers, fallback, share, follower.WithRemovalDelay(follower.RemovalBounds{}), follower.WithWatchWait(membersWatchWait), longWatches, gateway.pauseByFleetSize(0, maxMembersPause)),
-		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithWatchWait(watchWait), gateway.pauseByFleetSize(headsPause, maxHeadsPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixOperators, gateway.applyOperators, fallback, share, follower.WithWatchWait(watchWait), longWatches, gateway.verifiedWithin(gateway.Settings.Follow.ApplyWithin)),
+		follower.NewFollower(gateway.Common, gateway.Client, platform.PrefixServers, gateway.applyServers, fallback, share, follower.WithRemovalDelay(serverBounds), follower.WithWatchWait(watchWait), longWatches, gateway.verifiedWithin(gateway.Settings.Follow.DropRemoved), gateway.pauseByFleetSize(serversPause, maxServersPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, registrar.MembersPrefix, gateway.applyMembers, fallback, share, follower.WithRemovalDelay(follower.RemovalBounds{}), follower.WithWatchWait(membersWatchWait), longWatches, gateway.verifiedWithin(membersBound), gateway.pauseByFleetSize(0, maxMembersPause)),
+		follower.NewFollower(gateway.Common, gateway.Client, bookkeeper.PrefixHeads, gateway.Batcher.SetHeads, follower.WithWatchWait(watchWait), gateway.verifiedWithin(headsBound), gateway.pauseByFleetSize(headsPause, maxHeadsPause)),
 	} {
 		gateway.followersByPrefix[prefixFollower.Prefix] = prefixFollower
 	}
 
 	gateway.Handler.IsOutdated = gateway.followersByPrefix[platform.PrefixOperators].IsOutdated
 	gateway.Gossiper.NewestRevisions, gateway.Gossiper.ApplyPeerRevisions = gateway.newestRevisions, gateway.applyPeerRevisions
+	gateway.Gossiper.Verifications, gateway.Gossiper.ApplyPeerVerifications = gateway.verifications, gateway.applyPeerVerifications
 
 	return gateway.followersByPrefix
 }
@@ -50,9 +51,7 @@
 	revisions := map[string]keeper.Revision{}
 
 	for prefix, prefixFollower := range gateway.followersByPrefix {
-		if prefixFollower.LongWatchesAllowed != nil {
-			revisions[prefix] = prefixFollower.NewestRevision()
-		}
+		revisions[prefix] = prefixFollower.NewestRevision()
 	}
 
 	return revisions
@@ -67,6 +66,36 @@
 	}
 }
 
+// verifiedWithin verifies a prefix in turn with the gateways that report to this one.
+func (gateway *Gateway) verifiedWithin(bound time.Duration) follower.Option {
+	return func(prefixFollower *follower.Follower) {
+		follower.WithVerification(bound, gateway.Gossiper.TurnAfter)(prefixFollower)
+		follower.WithVerified(gateway.Gossiper.ReportSoon)(prefixFollower)
+	}
+}
+
+// verifications returns what this process has verified lately, by prefix.
+func (gateway *Gateway) verifications() map[string]follower.Verification {
+	verifications := map[string]follower.Verification{}
+
+	for prefix, prefixFollower := range gateway.followersByPrefix {
+		if verification, recent := prefixFollower.Verification(); recent {
+			verifications[prefix] = verification
+		}
+	}
+
+	return verifications
+}
+
+// applyPeerVerifications applies what a peer has verified.
+func (gateway *Gateway) applyPeerVerifications(peer string, verifications map[string]follower.Verification) {
+	for prefix, verification := range verifications {
+		if prefixFollower := gateway.followersByPrefix[prefix]; prefixFollower != nil {
+			prefixFollower.ApplyPeerVerification(peer, verification)
+		}
+	}
+}
+
 // pauseByFleetSize pauses before each watch, longer in a larger fleet, to keep the
 // fleet's total rate near fleetWatchesPerSecond.
 func (gateway *Gateway) pauseByFleetSize(minPause, maxPause time.Duration) follower.Option {
--- a/app/holder.go
+++ b/app/holder.go
@@ -59,10 +59,10 @@
 		}
 	})
 	tasks.Go(func() {
-		follower.NewFollower(holder.Common, holder.Client, platform.PrefixRetirements, holder.applyRetirements(ctx)).Run(ctx)
+		follower.NewFollower(holder.Common, holder.Client, platform.PrefixRetirements, holder.applyRetirements(ctx), follower.WithVerification(holder.Settings.Follow.ApplyWithin, nil)).Run(ctx)
 	})
 	tasks.Go(func() {
-		follower.NewFollower(holder.Common, holder.Client, registrar.MembersPrefix+holder.Registrar.Member.Name, holder.checkOwnEntry, follower.WithWatchWait(ownEntryWatchWait)).Run(ctx)
+		follower.NewFollower(holder.Common, holder.Client, registrar.MembersPrefix+holder.Registrar.Member.Name, holder.checkOwnEntry, follower.WithWatchWait(ownEntryWatchWait), follower.WithVerification(membersBound, nil)).Run(ctx)
 	})
 	tasks.Go(func() {
 		reloadLogLevelOnHangup(ctx, holder.Log.Logger, func() (loader.Log, error) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"limpetrail/follower"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -51,6 +52,8 @@
 	// Marks holds the newest revision that the entry saw below each prefix of the
 	// key-value service.
 	Marks map[string]keeper.Revision `json:",omitempty"`
+	// Verifications holds the prefixes that the entry has verified lately.
+	Verifications map[string]follower.Verification `json:",omitempty"`
 	// Findings are what the entry knows of prompt parts that end backend servers.
 	Findings []quarantiner.Finding `json:",omitempty"`
 }
@@ -72,6 +75,10 @@
 	// those of peers' reports. They are set before Run; nil for none.
 	NewestRevisions    func() map[string]keeper.Revision
 	ApplyPeerRevisions func(marks map[string]keeper.Revision)
+	// Verifications returns those of this entry's reports, and ApplyPeerVerifications receives
+	// those of peers' reports. They are set before Run; nil for none.
+	Verifications          func() map[string]follower.Verification
+	ApplyPeerVerifications func(peer string, verifications map[string]follower.Verification)
 	// Findings returns the findings of this entry's reports, and ApplyFindings receives those
 	// of peers' reports. They are set before Run; nil for none.
 	Findings      func() []quarantiner.Finding
@@ -85,6 +92,9 @@
 	peers map[string]*peer
 	// lastReports holds the newest report of each entry, and when it was received.
 	lastReports map[string]receivedReport
+
+	// due receives when a report has something to say that does not depend on the load.
+	due chan struct{}
 }
 
 // NewGossiper returns a gossiper without peers.
@@ -95,6 +105,16 @@
 		Address:     address,
 		peers:       map[string]*peer{},
 		lastReports: map[string]receivedReport{},
+		due:         make(chan struct{}, 1),
+	}
+}
+
+// ReportSoon sends the next report as soon as the interval allows, whether the load changes
+// or not.
+func (gossiper *Gossiper) ReportSoon() {
+	select {
+	case gossiper.due <- struct{}{}:
+	default:
 	}
 }
 
@@ -158,6 +178,10 @@
 			report.Marks = gossiper.NewestRevisions()
 		}
 
+		if gossiper.Verifications != nil {
+			report.Verifications = gossiper.Verifications()
+		}
+
 		if gossiper.Findings != nil {
 			report.Findings = gossiper.Findings()
 		}
@@ -168,6 +192,7 @@
 
 		select {
 		case <-changed:
+		case <-gossiper.due:
 		case <-time.After(maxReportInterval):
 		case <-ctx.Done():
 		}
@@ -247,6 +272,10 @@
 			gossiper.ApplyPeerRevisions(report.Marks)
 		}
 
+		if gossiper.ApplyPeerVerifications != nil {
+			gossiper.ApplyPeerVerifications(report.Instance, report.Verifications)
+		}
+
 		if gossiper.ApplyFindings != nil {
 			gossiper.ApplyFindings(report.Instance, report.Findings)
 		}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/follower"
 	"limpetrail/gossiper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -212,3 +213,28 @@
 	second.SetPeers(map[string]string{"a": addresses[0]})
 	require.Equal(t, found, <-received)
 }
+
+// A verification must reach peers although no load changes; otherwise each of them verifies
+// by itself.
+func TestVerificationsReachPeers(t *testing.T) {
+	addresses := []string{freePort(t), freePort(t)}
+	verified := map[string]follower.Verification{"op/": {Age: time.Second, Digest: 1<<64 - 1}}
+	received := make(chan map[string]follower.Verification, 1)
+
+	first, _ := newEntry(t, "a", addresses[0], func(subject *gossiper.Gossiper) {
+		subject.Verifications = func() map[string]follower.Verification { return verified }
+	})
+	second, _ := newEntry(t, "b", addresses[1], func(subject *gossiper.Gossiper) {
+		subject.ApplyPeerVerifications = func(_ string, verifications map[string]follower.Verification) {
+			select {
+			case received <- verifications:
+			default:
+			}
+		}
+	})
+
+	first.SetPeers(map[string]string{"b": addresses[1]})
+	second.SetPeers(map[string]string{"a": addresses[0]})
+	first.ReportSoon()
+	require.Equal(t, verified, <-received)
+}
--- a/gossiper/received_report.go
+++ b/gossiper/received_report.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -76,6 +77,35 @@
 	return max(missedUntilSilent*interval, interval+maxPause)
 }
 
+// TurnAfter returns how many turns this entry has after another one, in the order of the names
+// of the entries that report now: 1 for the next. It returns 0 if no other entry reports. An
+// entry that does not report, or an empty name, counts as this entry itself.
+func (gossiper *Gossiper) TurnAfter(instance string) int {
+	gossiper.mutex.Lock()
+	defer gossiper.mutex.Unlock()
+
+	names := []string{gossiper.Instance}
+
+	for name := range gossiper.peers {
+		if last, known := gossiper.lastReports[name]; known && gossiper.isFresh(last) {
+			names = append(names, name)
+		}
+	}
+
+	if len(names) == 1 {
+		return 0
+	}
+
+	slices.Sort(names)
+
+	own, other := slices.Index(names, gossiper.Instance), slices.Index(names, instance)
+	if other < 0 || other == own {
+		return len(names)
+	}
+
+	return (own - other + len(names)) % len(names)
+}
+
 // mostPeersFresh tells whether more than half of the peers have reported recently.
 func (gossiper *Gossiper) mostPeersFresh() bool {
 	fresh := 0
--- a/gossiper/received_report_test.go
+++ b/gossiper/received_report_test.go
@@ -114,3 +114,26 @@
 		}
 	})
 }
+
+// Two entries that take the same turn, or turns that count entries which have ended, would
+// verify too often or too late.
+func TestTurnsFollowTheNamesOfReportingEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(t)
+		require.Zero(t, fixture.TurnAfter("a"), "nobody reports")
+
+		for _, instance := range []string{"a", "b", "c"} {
+			fixture.report(instance, 1)
+		}
+
+		turns := func() []int {
+			return []int{fixture.TurnAfter("a"), fixture.TurnAfter("b"), fixture.TurnAfter("c"), fixture.TurnAfter("own"), fixture.TurnAfter("")}
+		}
+		require.Equal(t, []int{3, 2, 1, 4, 4}, turns())
+
+		time.Sleep(fixture.silenceTimeout())
+		fixture.report("a", 1)
+		fixture.report("c", 1)
+		require.Equal(t, []int{2, 3, 1, 3, 3}, turns(), "b has ended")
+	})
+}
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -50,6 +50,18 @@
 	// DropRemoved is the time within which a backend server that has left the catalog's list,
 	// or has announced there that it will, must get no further requests.
 	DropRemoved time.Duration
+	// ApplyWithin is the time after its acknowledgement within which a change of the
+	// configuration must take effect, even if watches of the catalog receive nothing. Shorter
+	// times cost more calls; 0 relies on the watches.
+	ApplyWithin time.Duration
+}
+
+// HolderFollow controls how a holder watches the catalog for changes.
+type HolderFollow struct {
+	// ApplyWithin is the time within which a change that operators made must take effect, even
+	// if watches of the catalog receive nothing. Shorter times cost more calls; 0 relies on the
+	// watches.
+	ApplyWithin time.Duration
 }
 
 // Memory limits the memory of the process.
@@ -74,10 +86,11 @@
 	Listen   HolderListen
 	Catalog  PlatformService
 	// Calls limits the calls to the catalog.
-	Calls keeper.Settings
-	Jobs  batcher.Settings
-	Data  HolderData
-	Log   Log
+	Calls  keeper.Settings
+	Follow HolderFollow
+	Jobs   batcher.Settings
+	Data   HolderData
+	Log    Log
 }
 
 // HolderListen holds the addresses on which a holder listens.
@@ -107,6 +120,8 @@
 	defaultNoticeSilence = 3 * time.Second
 	// defaultDropRemoved is the shortest time that a platform has asked for.
 	defaultDropRemoved = 2 * time.Second
+	// defaultApplyWithin is the shortest time that a platform has asked for.
+	defaultApplyWithin = 2 * time.Second
 	// gatewayCallTimeout is many times the catalog's usual latency of 4 ms, and
 	// shorter than the time that a caller waits for a job to be accepted.
 	gatewayCallTimeout = time.Second
@@ -126,7 +141,7 @@
 	return Gateway{
 		Catalog: PlatformService{Adapter: "platform"},
 		Calls:   gatewayCallSettings(),
-		Follow:  Follow{NoticeSilence: defaultNoticeSilence, DropRemoved: defaultDropRemoved},
+		Follow:  Follow{NoticeSilence: defaultNoticeSilence, DropRemoved: defaultDropRemoved, ApplyWithin: defaultApplyWithin},
 		Answers: exchanger.DefaultLimits(),
 		Jobs:    batcher.DefaultSettings(),
 		Stop:    Stop{BalancerLag: gatewayBalancerLag, Grace: defaultGrace},
@@ -139,6 +154,7 @@
 	return Holder{
 		Catalog: PlatformService{Adapter: "platform"},
 		Calls:   gatewayCallSettings(),
+		Follow:  HolderFollow{ApplyWithin: defaultApplyWithin},
 		Jobs:    batcher.DefaultSettings(),
 		Log:     Log{Level: "info"},
 	}
