--- a/commander/config.go
+++ b/commander/config.go
@@ -56,26 +56,6 @@
 	}}
 }
 
-func (commander *Commander) configCheck(parent *kingpin.CmdClause) command {
-	clause := parent.Command("check", "Check a file offline, without an entry.")
-	output := outputFlag(clause)
-	path := clause.Arg("file", "File as config show writes it.").Required().String()
-
-	return command{clause: clause, run: func(context.Context) error {
-		_, faults, err := readConfigurationFile(*path)
-		if err != nil {
-			return errors.Trace(err)
-		}
-
-		result := editor.Result{Verdict: editor.VerdictPassed}
-		if len(faults) > 0 {
-			result = editor.Result{Verdict: editor.VerdictInvalid, Faults: faults}
-		}
-
-		return commander.printResult(*output, result)
-	}}
-}
-
 // readConfigurationFile reads a file and returns its configuration and all its faults.
 func readConfigurationFile(path string) (presenter.Configuration, []classifier.Fault, error) {
 	configuration := presenter.Configuration{Document: &editor.Document{}}
