Tell peers that a watch has missed a change by the list's digest

Cause: a removal has no revision in a list. Reporting the list's revision instead would have made all processes list again whenever other prefixes moved the store's revision. Change: a verification says that it showed a missed change; peers whose watch does not return that state list once and do not say it again.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -164,17 +164,6 @@
 	}
 }
 
-// listing is the result of listing the prefix.
-type listing struct {
-	items    []keeper.Item
-	revision keeper.Revision
-	err      error
-	// began is when the list was requested, and peerNewest the newest revision of a peer
-	// that was known then.
-	began      time.Time
-	peerNewest uint64
-}
-
 // list reads all items below the prefix. A process without a copy meanwhile uses another
 // process's, since the service may be unavailable without the call failing soon.
 func (follower *Follower) list(ctx context.Context) error {
@@ -184,8 +173,9 @@
 	follower.verification.recordAttempt(began)
 
 	go func() {
-		items, revision, err := follower.Client.RangeAll(ctx, follower.Prefix)
-		listings <- listing{items: items, revision: revision, err: err, began: began, peerNewest: peerNewest}
+		listing := follower.readAll(ctx)
+		listing.began, listing.peerNewest = began, peerNewest
+		listings <- listing
 	}()
 
 	fallback := follower.fetchFallback(ctx)
@@ -235,23 +225,17 @@
 		age = time.Since(verified)
 	}
 
-	removed := false
-
 	for name := range follower.current {
 		if !present[name] {
-			removed = follower.remove(name, age) || removed
+			follower.remove(name, age)
 		}
 	}
 
-	if removed {
-		follower.progress.recordRemoval(uint64(listing.revision))
-	}
-
 	follower.revision = listing.revision
 	follower.syncedAt = time.Now()
 	follower.recordSynced()
 	follower.progress.recordListed(uint64(listing.revision), listing.peerNewest)
-	follower.verification.recordApplied(listing.began, follower.digest)
+	follower.verification.recordApplied(listing.began, follower.digest, listing.consistent)
 
 	// This list contains the change that a signal sent before was about.
 	select {
--- a/follower/removals.go
+++ b/follower/removals.go
@@ -9,12 +9,12 @@
 	"github.com/sirupsen/logrus"
 )
 
-// remove drops a key from the copy, or does so after a delay, and tells whether the removal
-// is new. Age is the longest time that may have passed since the key's removal.
-func (follower *Follower) remove(name string, age time.Duration) bool {
+// remove drops a key from the copy, or does so after a delay. Age is the longest time that
+// may have passed since the key's removal.
+func (follower *Follower) remove(name string, age time.Duration) {
 	item, found := follower.current[name]
 	if _, pending := follower.removed[name]; !found || pending {
-		return false
+		return
 	}
 
 	follower.digest ^= digestOf(item)
@@ -22,7 +22,7 @@
 	if !follower.DelayRemovals {
 		delete(follower.current, name)
 
-		return true
+		return
 	}
 
 	now, outage := time.Now(), follower.Client.Outage()
@@ -31,8 +31,6 @@
 	follower.Log.WithFields(logrus.Fields{
 		"Prefix": follower.Prefix, "Key": name, "Revision": follower.revision, "Delay": expiry.Sub(now), "MaxAge": age, "LastFailure": outage.LastFailure, "Available": outage.End,
 	}).Info("Key was removed; it leaves the copy after a delay.")
-
-	return true
 }
 
 // nextExpiry returns a channel that receives when the next removed key must leave the copy;
--- a/follower/watch_progress.go
+++ b/follower/watch_progress.go
@@ -45,18 +45,6 @@
 	return max(progress.listed.Load(), progress.checked.Load(), progress.newest.Load())
 }
 
-// recordRemoval records that a list showed the removal of a key. The revision of the removal
-// is unknown: it is at most that of the list. If a peer saw a change up to there, its revision
-// is used, so that processes that find the same removal agree and list only once.
-func (progress *watchProgress) recordRemoval(listed uint64) {
-	revision := listed
-	if heard := progress.peerNewest.Load(); heard > progress.newest.Load() && heard < listed {
-		revision = heard
-	}
-
-	storeMax(&progress.newest, revision)
-}
-
 // WithLongWatches lets watches wait long while allowed returns true. It should do so
 // while most peers, which watch the same prefix, report and no call has failed lately: a
 // peer that sees a change reports its revision, so a watch here that missed it is
@@ -83,7 +71,13 @@
 
 // IsOutdated tells whether another process saw a newer change than this copy contains.
 func (follower *Follower) IsOutdated() bool {
-	return follower.progress.peerNewest.Load() > follower.progress.known()
+	known := follower.progress.known()
+	// Without verification, no list would settle what a peer reports.
+	if follower.verification.within <= 0 {
+		known = max(known, follower.progress.synced.Load())
+	}
+
+	return follower.progress.peerNewest.Load() > known
 }
 
 // storeMax sets the number to the value unless it is already as great.
