--- a/follower/watch_progress.go
+++ b/follower/watch_progress.go
@@ -26,6 +26,23 @@
 	newest atomic.Uint64
 	// peerNewest is the revision of the newest change that any other process saw.
 	peerNewest atomic.Uint64
+	// listed is the revision of the last list that the copy is known to contain. A watch's
+	// answer without changes does not move it, since the watch may miss changes.
+	listed atomic.Uint64
+	// checked is the newest revision of a peer that was known when that list was requested.
+	checked atomic.Uint64
+}
+
+// recordListed records a list that the copy contains, and the newest revision of a peer that
+// was known when it was requested.
+func (progress *watchProgress) recordListed(revision, peerNewest uint64) {
+	storeMax(&progress.listed, revision)
+	storeMax(&progress.checked, peerNewest)
+}
+
+// known returns the revision up to which peers' revisions show no change that the copy lacks.
+func (progress *watchProgress) known() uint64 {
+	return max(progress.listed.Load(), progress.checked.Load(), progress.newest.Load())
 }
 
 // WithLongWatches lets watches wait long while allowed returns true. It should do so
@@ -54,7 +71,13 @@
 
 // IsOutdated tells whether another process saw a newer change than this copy contains.
 func (follower *Follower) IsOutdated() bool {
-	return follower.progress.peerNewest.Load() > max(follower.progress.synced.Load(), follower.progress.newest.Load())
+	known := follower.progress.known()
+	// Without verification, no list would settle what a peer reports.
+	if follower.verification.within <= 0 {
+		known = max(known, follower.progress.synced.Load())
+	}
+
+	return follower.progress.peerNewest.Load() > known
 }
 
 // storeMax sets the number to the value unless it is already as great.
