Find routes and keys by an index

Cause: a route was found by a scan over all routes of its host; at 5,000 routes that dominates the decision about a call. The log line of a new configuration names the number of workspaces. The index finds what a scan finds (TestIndexFindsTheRouteOfAScan).

--- a/matcher/current_document.go
+++ b/matcher/current_document.go
@@ -40,7 +40,7 @@
 
 	current.document.Store(document)
 
-	fields := logrus.Fields{"Version": document.Version, "Routes": len(document.Routes)}
+	fields := logrus.Fields{"Version": document.Version, "Routes": len(document.Routes), "Workspaces": len(document.Workspaces)}
 	if previous != nil {
 		fields["Before"] = previous.Version
 	}
--- a/matcher/document.go
+++ b/matcher/document.go
@@ -1,8 +1,6 @@
 package matcher
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 )
 
@@ -17,24 +15,27 @@
 	// then requests need no key.
 	Workspaces map[string]*Workspace
 
-	// workspaceByKey holds the workspaces by key.
-	workspaceByKey map[string]*Workspace
-	// routesByHost holds the routes by lower-case host, the longest prefix first.
-	routesByHost map[string][]*Route
+	// workspaceByKey holds the workspaces by the hash of each key.
+	workspaceByKey index[*Workspace]
+	// routesByHost holds the routes by lower-case host.
+	routesByHost index[*hostRoutes]
 }
 
-// NewDocument returns a document and indexes its routes by host.
+// NewDocument returns a document and indexes its routes by host and prefix.
 func NewDocument(version int64, routes []Route, services map[string]Service, limits Limits) *Document {
-	document := &Document{Version: version, Routes: routes, Services: services, Limits: limits, routesByHost: map[string][]*Route{}}
+	document := &Document{Version: version, Routes: routes, Services: services, Limits: limits}
 
 	for index := range routes {
 		route := &routes[index]
 		host := strings.ToLower(route.Host)
-		document.routesByHost[host] = append(document.routesByHost[host], route)
-	}
 
-	for _, hostRoutes := range document.routesByHost {
-		slices.SortFunc(hostRoutes, func(left, right *Route) int { return cmp.Compare(len(right.Prefix), len(left.Prefix)) })
+		routesOfHost, known := document.routesByHost.find(host)
+		if !known {
+			routesOfHost = &hostRoutes{}
+			document.routesByHost.add(host, routesOfHost)
+		}
+
+		routesOfHost.add(route)
 	}
 
 	return document
@@ -43,14 +44,16 @@
 // SetWorkspaces sets the workspaces of a document that is not in force yet. An empty list, unlike
 // none, means that no key is known.
 func (document *Document) SetWorkspaces(workspaces []Workspace) {
-	document.Workspaces, document.workspaceByKey = map[string]*Workspace{}, map[string]*Workspace{}
+	document.Workspaces, document.workspaceByKey = map[string]*Workspace{}, index[*Workspace]{}
 
 	for index := range workspaces {
 		workspace := &workspaces[index]
 		document.Workspaces[workspace.Name] = workspace
 
 		for _, key := range workspace.Keys {
-			document.workspaceByKey[key] = workspace
+			if hash := HashKey(key); document.WorkspaceOfHash(hash) == nil {
+				document.workspaceByKey.add(string(hash[:]), workspace)
+			}
 		}
 	}
 }
@@ -62,19 +65,37 @@
 
 // WorkspaceOfKey returns the workspace that holds the key, or nil.
 func (document *Document) WorkspaceOfKey(key string) *Workspace {
-	return document.workspaceByKey[key]
+	return document.WorkspaceOfHash(HashKey(key))
+}
+
+// WorkspaceOfHash returns the workspace that holds the key with the hash, or nil.
+func (document *Document) WorkspaceOfHash(hash KeyHash) *Workspace {
+	workspace, _ := document.workspaceByKey.find(string(hash[:]))
+
+	return workspace
 }
 
 // Match returns the host's route with the longest prefix of the path, or nil. The
 // host may include a port, which is ignored.
 func (document *Document) Match(host, path string) *Route {
-	host, _, _ = strings.Cut(strings.ToLower(host), ":")
-
-	for _, route := range document.routesByHost[host] {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route
-		}
+	if routes := document.routesOf(host); routes != nil {
+		return routes.match(path)
 	}
 
 	return nil
 }
+
+// AcceptsJobsWithoutKey reports whether a batch route of the host serves requests without a key.
+func (document *Document) AcceptsJobsWithoutKey(host string) bool {
+	routes := document.routesOf(host)
+
+	return routes != nil && routes.acceptsJobsWithoutKey
+}
+
+func (document *Document) routesOf(host string) *hostRoutes {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+
+	routes, _ := document.routesByHost.find(host)
+
+	return routes
+}
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -1,6 +1,9 @@
 package matcher_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -81,3 +84,50 @@
 		require.Equal(t, scenario.repeatable, scenario.route.Repeatable(), scenario.route.Kind.String())
 	}
 }
+
+// The index must find the route that a scan over all routes finds, also where prefixes contain each
+// other and have many lengths.
+func TestIndexFindsTheRouteOfAScan(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	word := func(longest int) string {
+		text := ""
+		for range random.IntN(longest) {
+			text += string("/ab"[random.IntN(3)])
+		}
+
+		return text
+	}
+
+	for range 200 {
+		routes := make([]matcher.Route, random.IntN(30))
+		for number := range routes {
+			routes[number] = matcher.Route{Name: fmt.Sprint(number), Host: "h" + word(2), Prefix: word(8)}
+		}
+
+		document := matcher.NewDocument(1, routes, nil, matcher.Limits{})
+
+		for range 50 {
+			host, path := "h"+word(2), word(12)
+
+			var expected *matcher.Route
+
+			for number, route := range routes {
+				if route.Host == host && strings.HasPrefix(path, route.Prefix) && (expected == nil || len(route.Prefix) > len(expected.Prefix)) {
+					expected = &routes[number]
+				}
+			}
+
+			require.Equal(t, expected, document.Match(host, path))
+		}
+	}
+}
+
+// A key that cannot be looked up without allocations would make each call dearer.
+func TestLookupDoesNotAllocate(t *testing.T) {
+	document, key := largeDocument(2000, 5000, 500), strings.Repeat("k", 256)
+
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		document.Match("host-0007.example:80", "/service-0007/v1/x")
+		document.WorkspaceOfKey(key)
+	}))
+}
