--- /dev/null
+++ b/authenticator/doc.go
@@ -0,0 +1,2 @@
+// Package authenticator identifies the workspace of a request from its key.
+package authenticator
