Keep the workspace of jobs

Cause: a job belongs to the workspace whose key submitted it, and no record of a job named one. Change: the workspace is in bookkeeper.Job and Head, and with them in deposits and hand-overs. librarian.FindFor treats a job that its reader may not read like an unknown one, also while the store is away; custodians are asked for a reader. Items are sent with the workspace of their job. An ID of another workspace's job is Occupied. Records without a workspace are the same bytes as before.

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -143,8 +143,13 @@
 
 // Submit accepts a job. Submitting the same job again has no effect.
 func (batcher *Batcher) Submit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome {
-	if batcher.Librarian.HasJob(job.ID) || batcher.runsWithoutHandover(job.ID) {
-		return bookkeeper.OK
+	return batcher.SubmitBy(ctx, bookkeeper.Reader{}, job)
+}
+
+// SubmitBy is Submit for a caller that must not take a job that it may not read for its own.
+func (batcher *Batcher) SubmitBy(ctx context.Context, submitter bookkeeper.Reader, job bookkeeper.Job) bookkeeper.Outcome {
+	if workspace, exists := batcher.workspaceOf(job.ID); exists {
+		return outcomeOfPresent(submitter, workspace)
 	}
 
 	// A custodian that delivers the job to the key-value service records this
@@ -160,6 +165,10 @@
 		return outcome
 	}
 
+	if created.Revision > 0 && !submitter.MayRead(created.Workspace) {
+		return bookkeeper.Occupied
+	}
+
 	if created.Revision == 0 {
 		batcher.startDeposited(job)
 
@@ -177,6 +186,39 @@
 	return bookkeeper.OK
 }
 
+// workspaceOf returns the workspace of a job that certainly exists, and whether there is one.
+func (batcher *Batcher) workspaceOf(id string) (string, bool) {
+	if head := batcher.Librarian.KnownHead(id); head.Revision > 0 {
+		return head.Workspace, true
+	}
+
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+
+	active := batcher.active[id]
+	if active == nil || active.previousOwner != "" {
+		return "", false
+	}
+
+	return active.job.Workspace, true
+}
+
+// outcomeOfPresent returns the outcome of submitting a job whose ID a job of the workspace has.
+func outcomeOfPresent(submitter bookkeeper.Reader, workspace string) bookkeeper.Outcome {
+	if submitter.MayRead(workspace) {
+		return bookkeeper.OK
+	}
+
+	return bookkeeper.Occupied
+}
+
+// CheckReader returns OK if the job exists and the reader may read it, and NotFound if either is not so.
+func (batcher *Batcher) CheckReader(ctx context.Context, id string, reader bookkeeper.Reader) bookkeeper.Outcome {
+	_, outcome := batcher.Librarian.FindFor(ctx, id, reader)
+
+	return outcome
+}
+
 // ReadResults returns the results of a job from a position on. If there are none yet, it
 // waits for the first one.
 func (batcher *Batcher) ReadResults(ctx context.Context, id string, after int, wait time.Duration) (librarian.ResultsPage, bookkeeper.Outcome) {
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -200,7 +200,7 @@
 	return bookkeeper.NotDone
 }
 
-func (depositor *racingDepositor) HasJob(ctx context.Context, _ string) (bool, bool) {
+func (depositor *racingDepositor) HasJob(ctx context.Context, _ string, _ bookkeeper.Reader) (bool, bool) {
 	return false, bookkeeper.CreateDelivered(ctx, depositor.fleet.gateways[0].client, depositor.job) == bookkeeper.OK
 }
 
--- a/batcher/depositor.go
+++ b/batcher/depositor.go
@@ -23,9 +23,9 @@
 type Depositor interface {
 	// Deposit stores a job durably. It is delivered to the key-value service later.
 	Deposit(ctx context.Context, job bookkeeper.Job) bookkeeper.Outcome
-	// HasJob tells whether a job awaits delivery to the key-value service, and whether
-	// all custodians answered.
-	HasJob(ctx context.Context, id string) (found, complete bool)
+	// HasJob tells whether a job that the reader may read awaits delivery to the key-value
+	// service, and whether all custodians answered.
+	HasJob(ctx context.Context, id string, reader bookkeeper.Reader) (found, complete bool)
 }
 
 // persist stores a job in the key-value service or, if that fails, at custodians.
@@ -63,13 +63,13 @@
 }
 
 // isAbsent tells whether a job that is not in the key-value service certainly does
-// not exist at a custodian either.
-func (batcher *Batcher) isAbsent(ctx context.Context, id string) bool {
+// not exist at a custodian either, or is not one that the reader may read.
+func (batcher *Batcher) isAbsent(ctx context.Context, id string, reader bookkeeper.Reader) bool {
 	if batcher.Depositor == nil {
 		return true
 	}
 
-	found, complete := batcher.Depositor.HasJob(ctx, id)
+	found, complete := batcher.Depositor.HasJob(ctx, id, reader)
 
 	return !found && (complete || !batcher.ledger.Client.FailedWithin(deliveryGrace))
 }
--- a/batcher/item_run.go
+++ b/batcher/item_run.go
@@ -114,6 +114,7 @@
 		ID: pending.item.ID, Method: http.MethodPost, Target: pending.item.Target, Host: active.job.Host,
 		Header: exchanger.EndToEndHeaders(headerOf(pending.item)), Body: pending.item.Body, Route: run.target.route, Service: run.target.service,
 		Deadline: active.job.GiveUp, LastEventID: run.after,
+		Workspace: active.job.Workspace, Authenticated: active.job.Workspace != "" || batcher.requiresKeys(),
 	}
 
 	reply, err := batcher.Backend.Send(sending, run.grant.Server, call, forwarder.Attempt{
--- a/batcher/run.go
+++ b/batcher/run.go
@@ -192,6 +192,14 @@
 	return retrier.Backoff{Base: backoffBase, MaxPause: backoffLimit}.Pause(failures - 1)
 }
 
+// requiresKeys tells whether the configuration in force has workspaces.
+func (batcher *Batcher) requiresKeys() bool {
+	document := batcher.Configuration.Document()
+
+	return document != nil && document.RequiresKeys()
+}
+
+// headerOf returns the headers that were submitted with an item.
 func headerOf(item bookkeeper.Item) http.Header {
 	header := http.Header{}
 	for name, value := range item.Header {
--- a/batcher/unclaimed.go
+++ b/batcher/unclaimed.go
@@ -26,17 +26,6 @@
 	}
 }
 
-// runsWithoutHandover tells whether this process runs the job and did not receive it in
-// a handover.
-func (batcher *Batcher) runsWithoutHandover(id string) bool {
-	batcher.mutex.Lock()
-	defer batcher.mutex.Unlock()
-
-	active := batcher.active[id]
-
-	return active != nil && active.previousOwner == ""
-}
-
 // AcceptHandover starts a job that its owner hands over. It returns false if the job is not
 // open or already runs here, or if this process is stopping.
 func (batcher *Batcher) AcceptHandover(handover Handover) bool {
--- a/batcher/unclaimed_test.go
+++ b/batcher/unclaimed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -43,11 +44,11 @@
 	return bookkeeper.OK
 }
 
-func (custodians *fakeCustodians) HasJob(context.Context, string) (bool, bool) {
+func (custodians *fakeCustodians) HasJob(_ context.Context, _ string, reader bookkeeper.Reader) (bool, bool) {
 	custodians.mutex.Lock()
 	defer custodians.mutex.Unlock()
 
-	return len(custodians.jobs) > 0, true
+	return slices.ContainsFunc(custodians.jobs, func(job bookkeeper.Job) bool { return reader.MayRead(job.Workspace) }), true
 }
 
 // deliver creates all stored jobs in the key-value service. The first copy of a job
--- a/bookkeeper/head.go
+++ b/bookkeeper/head.go
@@ -23,6 +23,8 @@
 	// Configuration is the version of the configuration by which the job was accepted, or 0
 	// if it was stored without it. An older configuration decides nothing about its items.
 	Configuration int64 `json:",omitempty"`
+	// Workspace is the workspace whose key submitted the job; empty if there was none.
+	Workspace string `json:",omitempty"`
 	// Ended is set when the job was ended: no further item starts.
 	Ended bool
 	// Done is set when all results are committed.
@@ -33,7 +35,7 @@
 func NewHead(job Job) Head {
 	return Head{
 		Owner: job.Owner, Host: job.Host, Total: len(job.Items),
-		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp, Configuration: job.Configuration,
+		Submitted: job.Submitted, Due: job.Due, GiveUp: job.GiveUp, Configuration: job.Configuration, Workspace: job.Workspace,
 	}
 }
 
@@ -41,7 +43,7 @@
 func (head Head) Job(id string, items []Item) Job {
 	return Job{
 		ID: id, Host: head.Host, Items: items,
-		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp, Configuration: head.Configuration,
+		Submitted: head.Submitted, Due: head.Due, GiveUp: head.GiveUp, Configuration: head.Configuration, Workspace: head.Workspace,
 	}
 }
 
--- a/bookkeeper/job.go
+++ b/bookkeeper/job.go
@@ -30,6 +30,8 @@
 	// Configuration is the version of the configuration by which the job was accepted. It is
 	// 0 for jobs that were stored without it.
 	Configuration int64 `json:",omitempty"`
+	// Workspace is the workspace whose key submitted the job; empty if there was none.
+	Workspace string `json:",omitempty"`
 	// Owner is the process that runs the job while the key-value service is
 	// unavailable. It is empty if none does.
 	Owner string `json:",omitempty"`
--- a/bookkeeper/outcome.go
+++ b/bookkeeper/outcome.go
@@ -15,9 +15,11 @@
 	Unknown
 	// Rejected means that the call had no effect, and never will as it is.
 	Rejected
+	// Occupied means that a job of another workspace has the ID.
+	Occupied
 )
 
 // String returns the name of the outcome in logs.
 func (outcome Outcome) String() string {
-	return [...]string{"OK", "NotFound", "NotDone", "Unknown", "Rejected"}[outcome]
+	return [...]string{"OK", "NotFound", "NotDone", "Unknown", "Rejected", "Occupied"}[outcome]
 }
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -39,6 +39,8 @@
 	mutex sync.Mutex
 	// fileNames maps the IDs of the held jobs to the names of their files.
 	fileNames map[string]string
+	// workspaces maps the IDs of the held jobs that have a workspace to it.
+	workspaces map[string]string
 	// rejectedUntil holds when the jobs that the key-value service rejected are offered again.
 	rejectedUntil map[string]time.Time
 	// leaving is set when the custodian no longer accepts jobs.
@@ -57,6 +59,7 @@
 		MaxAge:    maxAge,
 		fileNames: map[string]string{},
 
+		workspaces:    map[string]string{},
 		rejectedUntil: map[string]time.Time{},
 
 		wake: make(chan struct{}, 1),
@@ -78,7 +81,7 @@
 			continue
 		}
 
-		custodian.fileNames[job.ID] = name
+		custodian.setHeld(job, name)
 	}
 
 	custodian.Log.WithField("Held", len(custodian.fileNames)).Info("Read the held jobs from the folder.")
@@ -94,9 +97,13 @@
 	}
 
 	custodian.mutex.Lock()
-	leaving, held := custodian.leaving, custodian.fileNames[job.ID] != ""
+	leaving, held, workspace := custodian.leaving, custodian.fileNames[job.ID] != "", custodian.workspaces[job.ID]
 	custodian.mutex.Unlock()
 
+	if held && workspace != "" && workspace != job.Workspace {
+		return errors.AlreadyExistsf("job %.80s of another workspace", job.ID)
+	}
+
 	// A job with the ID of a held job is a retry of the same submission.
 	if held {
 		return nil
@@ -112,7 +119,7 @@
 	}
 
 	custodian.mutex.Lock()
-	custodian.fileNames[job.ID] = name
+	custodian.setHeld(job, name)
 	custodian.mutex.Unlock()
 
 	custodian.Log.WithFields(logrus.Fields{"JobID": job.ID, "Items": len(job.Items)}).Info("Job was stored until it can be delivered to the key-value service.")
@@ -125,12 +132,26 @@
 	return nil
 }
 
+// setHeld records that a job is held in the file. The mutex must be held, except at construction.
+func (custodian *Custodian) setHeld(job bookkeeper.Job, name string) {
+	custodian.fileNames[job.ID] = name
+
+	if job.Workspace != "" {
+		custodian.workspaces[job.ID] = job.Workspace
+	}
+}
+
 // Holds tells whether a job is held here because it may not have been delivered yet.
 func (custodian *Custodian) Holds(id string) bool {
+	return custodian.HoldsFor(id, bookkeeper.Reader{})
+}
+
+// HoldsFor is Holds for a reader, to whom jobs that it may not read do not exist.
+func (custodian *Custodian) HoldsFor(id string, reader bookkeeper.Reader) bool {
 	custodian.mutex.Lock()
 	defer custodian.mutex.Unlock()
 
-	return custodian.fileNames[id] != ""
+	return custodian.fileNames[id] != "" && reader.MayRead(custodian.workspaces[id])
 }
 
 // StopAccepting makes the custodian reject new jobs. It still delivers those that it holds;
@@ -259,5 +280,6 @@
 	if custodian.fileNames[id] == name {
 		delete(custodian.fileNames, id)
 		delete(custodian.rejectedUntil, id)
+		delete(custodian.workspaces, id)
 	}
 }
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -205,11 +205,11 @@
 			require.Equal(t, scenario.outcome, depositor.Deposit(t.Context(), newJob("x")))
 
 			if scenario.outcome == bookkeeper.OK {
-				found, _ := depositor.HasJob(t.Context(), "x")
+				found, _ := depositor.HasJob(t.Context(), "x", bookkeeper.Reader{})
 				require.True(t, found)
 			}
 
-			found, complete := depositor.HasJob(t.Context(), "other")
+			found, complete := depositor.HasJob(t.Context(), "other", bookkeeper.Reader{})
 			require.False(t, found)
 			require.Equal(t, !contains(scenario.states, unreachable), complete)
 		})
--- a/custodian/depositor.go
+++ b/custodian/depositor.go
@@ -126,7 +126,12 @@
 
 // HasJob implements batcher.Depositor. It returns as soon as one custodian holds the job. complete is
 // false if none does and one did not answer.
-func (depositor *Depositor) HasJob(ctx context.Context, id string) (found, complete bool) {
+func (depositor *Depositor) HasJob(ctx context.Context, id string, reader bookkeeper.Reader) (found, complete bool) {
+	query := url.Values{parameterID: {id}}
+	if reader.Restricted {
+		query.Set(parameterWorkspace, reader.Workspace)
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 
@@ -135,7 +140,7 @@
 
 	for _, address := range addresses {
 		go func() {
-			status, err := depositor.call(ctx, http.MethodGet, address, "?id="+url.QueryEscape(id), nil)
+			status, err := depositor.call(ctx, http.MethodGet, address, "?"+query.Encode(), nil)
 			if err != nil {
 				status = 0
 			}
--- a/custodian/server.go
+++ b/custodian/server.go
@@ -11,6 +11,11 @@
 const (
 	// Path is the path of both calls: POST stores a job, GET tells whether it is held.
 	Path = "/v1/held"
+	// parameterID is the parameter of a query with the ID of the job.
+	parameterID = "id"
+	// parameterWorkspace is the parameter with the reader's workspace, or empty if it has none. It is
+	// missing if the reader may read all jobs.
+	parameterWorkspace = "workspace"
 	// maxJobBytes is the maximum size of an encoded job: more than the key-value service
 	// stores of one.
 	maxJobBytes = 24 << 20
@@ -37,7 +42,10 @@
 }
 
 func (custodian *Custodian) handleQuery(writer http.ResponseWriter, request *http.Request) {
-	if !custodian.Holds(request.URL.Query().Get("id")) {
+	query := request.URL.Query()
+
+	reader := bookkeeper.Reader{Restricted: query.Has(parameterWorkspace), Workspace: query.Get(parameterWorkspace)}
+	if !custodian.HoldsFor(query.Get(parameterID), reader) {
 		http.Error(writer, "No such job is held here.", http.StatusNotFound)
 	}
 }
--- a/custodian/silence_test.go
+++ b/custodian/silence_test.go
@@ -65,7 +65,7 @@
 				require.Equal(t, bookkeeper.OK, depositor.Deposit(ctx, newJob("x")))
 
 				custodians.until.Store(time.Now().Add(silence).UnixNano())
-				found, _ := depositor.HasJob(t.Context(), "x")
+				found, _ := depositor.HasJob(t.Context(), "x", bookkeeper.Reader{})
 				require.True(t, found)
 			})
 		})
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -18,6 +18,11 @@
 	Caller string
 	// Workspace is the workspace of the caller's key; empty if it has none.
 	Workspace string
+	// Authenticated is set if the configuration has workspaces. Then the caller's key is not sent to
+	// backend servers, and Workspace replaces the workspace that the caller names.
+	Authenticated bool
+	// WorkspacePriority is the priority of the workspace; nil if that of the route applies.
+	WorkspacePriority *int
 	// Header holds the end-to-end headers.
 	Header http.Header
 	Body   []byte
@@ -35,6 +40,15 @@
 	Resumes string
 }
 
+// Priority returns the priority of the call; 0 is the most urgent.
+func (call *Call) Priority() int {
+	if call.WorkspacePriority != nil {
+		return *call.WorkspacePriority
+	}
+
+	return call.Route.Priority
+}
+
 // Sink receives the answer for the caller.
 type Sink interface {
 	// WriteHead writes the head of the answer. Length is -1 if it is not known.
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -116,7 +116,7 @@
 		RequestID: delivery.call.ID,
 		Service:   delivery.call.Service,
 		Workspace: delivery.call.Workspace,
-		Priority:  delivery.call.Route.Priority,
+		Priority:  delivery.call.Priority(),
 		MaxWait:   min(fraction(queueShare, latencyTarget(delivery.call.Route)), time.Until(delivery.call.Deadline)),
 		Elapsed:   delivery.spentBefore,
 		Prefix:    delivery.call.PrefixHash,
--- a/forwarder/outcome_recorder.go
+++ b/forwarder/outcome_recorder.go
@@ -58,7 +58,7 @@
 	}
 
 	recorder.Log.WithFields(logrus.Fields{
-		"RequestID": call.ID, "Route": call.Route.Name, "Kind": call.Route.Kind.String(), "Repeatable": call.Route.Repeatable(), "Service": call.Service, "Outcome": result.Outcome.String(),
+		"RequestID": call.ID, "Route": call.Route.Name, "Workspace": call.Workspace, "Kind": call.Route.Kind.String(), "Repeatable": call.Route.Repeatable(), "Service": call.Service, "Outcome": result.Outcome.String(),
 		"Reason": result.Reason, "Status": result.Status, "BackendServer": result.BackendServer, "Attempts": result.Attempts, "AttemptsAllowed": call.Route.AttemptLimit,
 		"Waited": result.QueueTime, "First": result.TimeToFirstByte, "Total": total, "Allowed": time.Until(call.Deadline) + total, "Events": result.Events,
 		"RetryAfter": result.RetryAfter, "Calls": calls,
--- a/librarian/librarian.go
+++ b/librarian/librarian.go
@@ -19,8 +19,8 @@
 	// its record certainly holds all committed results.
 	IsSoleWriter func(id string) bool
 	// ConfirmAbsent tells whether a job that the key-value service does not have is
-	// certainly not stored by a custodian either.
-	ConfirmAbsent func(ctx context.Context, id string) bool
+	// certainly not stored by a custodian either, or not one that the reader may read.
+	ConfirmAbsent func(ctx context.Context, id string, reader bookkeeper.Reader) bool
 	// Inquirer is nil if other processes cannot be asked.
 	Inquirer Inquirer
 
@@ -34,7 +34,7 @@
 }
 
 // NewLibrarian returns a librarian without records.
-func NewLibrarian(common kernel.Common, ledger bookkeeper.Ledger, processID string, isSoleWriter func(id string) bool, confirmAbsent func(ctx context.Context, id string) bool) *Librarian {
+func NewLibrarian(common kernel.Common, ledger bookkeeper.Ledger, processID string, isSoleWriter func(id string) bool, confirmAbsent func(ctx context.Context, id string, reader bookkeeper.Reader) bool) *Librarian {
 	return &Librarian{
 		Common:         common.ForPart("librarian"),
 		Ledger:         ledger,
@@ -69,11 +69,13 @@
 	return librarian.heads
 }
 
-// HasJob tells whether a job certainly exists.
-func (librarian *Librarian) HasJob(id string) bool {
-	record := librarian.peek(id)
+// KnownHead returns the head of a job that certainly exists. Its revision is 0 if none is known here.
+func (librarian *Librarian) KnownHead(id string) bookkeeper.VersionedHead {
+	if record := librarian.peek(id); record != nil && record.Head().Revision > 0 {
+		return record.Head()
+	}
 
-	return librarian.Heads()[id].Revision > 0 || record != nil && record.Head().Revision > 0
+	return librarian.Heads()[id]
 }
 
 // Record returns the record of a job. It creates one if there is none.
@@ -100,15 +102,21 @@
 
 // Find returns the record of a job. It reads the job's head if there is none here.
 func (librarian *Librarian) Find(ctx context.Context, id string) (*Record, bookkeeper.Outcome) {
-	if record := librarian.peek(id); record != nil && record.Head().Revision > 0 {
+	return librarian.FindFor(ctx, id, bookkeeper.Reader{})
+}
+
+// FindFor is Find for a reader, to whom jobs that it may not read do not exist: they are looked up like
+// unknown ones, so that the outcome is the same while the key-value service is away, too.
+func (librarian *Librarian) FindFor(ctx context.Context, id string, reader bookkeeper.Reader) (*Record, bookkeeper.Outcome) {
+	if record := librarian.peek(id); record != nil && isReadable(record.Head(), reader) {
 		return record, bookkeeper.OK
 	}
 
-	head, hasHead := librarian.Heads()[id]
-	if !hasHead {
+	head := librarian.Heads()[id]
+	if !isReadable(head, reader) {
 		var outcome bookkeeper.Outcome
 
-		head, outcome = librarian.lookUp(ctx, id)
+		head, outcome = librarian.lookUp(ctx, id, reader)
 		if outcome != bookkeeper.OK {
 			return nil, outcome
 		}
@@ -120,21 +128,26 @@
 	return record, bookkeeper.OK
 }
 
-// lookUp reads the head of a job from the key-value service. If there is none it asks
-// the custodians and then reads again: they drop a job only after its delivery, so it
+// isReadable reports whether the head exists and the reader may read its job.
+func isReadable(head bookkeeper.VersionedHead, reader bookkeeper.Reader) bool {
+	return head.Revision > 0 && reader.MayRead(head.Workspace)
+}
+
+// lookUp reads the head of a job from the key-value service. If there is none that the reader may
+// read, it asks the custodians and then reads again: they drop a job only after its delivery, so it
 // may have been delivered in between.
-func (librarian *Librarian) lookUp(ctx context.Context, id string) (bookkeeper.VersionedHead, bookkeeper.Outcome) {
+func (librarian *Librarian) lookUp(ctx context.Context, id string, reader bookkeeper.Reader) (bookkeeper.VersionedHead, bookkeeper.Outcome) {
 	for _, secondRead := range []bool{false, true} {
 		head, err := librarian.Ledger.Head(ctx, id)
 		if err != nil {
 			return head, bookkeeper.NotDone
 		}
 
-		if head.Revision > 0 {
+		if isReadable(head, reader) {
 			return head, bookkeeper.OK
 		}
 
-		if !secondRead && !librarian.ConfirmAbsent(ctx, id) {
+		if !secondRead && !librarian.ConfirmAbsent(ctx, id, reader) {
 			return head, bookkeeper.NotDone
 		}
 	}
