Look keys up by a seeded hash

Change: the index holds the keys themselves; its hash has a random seed, so that the time of a lookup does not show how much of a key is right. Only refused keys are hashed, for the log; the log's fields are built for refusals only.

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -7,7 +7,7 @@
 	"limpetrail/matcher"
 )
 
-// Authenticator decides about the keys of requests, and logs and counts refusals.
+// Authenticator logs and counts refusals; see Decide for the decision.
 type Authenticator struct {
 	kernel.Common
 }
@@ -17,22 +17,15 @@
 	return &Authenticator{Common: common.ForPart("authenticator")}
 }
 
-// Check decides about the keys of a request. A refusal is logged with the fields, which must not
+// RecordRefusal logs and counts a request that was refused because of its keys. The fields must not
 // contain a key.
-func (authenticator *Authenticator) Check(document *matcher.Document, keys []string, exempt bool, fields logrus.Fields) Verdict {
-	verdict := Decide(document, keys, exempt)
-	if verdict.Refusal == "" {
-		return verdict
-	}
-
+func (authenticator *Authenticator) RecordRefusal(document *matcher.Document, keys []string, refusal Refusal, fields logrus.Fields) {
 	authenticator.Metrics.Counter("unknown_keys").Inc(1)
 
-	entry := authenticator.Log.WithFields(fields).WithFields(logrus.Fields{"Reason": string(verdict.Refusal), "Version": document.Version})
+	entry := authenticator.Log.WithFields(fields).WithFields(logrus.Fields{"Reason": string(refusal), "Version": document.Version})
 	if len(keys) > 0 {
-		entry = entry.WithField("KeyHash", matcher.HashKey(keys[0]).Short())
+		entry = entry.WithField("KeyHash", matcher.ShortKeyHash(keys[0]))
 	}
 
 	entry.Info("Request refused because of its key.")
-
-	return verdict
 }
--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -76,11 +76,11 @@
 	logger.SetOutput(output)
 
 	checker := authenticator.NewAuthenticator(kernel.NewCommon("gateway", "", logger, metrics))
-	verdict := checker.Check(newDocument([]matcher.Workspace{}), []string{key}, false, logrus.Fields{"RequestID": "r-1"})
+	checker.RecordRefusal(newDocument(nil), []string{key}, authenticator.Unknown, logrus.Fields{"RequestID": "r-1"})
 
-	require.Equal(t, authenticator.Unknown, verdict.Refusal)
 	require.NotContains(t, output.String(), key)
-	require.Contains(t, output.String(), matcher.HashKey(key).Short())
+	require.Contains(t, output.String(), matcher.ShortKeyHash(key))
 	require.Contains(t, output.String(), "r-1")
+	require.Contains(t, output.String(), string(authenticator.Unknown))
 	require.Equal(t, int64(1), metrics.Snapshot().Counters()["authenticator.unknown_keys+"].Value())
 }
--- a/matcher/document.go
+++ b/matcher/document.go
@@ -15,7 +15,7 @@
 	// then requests need no key.
 	Workspaces map[string]*Workspace
 
-	// workspaceByKey holds the workspaces by the hash of each key.
+	// workspaceByKey holds the workspaces by key.
 	workspaceByKey index[*Workspace]
 	// routesByHost holds the routes by lower-case host.
 	routesByHost index[*hostRoutes]
@@ -51,8 +51,8 @@
 		document.Workspaces[workspace.Name] = workspace
 
 		for _, key := range workspace.Keys {
-			if hash := HashKey(key); document.WorkspaceOfHash(hash) == nil {
-				document.workspaceByKey.add(string(hash[:]), workspace)
+			if document.WorkspaceOfKey(key) == nil {
+				document.workspaceByKey.add(key, workspace)
 			}
 		}
 	}
@@ -65,12 +65,7 @@
 
 // WorkspaceOfKey returns the workspace that holds the key, or nil.
 func (document *Document) WorkspaceOfKey(key string) *Workspace {
-	return document.WorkspaceOfHash(HashKey(key))
-}
-
-// WorkspaceOfHash returns the workspace that holds the key with the hash, or nil.
-func (document *Document) WorkspaceOfHash(hash KeyHash) *Workspace {
-	workspace, _ := document.workspaceByKey.find(string(hash[:]))
+	workspace, _ := document.workspaceByKey.find(key)
 
 	return workspace
 }
--- a/matcher/index.go
+++ b/matcher/index.go
@@ -2,7 +2,8 @@
 
 import "hash/maphash"
 
-// indexSeed is the seed of the hashes of all indexes of the process.
+// indexSeed is the seed of the hashes of all indexes of the process. It is random, so that the time of a
+// lookup does not show how much of a key is right.
 var indexSeed = maphash.MakeSeed()
 
 // index finds values by text. It is built once and then only read. Built-in maps search up to eight
