--- a/deployer/caller.go
+++ b/deployer/caller.go
@@ -30,6 +30,8 @@
 	Address string
 	// KeepAlive allows a connection to be reused for further requests.
 	KeepAlive bool
+	// Key is the key of the caller's workspace; empty if it sends none.
+	Key string
 	// Parts are the prompt parts that requests share with others, separated by commas. The
 	// ID of a request is its own part.
 	Parts string
@@ -59,6 +61,10 @@
 	headers := emulator.PlatformEventHeaders()
 	request.Header.Set(headers.RequestID, id)
 
+	if caller.Key != "" {
+		request.Header.Set("Api-Key", caller.Key)
+	}
+
 	if caller.Parts != "" {
 		request.Header.Set(headers.PromptParts, caller.Parts+","+id)
 	}
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -71,7 +71,7 @@
 	call := delivery.call
 	delivery.quarantineRequest = quarantiner.Request{
 		ID: call.ID, Service: call.Service, Parts: delivery.forwarder.Backend.SharedParts(call.Header),
-		Fingerprint: quarantiner.Fingerprint(call.Body, call.Caller, call.Method, call.Host, call.Target),
+		Fingerprint: fingerprint(call),
 	}
 
 	defer delivery.closeOthers(nil)
@@ -84,6 +84,16 @@
 	}
 }
 
+// fingerprint identifies the call among all attempts at it. The keys of a workspace are those of one
+// caller: a retry may come with another one.
+func fingerprint(call *Call) string {
+	if call.Workspace == "" {
+		return quarantiner.Fingerprint(call.Body, call.Caller, call.Method, call.Host, call.Target)
+	}
+
+	return quarantiner.Fingerprint(call.Body, call.Workspace, call.Caller, call.Method, call.Host, call.Target)
+}
+
 // next makes an attempt if none runs, and waits for the next step. It returns false if the call goes
 // on.
 func (delivery *delivery) next(ctx context.Context) (Result, bool) {
