--- /dev/null
+++ b/enforcer/peers.go
@@ -0,0 +1,172 @@
+package enforcer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// peersInterval is the shortest time between two checks of which peers are silent. A check visits
+// all peers, which is too much work for each request.
+const peersInterval = 5 * time.Millisecond
+
+// resumeTime is the time after a silence in which the peer's counts have all been heard: it
+// reports those that have not changed since the silence in rotation only.
+const resumeTime = rotationTime + 2*ReportInterval
+
+// SetPeers sets the names of the other listed gateways.
+func (enforcer *Enforcer) SetPeers(names []string, now time.Time) {
+	enforcer.mutex.Lock()
+	defer enforcer.mutex.Unlock()
+
+	enforcer.start(now)
+	enforcer.listed = true
+
+	for _, known := range enforcer.peers {
+		known.listed = false
+	}
+
+	for _, name := range names {
+		if enforcer.peers[name] == nil {
+			enforcer.peers[name] = &peer{knownAt: now}
+		}
+
+		enforcer.peers[name].listed = true
+	}
+
+	enforcer.refreshedAt = time.Time{}
+	enforcer.refreshPeers(now)
+}
+
+func (enforcer *Enforcer) start(now time.Time) {
+	if enforcer.startedAt.IsZero() {
+		enforcer.startedAt = now
+	}
+}
+
+// heard is the number of peers that are not silent.
+func (enforcer *Enforcer) heard() int {
+	count := 0
+
+	for _, known := range enforcer.peers {
+		if !known.silent {
+			count++
+		}
+	}
+
+	return count
+}
+
+// hearsMost reports whether this gateway and the peers that it hears are more than half of the
+// known gateways. Of two sides of a partition at most one is.
+func (enforcer *Enforcer) hearsMost() bool {
+	return 2*(enforcer.heard()+1) > enforcer.gateways()
+}
+
+// isolated reports whether the others may have stopped reserving a part for this gateway: they do
+// so once it is no longer listed, if they hear most gateways.
+func (enforcer *Enforcer) isolated() bool {
+	return !enforcer.listed || enforcer.divided && !enforcer.hearsMost() && !enforcer.Registered()
+}
+
+// refreshPeers finds silent peers, drops those that left, and changes between the common bucket and
+// separate parts.
+func (enforcer *Enforcer) refreshPeers(now time.Time) {
+	enforcer.start(now)
+
+	if now.Sub(enforcer.refreshedAt) < peersInterval {
+		return
+	}
+
+	enforcer.refreshedAt = now
+	enforcer.mostGateways = max(enforcer.mostGateways, enforcer.gateways())
+	divided, gone := false, false
+
+	for _, known := range enforcer.peers {
+		if !known.silent && now.Sub(known.lastSign()) > enforcer.silence() {
+			known.silent, known.silentAt = true, now
+		}
+
+		gone = gone || known.silent && !known.listed
+		divided = divided || known.silent || now.Sub(known.deafAt) < deafTime || now.Sub(known.resumedAt) < resumeTime
+	}
+
+	if gone && enforcer.hearsMost() {
+		enforcer.dropGone(now)
+	}
+
+	if divided == enforcer.divided {
+		return
+	}
+
+	if divided {
+		enforcer.separateParts(now)
+	} else {
+		enforcer.joinParts()
+	}
+
+	enforcer.divided = divided
+	enforcer.Log.WithFields(logrus.Fields{"Divided": divided, "Heard": enforcer.heard(), "Peers": len(enforcer.peers)}).Info("Caps are divided into fixed parts while some gateway is not heard, or no longer are.")
+}
+
+// dropGone forgets silent peers that are no longer listed.
+func (enforcer *Enforcer) dropGone(now time.Time) {
+	for name, known := range enforcer.peers {
+		if known.silent && !known.listed {
+			enforcer.dropUses(name, now)
+			delete(enforcer.peers, name)
+		}
+	}
+}
+
+// separateParts gives this gateway its part of each bucket, less what others haven't heard of.
+func (enforcer *Enforcer) separateParts(now time.Time) {
+	for _, bucket := range enforcer.buckets {
+		share := enforcer.advance(bucket, now)
+		bucket.fixedShare = share
+		bucket.private = share*(bucket.level+bucket.recentSum) - bucket.recentSum
+	}
+}
+
+// joinParts lets the shares follow the demand again.
+func (enforcer *Enforcer) joinParts() {
+	for _, bucket := range enforcer.buckets {
+		bucket.fixedShare = 0
+	}
+}
+
+// dropUses charges what a peer may have spent unheard, at most its part of the level, and forgets
+// the peer's use.
+func (enforcer *Enforcer) dropUses(name string, now time.Time) {
+	for _, bucket := range enforcer.buckets {
+		enforcer.advance(bucket, now)
+		bucket.level -= enforcer.partOf(bucket, name) * max(0, bucket.level)
+		bucket.setUse(name, peerUse{})
+		delete(bucket.peers, name)
+	}
+}
+
+// partOf is a peer's part of a bucket as seen here.
+func (enforcer *Enforcer) partOf(bucket *bucket, name string) float64 {
+	return part(bucket.peers[name].demand, bucket.peerDemand+bucket.claimed, enforcer.gateways())
+}
+
+// unheardPeers returns silent peers, some in each report if there are many.
+func (enforcer *Enforcer) unheardPeers() []string {
+	var silent []string
+
+	for _, name := range slices.Sorted(maps.Keys(enforcer.peers)) {
+		if enforcer.peers[name].silent {
+			silent = append(silent, name)
+		}
+	}
+
+	if len(silent) > maxUnheard {
+		enforcer.unheardCursor = (enforcer.unheardCursor + maxUnheard) % len(silent)
+		silent = append(silent[enforcer.unheardCursor:], silent[:enforcer.unheardCursor]...)[:maxUnheard]
+	}
+
+	return silent
+}
