Store peers' uses of caps by index and give idle workspaces an equal share

Cause: a map with names held about 80 bytes for each workspace and peer, 60 MB at the design limits; a gateway without peers refused a burst of an idle workspace, because its own demand was not settled yet. Change: uses are a slice by the peer's index (24 bytes each, 18 MB at 2,000 workspaces used at 380 gateways); where no peer claims a demand, the share is at least an equal one.

--- a/enforcer/bucket.go
+++ b/enforcer/bucket.go
@@ -63,8 +63,9 @@
 	// pending, reported at pendingAt, becomes the next one.
 	claimed, settled, pending float64
 	pendingAt                 time.Time
-	// peers holds the newest use by peer, and peerDemand the sum of their demands.
-	peers      map[string]peerUse
+	// peers holds the newest uses by the peers' indices, as far as any was heard, and peerDemand the
+	// sum of their demands.
+	peers      []peerUse
 	peerDemand float64
 	// adopted is true if the level was taken from a peer after the start.
 	adopted bool
@@ -74,7 +75,7 @@
 }
 
 func newBucket() *bucket {
-	return &bucket{peers: map[string]peerUse{}}
+	return &bucket{}
 }
 
 // setLimit replaces the cap.
@@ -170,7 +171,13 @@
 		return bucket.fixedShare
 	}
 
-	return part(min(bucket.claimed, bucket.settled), bucket.peerDemand+max(bucket.claimed, bucket.settled, bucket.pending), gateways)
+	share := part(min(bucket.claimed, bucket.settled), bucket.peerDemand+max(bucket.claimed, bucket.settled, bucket.pending), gateways)
+	if bucket.peerDemand < activeDemand {
+		// No peer's claim has settled, so that each has at most an equal part.
+		share = max(share, 1/float64(gateways))
+	}
+
+	return share
 }
 
 // part is the share of a gateway by its demand and the total demand.
@@ -209,7 +216,24 @@
 }
 
 // setUse replaces a peer's use.
-func (bucket *bucket) setUse(name string, use peerUse) {
-	bucket.peerDemand = max(0, bucket.peerDemand+use.demand-bucket.peers[name].demand)
-	bucket.peers[name] = use
+func (bucket *bucket) setUse(index int, use peerUse) {
+	if index >= len(bucket.peers) {
+		if use == (peerUse{}) {
+			return
+		}
+
+		bucket.peers = append(bucket.peers, make([]peerUse, index+1-len(bucket.peers))...)
+	}
+
+	bucket.peerDemand = max(0, bucket.peerDemand+use.demand-bucket.peers[index].demand)
+	bucket.peers[index] = use
+}
+
+// useOf returns a peer's newest use; it is zero if none was heard.
+func (bucket *bucket) useOf(index int) peerUse {
+	if index >= len(bucket.peers) {
+		return peerUse{}
+	}
+
+	return bucket.peers[index]
 }
--- a/enforcer/exchange.go
+++ b/enforcer/exchange.go
@@ -104,14 +104,10 @@
 
 	enforcer.start(now)
 
-	known := enforcer.peers[name]
-	if known == nil {
-		known = &peer{knownAt: now}
-		enforcer.peers[name] = known
-	}
+	known := enforcer.peer(name, now)
 
 	if known.process != "" && known.process != process {
-		enforcer.dropUses(name, now)
+		enforcer.dropUses(known, now)
 	}
 
 	if known.silent {
@@ -134,17 +130,18 @@
 
 	for workspace, use := range report.Uses {
 		if bucket := enforcer.buckets[workspace]; bucket != nil && len(use) > useDemand {
-			enforcer.applyUse(bucket, name, use, now)
+			enforcer.applyUse(bucket, known, use, now)
 		}
 	}
 }
 
 // applyUse charges a bucket for the growth of a peer's count.
-func (enforcer *Enforcer) applyUse(bucket *bucket, name string, use Use, now time.Time) {
+func (enforcer *Enforcer) applyUse(bucket *bucket, sender *peer, use Use, now time.Time) {
 	enforcer.advance(bucket, now)
 
 	starting := now.Sub(enforcer.startedAt) < startTime
-	before, known := bucket.peers[name]
+	before := bucket.useOf(sender.index)
+	known := before.heardAt != 0
 	grown := use[useCount] - before.count
 
 	switch {
@@ -153,16 +150,16 @@
 		grown = 0
 	case !known:
 		grown = min(grown, bucket.capacity())
-	case before.heardAt.Before(enforcer.peers[name].resumedAt):
+	case before.heardAt < sender.resumedAt.UnixNano():
 		// Its separate part was reserved for it: of that, only what may be spent since the last
 		// refill is charged, and all beyond it.
-		share := enforcer.partOf(bucket, name)
-		reserved := share * bucket.limit.PerSecond * enforcer.peers[name].silence.Seconds()
+		share := enforcer.partOf(bucket, sender)
+		reserved := share * bucket.limit.PerSecond * sender.silence.Seconds()
 		grown = min(grown, max(0, grown-reserved)+share*bucket.capacity())
 	}
 
 	bucket.level = min(bucket.capacity(), bucket.level-grown)
-	bucket.setUse(name, peerUse{count: use[useCount], demand: use[useDemand], heardAt: now})
+	bucket.setUse(sender.index, peerUse{count: use[useCount], demand: use[useDemand], heardAt: now.UnixNano()})
 
 	if starting && !bucket.adopted && len(use) > useLevel && now.Sub(enforcer.startedAt) >= enforcer.unheardTime() {
 		bucket.adopted = true
--- a/enforcer/peer.go
+++ b/enforcer/peer.go
@@ -5,6 +5,8 @@
 // peer is another gateway that is listed or was heard.
 type peer struct {
 	process string
+	// index is the position of its uses in buckets; no two peers share one.
+	index int
 	// knownAt is when the peer was first listed, heardAt when its last report arrived; the
 	// latter is zero if none has.
 	knownAt, heardAt time.Time
@@ -31,5 +33,7 @@
 // peerUse is the newest use that a peer reported for one workspace.
 type peerUse struct {
 	count, demand float64
-	heardAt       time.Time
+	// heardAt is when it was heard in nanoseconds since 1970, 0 for never. A time.Time would double
+	// the size, which is multiplied by workspaces and peers.
+	heardAt int64
 }
--- a/enforcer/peers.go
+++ b/enforcer/peers.go
@@ -29,17 +29,37 @@
 	}
 
 	for _, name := range names {
-		if enforcer.peers[name] == nil {
-			enforcer.peers[name] = &peer{knownAt: now}
-		}
-
-		enforcer.peers[name].listed = true
+		enforcer.peer(name, now).listed = true
 	}
 
 	enforcer.refreshedAt = time.Time{}
 	enforcer.refreshPeers(now)
 }
 
+// peer returns a peer by name, which is known from now on.
+func (enforcer *Enforcer) peer(name string, now time.Time) *peer {
+	known := enforcer.peers[name]
+	if known == nil {
+		known = &peer{knownAt: now, index: enforcer.freeIndex()}
+		enforcer.peers[name] = known
+	}
+
+	return known
+}
+
+// freeIndex returns the lowest index that no peer has.
+func (enforcer *Enforcer) freeIndex() int {
+	used := make([]bool, len(enforcer.peers)+1)
+
+	for _, known := range enforcer.peers {
+		if known.index < len(used) {
+			used[known.index] = true
+		}
+	}
+
+	return slices.Index(used, false)
+}
+
 func (enforcer *Enforcer) start(now time.Time) {
 	if enforcer.startedAt.IsZero() {
 		enforcer.startedAt = now
@@ -115,7 +135,7 @@
 func (enforcer *Enforcer) dropGone(now time.Time) {
 	for name, known := range enforcer.peers {
 		if known.silent && !known.listed {
-			enforcer.dropUses(name, now)
+			enforcer.dropUses(known, now)
 			delete(enforcer.peers, name)
 		}
 	}
@@ -139,18 +159,17 @@
 
 // dropUses charges what a peer may have spent unheard, at most its part of the level, and forgets
 // the peer's use.
-func (enforcer *Enforcer) dropUses(name string, now time.Time) {
+func (enforcer *Enforcer) dropUses(known *peer, now time.Time) {
 	for _, bucket := range enforcer.buckets {
 		enforcer.advance(bucket, now)
-		bucket.level -= enforcer.partOf(bucket, name) * max(0, bucket.level)
-		bucket.setUse(name, peerUse{})
-		delete(bucket.peers, name)
+		bucket.level -= enforcer.partOf(bucket, known) * max(0, bucket.level)
+		bucket.setUse(known.index, peerUse{})
 	}
 }
 
 // partOf is a peer's part of a bucket as seen here.
-func (enforcer *Enforcer) partOf(bucket *bucket, name string) float64 {
-	return part(bucket.peers[name].demand, bucket.peerDemand+bucket.claimed, enforcer.gateways())
+func (enforcer *Enforcer) partOf(bucket *bucket, known *peer) float64 {
+	return part(bucket.useOf(known.index).demand, bucket.peerDemand+bucket.claimed, enforcer.gateways())
 }
 
 // unheardPeers returns silent peers, some in each report if there are many.
