Exchange the use of caps in load reports

Cause: gateways must hear of each other's admissions without a message for each request. A report that would exceed the limit of a datagram is sent without it.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
+	"limpetrail/enforcer"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -53,6 +56,8 @@
 	Marks map[string]keeper.Revision `json:",omitempty"`
 	// Findings are what the entry knows of prompt parts that end backend servers.
 	Findings []quarantiner.Finding `json:",omitempty"`
+	// Caps is the entry's use of the workspaces' caps; nil where none are enforced.
+	Caps *enforcer.Report `json:",omitempty"`
 }
 
 // peer is the address of another entry.
@@ -76,6 +81,8 @@
 	// of peers' reports. They are set before Run; nil for none.
 	Findings      func() []quarantiner.Finding
 	ApplyFindings func(peer string, findings []quarantiner.Finding)
+	// Enforcer exchanges the use of caps in reports. It is set before Run; nil for none.
+	Enforcer *enforcer.Enforcer
 	// Process identifies this start of the entry in its reports.
 	Process string
 
@@ -115,6 +122,10 @@
 		gossiper.peers[name] = &peer{address: resolved, listed: time.Now()}
 	}
 
+	if gossiper.Enforcer != nil {
+		gossiper.Enforcer.SetPeers(slices.Sorted(maps.Keys(addresses)), time.Now())
+	}
+
 	for name, known := range gossiper.peers {
 		if _, listed := addresses[name]; !listed && time.Since(known.listed) > unlistedGrace {
 			delete(gossiper.peers, name)
@@ -162,18 +173,33 @@
 			report.Findings = gossiper.Findings()
 		}
 
+		if gossiper.Enforcer != nil {
+			report.Caps = gossiper.Enforcer.Report(time.Now())
+		}
+
 		gossiper.broadcast(socket, report)
 
-		kernel.Pause(ctx, gossiper.reportInterval())
+		interval := gossiper.reportInterval()
+		kernel.Pause(ctx, interval)
 
 		select {
 		case <-changed:
-		case <-time.After(maxReportInterval):
+		case <-time.After(gossiper.unchangedPause(interval)):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// unchangedPause is how long a report may be delayed beyond the interval while the load does not
+// change. Peers take an entry that enforces caps for silent sooner than others.
+func (gossiper *Gossiper) unchangedPause(interval time.Duration) time.Duration {
+	if gossiper.Enforcer != nil && gossiper.Enforcer.Active() {
+		return max(0, enforcer.ReportInterval-interval)
+	}
+
+	return maxReportInterval
+}
+
 // reportInterval is the shortest time between two reports, given the number of peers.
 func (gossiper *Gossiper) reportInterval() time.Duration {
 	gossiper.mutex.Lock()
@@ -189,6 +215,13 @@
 
 func (gossiper *Gossiper) broadcast(socket *net.UDPConn, report Report) {
 	encoded, err := json.Marshal(report)
+	if err == nil && len(encoded) > maxDatagramBytes && report.Caps != nil {
+		gossiper.Log.WithField("Bytes", len(encoded)).Warn("Load report is sent without the use of caps: it would be too long.")
+
+		report.Caps = nil
+		encoded, err = json.Marshal(report)
+	}
+
 	if err != nil || len(encoded) > maxDatagramBytes {
 		gossiper.Log.WithField("Bytes", len(encoded)).WithError(err).Warn("Load report is not sent: it cannot be encoded or is too long.")
 
@@ -251,6 +284,10 @@
 			gossiper.ApplyFindings(report.Instance, report.Findings)
 		}
 
+		if gossiper.Enforcer != nil {
+			gossiper.Enforcer.ApplyReport(report.Instance, report.Process, report.Caps, time.Now())
+		}
+
 		gossiper.Placer.ApplyReport(report.Instance, report.DataCentre, report.Loads)
 		gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
 		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/enforcer"
 	"limpetrail/gossiper"
 	"limpetrail/kernel"
+	"limpetrail/matcher"
 	"limpetrail/placer"
 	"limpetrail/quarantiner"
 	"limpetrail/throttler"
@@ -212,3 +214,57 @@
 	second.SetPeers(map[string]string{"a": addresses[0]})
 	require.Equal(t, found, <-received)
 }
+
+// Without the exchange of counts, each gateway would admit the whole cap. Where nothing is capped,
+// reports must stay as they were.
+func TestUseOfCapsReachesPeers(t *testing.T) {
+	const burst = 200
+
+	addresses := []string{freePort(t), freePort(t)}
+	caps := map[string]*matcher.Workspace{"w": {Name: "w", Cap: matcher.Cap{PerSecond: 0.001, Burst: burst}}}
+	decisions := []*enforcer.Enforcer{}
+	past := time.Now().Add(-burst * 2000 * time.Second)
+
+	for index, name := range []string{"a", "b"} {
+		decisions = append(decisions, enforcer.NewEnforcer(kernel.NewDiscardCommon(name), enforcer.Settings{Window: time.Second}))
+		decisions[index].SetCaps(caps)
+		// The buckets are full now.
+		decisions[index].Admit("w", past)
+	}
+
+	first, _ := newEntry(t, "a", addresses[0], func(subject *gossiper.Gossiper) { subject.Enforcer = decisions[0] })
+	second, _ := newEntry(t, "b", addresses[1], func(subject *gossiper.Gossiper) { subject.Enforcer = decisions[1] })
+
+	first.SetPeers(map[string]string{"b": addresses[1]})
+	second.SetPeers(map[string]string{"a": addresses[0]})
+
+	admitted := 0
+
+	require.Eventually(t, func() bool {
+		if decisions[0].Admit("w", time.Now()).Admitted {
+			admitted++
+		}
+
+		return admitted >= burst*3/4
+	}, 20*time.Second, time.Millisecond, "one of two gateways gets most of the cap")
+	require.Eventually(t, func() bool {
+		if decisions[1].Admit("w", time.Now()).Admitted {
+			admitted++
+		}
+
+		return admitted >= burst*95/100
+	}, 20*time.Second, time.Millisecond, "the other one gets the rest")
+	require.Never(t, func() bool {
+		for _, decision := range decisions {
+			if decision.Admit("w", time.Now()).Admitted {
+				admitted++
+			}
+		}
+
+		return admitted > burst
+	}, time.Second, time.Millisecond)
+
+	encoded, err := json.Marshal(gossiper.Report{})
+	require.NoError(t, err)
+	require.NotContains(t, string(encoded), "Caps")
+}
