--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpetrail/batcher"
+	"limpetrail/enforcer"
 	"limpetrail/exchanger"
 	"limpetrail/keeper"
 )
@@ -21,8 +22,10 @@
 	Answers exchanger.Limits
 	Jobs    batcher.Settings
 	Memory  Memory
-	Stop    Stop
-	Log     Log
+	// Caps bounds what workspaces may send beyond their caps; without it no cap is enforced.
+	Caps enforcer.Settings
+	Stop Stop
+	Log  Log
 }
 
 // GatewayListen holds the addresses on which a gateway listens.
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -5,11 +5,13 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/enforcer"
 	"limpetrail/loader"
 )
 
@@ -108,3 +110,18 @@
 	require.NoError(t, loader.Load(path, &sidecar))
 	require.Equal(t, "x", sidecar.BackendServer.Service)
 }
+
+// Caps must be off unless the platform names a window, which deploy/gateway.ini then renders so.
+func TestCapsAreOffWithoutTheirSection(t *testing.T) {
+	require.Zero(t, loader.DefaultGateway().Caps)
+
+	path := filepath.Join(t.TempDir(), "gateway.ini")
+	instance, _, _ := strings.Cut(requiredKeys, "[KeyValue]")
+	text := instance + "[Listen]\nCallers = a:1\nReady = a:2\nPeers = a:3\nOperations = a:4\n[Catalog]\nAddress = a:5\n"
+	caps := "[Caps]\nWindow = 5s\nOverrun = 0.1\nSlack = 20\n"
+	require.NoError(t, os.WriteFile(path, []byte(text+caps), 0o600))
+
+	settings := loader.DefaultGateway()
+	require.NoError(t, loader.Load(path, &settings))
+	require.Equal(t, enforcer.Settings{Window: 5 * time.Second, Overrun: 0.1, Slack: 20}, settings.Caps)
+}
