Enforce caps in gateways

Cause: the enforcer has to know the configuration, the members and the registration. Change: app creates it if [Caps] names a window, passes it caps and members, and gives it to gossiper and handler. Result: go test -race ./app passes; go build ./... passes.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -15,6 +15,7 @@
 	"limpetrail/batcher"
 	"limpetrail/conveyer"
 	"limpetrail/custodian"
+	"limpetrail/enforcer"
 	"limpetrail/exchanger"
 	"limpetrail/follower"
 	"limpetrail/gossiper"
@@ -83,20 +84,22 @@
 	Configuration *matcher.CurrentDocument
 	Placer        *placer.Placer
 	Gossiper      *gossiper.Gossiper
-	Registrar     *registrar.Registrar
-	Relay         *relayer.Relay
-	Sharer        *relayer.Sharer
-	Depositor     *custodian.Depositor
-	Exchanger     *exchanger.Exchanger
-	Backend       *platform.Backend
-	Quarantiner   *quarantiner.Quarantiner
-	Batcher       *batcher.Batcher
-	Handler       *platform.Handler
-	Limiter       *limiter.Limiter
-	Inquirer      *inquirer.Inquirer
-	Conveyer      *conveyer.Conveyer
-	Resumer       *resumer.Resumer
-	Stopper       *stopper.Stopper
+	// Enforcer is nil if the settings enforce no caps.
+	Enforcer    *enforcer.Enforcer
+	Registrar   *registrar.Registrar
+	Relay       *relayer.Relay
+	Sharer      *relayer.Sharer
+	Depositor   *custodian.Depositor
+	Exchanger   *exchanger.Exchanger
+	Backend     *platform.Backend
+	Quarantiner *quarantiner.Quarantiner
+	Batcher     *batcher.Batcher
+	Handler     *platform.Handler
+	Limiter     *limiter.Limiter
+	Inquirer    *inquirer.Inquirer
+	Conveyer    *conveyer.Conveyer
+	Resumer     *resumer.Resumer
+	Stopper     *stopper.Stopper
 
 	// ReloadSettings reads the settings file again.
 	ReloadSettings func() (loader.Gateway, error)
--- a/app/gateway_followers.go
+++ b/app/gateway_followers.go
@@ -100,6 +100,10 @@
 	}
 
 	gateway.Configuration.Apply(document)
+
+	if gateway.Enforcer != nil {
+		gateway.Enforcer.SetCaps(gateway.Configuration.Document().Workspaces)
+	}
 }
 
 func (gateway *Gateway) applyServers(current follower.Copy) {
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -13,6 +13,7 @@
 	"limpetrail/batcher"
 	"limpetrail/conveyer"
 	"limpetrail/custodian"
+	"limpetrail/enforcer"
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
 	"limpetrail/gossiper"
@@ -125,14 +126,24 @@
 	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts), forwarder.WithStopper(stop), forwarder.WithServerList(list))
 }
 
-func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
+func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, caps *enforcer.Enforcer, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
 	created := gossiper.NewGossiper(common, places, settings.Listen.Peers)
 	created.Process = member.ProcessID()
+	created.Enforcer = caps
 	created.Findings, created.ApplyFindings = quarantine.Findings, quarantine.ApplyFindings
 
 	return created
 }
 
+// newEnforcer returns nil if the settings name no window: no cap is enforced then.
+func newEnforcer(common kernel.Common, registration *registrar.Registrar, settings loader.Gateway) *enforcer.Enforcer {
+	if settings.Caps.Window <= 0 {
+		return nil
+	}
+
+	return enforcer.NewEnforcer(common, settings.Caps, enforcer.WithRegistration(registration.RegistrationValid))
+}
+
 // newMember describes this process; its start time makes the incarnation unique.
 func newMember(settings loader.Gateway) registrar.Member {
 	return registrar.Member{
@@ -158,6 +169,11 @@
 	return batcher.NewBatcher(common, client, places, backend, quarantine, configuration, depositor, member.ProcessID(), registration.RegistrationValid, settings.Jobs, batcher.WithInquirer(inquiries), batcher.WithConveyer(handovers), batcher.WithSilenceCheck(reports.IsSilent), batcher.WithAttester(starts))
 }
 
-func newGatewayHandler(common kernel.Common, configuration *matcher.CurrentDocument, forwards *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
-	return platform.NewHandler(common, configuration, forwards.Forward, jobs)
+func newGatewayHandler(common kernel.Common, configuration *matcher.CurrentDocument, forwards *forwarder.Forwarder, jobs *platform.JobHandler, caps *enforcer.Enforcer) *platform.Handler {
+	created := platform.NewHandler(common, configuration, forwards.Forward, jobs)
+	if caps != nil {
+		created.Caps = platform.NewCaps(common, caps)
+	}
+
+	return created
 }
--- a/app/wire.go
+++ b/app/wire.go
@@ -112,6 +112,7 @@
 		matcher.NewCurrentDocument,
 		limiter.NewLimiter,
 		placer.NewPlacer,
+		newEnforcer,
 		newGossiper,
 		newMember,
 		registrar.NewRegistrar,
@@ -130,7 +131,7 @@
 		newBatcher,
 		platform.NewJobHandler,
 		newGatewayHandler,
-		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer", "Resumer", "Stopper"),
+		wire.Struct(new(Gateway), "Common", "Settings", "Listen", "Meter", "Client", "Configuration", "Placer", "Gossiper", "Enforcer", "Registrar", "Relay", "Sharer", "Depositor", "Exchanger", "Backend", "Quarantiner", "Batcher", "Handler", "Limiter", "Inquirer", "Conveyer", "Resumer", "Stopper"),
 	))
 }
 
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -159,8 +159,9 @@
 	platformBackend := platform.NewBackend(exchanger)
 	quarantiner := newQuarantiner(common, platformBackend, placerPlacer)
 	member := newMember(settings)
-	gossiper := newGossiper(common, placerPlacer, quarantiner, member, settings)
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
+	enforcer := newEnforcer(common, registrarRegistrar, settings)
+	gossiper := newGossiper(common, placerPlacer, quarantiner, enforcer, member, settings)
 	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
 	attesterAttester := attester.NewAttester(common, platformBackend)
@@ -172,7 +173,7 @@
 	appSoftwareReader := newSoftwareReader(common, catalogClient)
 	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer, attesterAttester, stopper, appSoftwareReader)
 	jobHandler := platform.NewJobHandler(batcher)
-	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler)
+	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler, enforcer)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
 	gateway := &Gateway{
 		Common:        common,
@@ -183,6 +184,7 @@
 		Configuration: currentDocument,
 		Placer:        placerPlacer,
 		Gossiper:      gossiper,
+		Enforcer:      enforcer,
 		Registrar:     registrarRegistrar,
 		Relay:         relay,
 		Sharer:        sharer,
