--- a/gossiper/received_report.go
+++ b/gossiper/received_report.go
@@ -46,8 +46,8 @@
 	if loads, follows := received.mergedLoads(report); follows {
 		result.loads, result.loadsNumber = loads, report.Number
 	} else if report.Incarnation != received.incarnation {
-		// Nothing is known of the loads of a new process before its first full report.
-		result.loads = nil
+		// Nothing is known of a new process before its first full report.
+		result.loads, result.process, result.previousProcess = nil, "", received.process
 	}
 
 	result.incarnation, result.number, result.receivedAt = report.Incarnation, report.Number, time.Now()
