Keep the rule when gateways are divided repeatedly or restart meanwhile

Change: reports name fixed shares; after a division the level is the own part; a restarted process has at most 0.05 beyond the least part. Overrun is used less on purpose.

--- a/enforcer/bucket.go
+++ b/enforcer/bucket.go
@@ -63,10 +63,13 @@
 	// pending, reported at pendingAt, becomes the next one.
 	claimed, settled, pending float64
 	pendingAt                 time.Time
-	// peers holds the newest uses by the peers' indices, as far as any was heard, and peerDemand the
-	// sum of their demands.
+	// peers holds the newest uses by the peers' indices, as far as any was heard. peerDemand is the
+	// sum of the demands of those without a fixed share, fixedPeers and peerShares the number of the
+	// others and the sum of their shares.
 	peers      []peerUse
 	peerDemand float64
+	fixedPeers int
+	peerShares float64
 	// adopted is true if the level was taken from a peer after the start.
 	adopted bool
 	// refused counts refusals since refusedSince; both are zero while there are none.
@@ -171,18 +174,20 @@
 		return bucket.fixedShare
 	}
 
-	share := part(min(bucket.claimed, bucket.settled), bucket.peerDemand+max(bucket.claimed, bucket.settled, bucket.pending), gateways)
+	others, free := gateways-bucket.fixedPeers, max(0, 1-bucket.peerShares)
+	share := part(min(bucket.claimed, bucket.settled), bucket.peerDemand+max(bucket.claimed, bucket.settled, bucket.pending), others)
+
 	if bucket.peerDemand < activeDemand {
 		// No peer's claim has settled, so that each has at most an equal part.
-		share = max(share, 1/float64(gateways))
+		share = max(share, 1/float64(others))
 	}
 
-	return share
+	return free * share
 }
 
-// part is the share of a gateway by its demand and the total demand.
+// part is the share of a gateway by its demand and the total demand of those whose share follows it.
 func part(demand, total float64, gateways int) float64 {
-	equal := 1 / float64(gateways)
+	equal := 1 / float64(max(1, gateways))
 	if total < activeDemand {
 		return equal
 	}
@@ -225,10 +230,20 @@
 		bucket.peers = append(bucket.peers, make([]peerUse, index+1-len(bucket.peers))...)
 	}
 
-	bucket.peerDemand = max(0, bucket.peerDemand+use.demand-bucket.peers[index].demand)
+	bucket.addToSums(bucket.peers[index], -1)
+	bucket.addToSums(use, 1)
 	bucket.peers[index] = use
 }
 
+func (bucket *bucket) addToSums(use peerUse, sign int) {
+	if use.share > 0 {
+		bucket.fixedPeers += sign
+		bucket.peerShares += float64(sign) * float64(use.share)
+	} else {
+		bucket.peerDemand = max(0, bucket.peerDemand+float64(sign)*float64(use.demand))
+	}
+}
+
 // useOf returns a peer's newest use; it is zero if none was heard.
 func (bucket *bucket) useOf(index int) peerUse {
 	if index >= len(bucket.peers) {
--- a/enforcer/exchange.go
+++ b/enforcer/exchange.go
@@ -10,8 +10,10 @@
 	// maxUses and maxUsesBytes keep reports below the limit of a datagram, together with the loads.
 	maxUses      = 256
 	maxUsesBytes = 12 << 10
-	// useBytes is the length of a use without its name, as in [1234567,123.45,1234.56].
-	useBytes = 36
+	// useBytes is the length of a use without its name, as in [1234567,123.45,1234.56,0.1234].
+	useBytes = 44
+	// shareDigits keeps four decimal places of a share.
+	shareDigits = 10_000
 	// maxUnheard is the largest number of silent peers in a report.
 	maxUnheard = 24
 	// rotationTime is the time in which all active workspaces are reported.
@@ -74,7 +76,7 @@
 	case bucket.dirty || bucket.repeats > 0:
 		return age >= useInterval
 	default:
-		return age >= rotationTime && (bucket.demand > activeDemand || bucket.setBack || bucket.peerDemand > activeDemand && bucket.count > 0)
+		return age >= rotationTime && (bucket.fixedShare > 0 || bucket.demand > activeDemand || bucket.setBack || bucket.peerDemand > activeDemand && bucket.count > 0)
 	}
 }
 
@@ -89,10 +91,14 @@
 	use := Use{bucket.count, bucket.reportClaim(now)}
 	bucket.setBack = use[useDemand] > 0
 
-	if withLevel {
+	if withLevel || bucket.fixedShare > 0 {
 		use = append(use, math.Floor(bucket.level))
 	}
 
+	if bucket.fixedShare > 0 {
+		use = append(use, math.Ceil(bucket.fixedShare*shareDigits)/shareDigits)
+	}
+
 	return use
 }
 
@@ -159,9 +165,15 @@
 	}
 
 	bucket.level = min(bucket.capacity(), bucket.level-grown)
-	bucket.setUse(sender.index, peerUse{count: use[useCount], demand: use[useDemand], heardAt: now.UnixNano()})
+	newest := peerUse{count: use[useCount], demand: float32(use[useDemand]), heardAt: now.UnixNano()}
+	if len(use) > useShare {
+		newest.share = float32(use[useShare])
+	}
+
+	bucket.setUse(sender.index, newest)
 
-	if starting && !bucket.adopted && len(use) > useLevel && now.Sub(enforcer.startedAt) >= enforcer.unheardTime() {
+	// A peer with a fixed share doesn't know the level.
+	if starting && !bucket.adopted && len(use) == useLevel+1 && now.Sub(enforcer.startedAt) >= enforcer.unheardTime() {
 		bucket.adopted = true
 		bucket.level = min(bucket.capacity(), max(bucket.level, use[useLevel]))
 	}
--- a/enforcer/peer.go
+++ b/enforcer/peer.go
@@ -32,7 +32,9 @@
 
 // peerUse is the newest use that a peer reported for one workspace.
 type peerUse struct {
-	count, demand float64
+	count float64
+	// demand is that of the last report, share the fixed share; 0 if it follows the demand.
+	demand, share float32
 	// heardAt is when it was heard in nanoseconds since 1970, 0 for never. A time.Time would double
 	// the size, which is multiplied by workspaces and peers.
 	heardAt int64
--- a/enforcer/peers.go
+++ b/enforcer/peers.go
@@ -12,6 +12,11 @@
 // all peers, which is too much work for each request.
 const peersInterval = 5 * time.Millisecond
 
+// restartedShare is what a process that starts while some peer is not heard may have beyond the least
+// share that its predecessor can have had. The others may still reserve that one, so it has to
+// fit into Overrun.
+const restartedShare = 0.05
+
 // resumeTime is the time after a silence in which the peer's counts have all been heard: it
 // reports those that have not changed since the silence in rotation only.
 const resumeTime = rotationTime + 2*ReportInterval
@@ -124,7 +129,7 @@
 	if divided {
 		enforcer.separateParts(now)
 	} else {
-		enforcer.joinParts()
+		enforcer.joinParts(now)
 	}
 
 	enforcer.divided = divided
@@ -145,15 +150,22 @@
 func (enforcer *Enforcer) separateParts(now time.Time) {
 	for _, bucket := range enforcer.buckets {
 		share := enforcer.advance(bucket, now)
-		bucket.fixedShare = share
+		if now.Sub(enforcer.startedAt) < startTime {
+			share = min(share, (1-demandWeight)/float64(enforcer.gateways())+restartedShare)
+		}
+
+		bucket.fixedShare, bucket.dirty = share, true
 		bucket.private = share*(bucket.level+bucket.recentSum) - bucket.recentSum
 	}
 }
 
-// joinParts lets the shares follow the demand again.
-func (enforcer *Enforcer) joinParts() {
+// joinParts lets the shares follow the demand again. What peers have left of their
+// parts is unknown, so that the level is what this gateway has left of its own.
+func (enforcer *Enforcer) joinParts(now time.Time) {
 	for _, bucket := range enforcer.buckets {
-		bucket.fixedShare = 0
+		enforcer.advance(bucket, now)
+		bucket.level = min(bucket.level, bucket.private)
+		bucket.fixedShare, bucket.dirty = 0, true
 	}
 }
 
@@ -169,7 +181,12 @@
 
 // partOf is a peer's part of a bucket as seen here.
 func (enforcer *Enforcer) partOf(bucket *bucket, known *peer) float64 {
-	return part(bucket.useOf(known.index).demand, bucket.peerDemand+bucket.claimed, enforcer.gateways())
+	use := bucket.useOf(known.index)
+	if use.share > 0 {
+		return float64(use.share)
+	}
+
+	return max(0, 1-bucket.peerShares) * part(float64(use.demand), bucket.peerDemand+bucket.claimed, enforcer.gateways()-bucket.fixedPeers)
 }
 
 // unheardPeers returns silent peers, some in each report if there are many.
--- a/enforcer/report.go
+++ b/enforcer/report.go
@@ -12,8 +12,8 @@
 }
 
 // Use is the use of one workspace by one process: the count of admitted requests minus refunded
-// ones since its start, its demand in requests a second and, only while a peer starts, the level
-// of the bucket. It is an array because names of fields would double its length in JSON.
+// ones since its start, its demand in requests a second, the level of the bucket (while a peer starts)
+// and the share that is fixed (while some peer is not heard). It is an array because names of fields would double its length in JSON.
 type Use []float64
 
 // Indices of a Use.
@@ -21,4 +21,5 @@
 	useCount = iota
 	useDemand
 	useLevel
+	useShare
 )
--- a/enforcer/settings.go
+++ b/enforcer/settings.go
@@ -11,9 +11,9 @@
 // grows with the cap and not with Slack. Two requests at each of eight gateways need 0.8 of Slack.
 const (
 	beyondOfSlack   = 0.8
-	beyondOfOverrun = 0.3
+	beyondOfOverrun = 0.2
 	spareOfSlack    = 0.15
-	spareOfOverrun  = 0.2
+	spareOfOverrun  = 0.1
 	// isolatedOfSlack is divided among the gateways for which others reserve nothing.
 	isolatedOfSlack = 0.5
 )
