--- a/enforcer/bucket.go
+++ b/enforcer/bucket.go
@@ -77,8 +77,9 @@
 	refusedSince, refusedLast time.Time
 }
 
-func newBucket() *bucket {
-	return &bucket{}
+// newBucket returns a bucket that was empty at a time; a zero time stands for the first use.
+func newBucket(emptyAt time.Time) *bucket {
+	return &bucket{updated: emptyAt}
 }
 
 // setLimit replaces the cap.
--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -97,7 +97,8 @@
 	return enforcer
 }
 
-// SetCaps replaces the caps by those of the workspaces. A new cap starts with an empty bucket.
+// SetCaps replaces the caps by those of the workspaces. The bucket of a new cap was empty when the process
+// started, before which it may have spent all tokens, and has been filled since.
 func (enforcer *Enforcer) SetCaps(workspaces map[string]*matcher.Workspace) {
 	enforcer.mutex.Lock()
 	defer enforcer.mutex.Unlock()
@@ -108,7 +109,7 @@
 
 	for name, workspace := range workspaces {
 		if enforcer.buckets[name] == nil {
-			enforcer.buckets[name] = newBucket()
+			enforcer.buckets[name] = newBucket(enforcer.startedAt)
 		}
 
 		enforcer.buckets[name].setLimit(workspace.Cap, enforcer.Settings.spare(workspace.Cap))
