Place by learned places and the time of the first event

Cause: the placer counts listed places as free and compares servers by the number of running requests alone. Change: with placer.WithGauger, free places are the learned ones, a server's cost follows from when its first event is expected, and expected waits and Retry-After from the run times of complete responses. The forwarder tells a grant of the events that arrive.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"limpetrail/exchanger"
+	"limpetrail/gauger"
 	"limpetrail/placer"
 )
 
@@ -117,7 +118,7 @@
 // that another server can continue after the last. The head goes with the first event: a
 // stream that breaks off before it can still be answered with an error.
 func (delivery *delivery) forwardPart(ctx context.Context, current *attempt, reported report) (Result, bool) {
-	countBefore := delivery.eventCount
+	countBefore, wholeBefore, arrivedAt := delivery.eventCount, delivery.wholeEvents, time.Now()
 
 	if err := delivery.forwardEvents(current, reported.part); err != nil {
 		return delivery.handleForwardError(ctx, current, err)
@@ -130,6 +131,13 @@
 		current.run.Begin()
 	}
 
+	if delivery.wholeEvents > wholeBefore {
+		current.grant.ObserveEvents(placer.Events{
+			Count: delivery.wholeEvents - wholeBefore, ArrivedAt: arrivedAt, HandledAt: time.Now(),
+			Targets: gauger.Targets{FirstEvent: delivery.call.Route.LatencyTarget, EventGap: delivery.call.Route.EventGapTarget},
+		})
+	}
+
 	err := reported.err
 
 	switch {
@@ -220,6 +228,10 @@
 			delivery.lastEventID = event.ID
 		}
 
+		if !event.Comment {
+			delivery.wholeEvents++
+		}
+
 		if !event.Comment || len(delivery.running) == 1 {
 			delivery.eventCount++
 		}
--- a/forwarder/delivery.go
+++ b/forwarder/delivery.go
@@ -50,9 +50,11 @@
 	// streamStarted is true once a server sent the head of a stream.
 	streamStarted bool
 	// lastEventID is the number of the last event that was passed on, or -1.
-	lastEventID     int
-	status          int
-	eventCount      int
+	lastEventID int
+	status      int
+	eventCount  int
+	// wholeEvents counts the events that are not comments, which a slow server may send instead.
+	wholeEvents     int
 	timeToFirstByte time.Duration
 	queueTime       time.Duration
 	// serverID is of the server that was tried last, or whose answer was passed on.
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -56,10 +56,10 @@
 }
 
 // runWithFleet runs a test with a fleet whose forwarder uses the given log and metrics.
-func runWithFleet(t *testing.T, common kernel.Common, count int, run func(fleet *fleet)) {
+func runWithFleet(t *testing.T, common kernel.Common, count int, run func(fleet *fleet), options ...placer.Option) {
 	t.Helper()
 
-	fleet := &fleet{t: t, network: emulator.NewNetwork(), placer: placer.NewPlacer(common)}
+	fleet := &fleet{t: t, network: emulator.NewNetwork(), placer: placer.NewPlacer(common, options...)}
 	serverList := []placer.Server{}
 	serving := sync.WaitGroup{}
 
--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -71,14 +71,14 @@
 // entry as soon as it gets the report of the new run.
 func (chooser chooser) choosePreemptible(servers []*serverState) *serverState {
 	own := cheapest(servers, func(server *serverState) (float64, bool) {
-		return chooser.cost(server), chooser.canSend(server) && len(server.grants) > 0 && server.totalOnline() < server.Places
+		return chooser.cost(server), chooser.canSend(server) && len(server.grants) > 0 && server.totalOnline() < server.places()
 	})
 	if own != nil {
 		return own
 	}
 
 	return cheapest(servers, func(server *serverState) (float64, bool) {
-		return float64(server.totalOnline()), chooser.canSend(server) && server.others.Batch > 0 && server.totalOnline() < server.Places
+		return float64(server.totalOnline()), chooser.canSend(server) && server.others.Batch > 0 && server.totalOnline() < server.places()
 	})
 }
 
@@ -102,7 +102,7 @@
 }
 
 func (chooser chooser) cost(server *serverState) float64 {
-	cost := float64(server.total()) + failurePenalty*server.health.failureShare
+	cost := server.load() + failurePenalty*server.health.failureShare
 
 	if server.DataCentre == chooser.dataCentre {
 		cost -= localBonus
--- a/placer/grant.go
+++ b/placer/grant.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"limpetrail/gauger"
 	"limpetrail/throttler"
 )
 
@@ -25,6 +26,8 @@
 	// reclaimed is set when preemption has already counted the place as free.
 	reclaimed bool
 	released  atomic.Bool
+	// run measures online work, guarded by the placer's mutex; nil if nothing is learned.
+	run *gauger.Run
 }
 
 // SetProgress records how much of a batch run is done, in any increasing unit.
@@ -40,6 +43,10 @@
 // Observe records how the server behaved, and with Answered the time to the first bytes.
 func (grant *Grant) Observe(observation Observation, firstBytes time.Duration) {
 	grant.placer.observe(grant.Server, observation, firstBytes)
+
+	if observation == Complete {
+		grant.completeMeasuring()
+	}
 }
 
 // RecordDeparture records that the server announced in its answer to a request that it is leaving.
--- a/placer/lists.go
+++ b/placer/lists.go
@@ -49,6 +49,7 @@
 
 	placer.pruneDepartures(time.Now())
 	placer.pruneLimits(time.Now())
+	placer.assignGauges()
 
 	for id := range previous {
 		if placer.servers[id] == nil {
--- a/placer/place.go
+++ b/placer/place.go
@@ -56,6 +56,7 @@
 		placer.service(server.Service).running[grant] = true
 	}
 
+	grant.startMeasuring(server)
 	placer.signalLoadChange()
 
 	return grant
@@ -74,7 +75,10 @@
 	if !grant.Batch {
 		service := placer.service(grant.Server.Service)
 		delete(service.running, grant)
-		service.meanRun = movingAverage(service.meanRun, time.Since(grant.grantedAt))
+
+		if !service.runLearned {
+			service.meanRun = movingAverage(service.meanRun, time.Since(grant.grantedAt))
+		}
 	}
 
 	server := placer.servers[grant.Server.ID]
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"limpetrail/gauger"
 	"limpetrail/kernel"
 	"limpetrail/pacer"
 )
@@ -39,6 +40,8 @@
 	loadChanged chan struct{}
 	// batchCapacityChanged is closed and replaced when batch work may find a place.
 	batchCapacityChanged chan struct{}
+	// gauger learns the capacity of the servers; nil for none.
+	gauger *gauger.Gauger
 }
 
 // report is the load of another entry, by server ID.
@@ -49,8 +52,8 @@
 }
 
 // NewPlacer returns a placer without servers.
-func NewPlacer(common kernel.Common) *Placer {
-	return &Placer{
+func NewPlacer(common kernel.Common, options ...Option) *Placer {
+	placer := &Placer{
 		Common:               common.ForPart("placer"),
 		servers:              map[string]*serverState{},
 		services:             map[string]*service{},
@@ -60,6 +63,12 @@
 		loadChanged:          make(chan struct{}),
 		batchCapacityChanged: make(chan struct{}),
 	}
+
+	for _, option := range options {
+		option(placer)
+	}
+
+	return placer
 }
 
 // LoadChanged returns a channel that is closed when the load of this entry changes.
@@ -246,6 +255,7 @@
 	now := time.Now()
 
 	service := placer.service(work.Service)
+	placer.refreshGauges(work.Service, service, now)
 
 	return chooser{
 		dataCentre:       placer.DataCentre,
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -29,7 +29,7 @@
 	for _, server := range service.servers {
 		if server.owned && !server.Leaving && !server.health.suspect() {
 			online += server.totalOnline()
-			places += server.Places
+			places += server.places()
 		}
 	}
 
--- a/placer/scale_test.go
+++ b/placer/scale_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/gauger"
 	"limpetrail/kernel"
 	"limpetrail/placer"
 )
@@ -23,8 +24,8 @@
 
 // newLargeFleet returns the placer of one entry with fresh reports from all others of a large
 // fleet, and a function that applies the next report of an entry.
-func newLargeFleet() (*placer.Placer, func(entry int)) {
-	entryPlacer := placer.NewPlacer(kernel.NewDiscardCommon("entry-0"))
+func newLargeFleet(options ...placer.Option) (*placer.Placer, func(entry int)) {
+	entryPlacer := placer.NewPlacer(kernel.NewDiscardCommon("entry-0"), options...)
 	servers := []placer.Server{}
 
 	for number := range largeServers {
@@ -164,3 +165,23 @@
 		entryPlacer.UpdateServers(servers)
 	}
 }
+
+// Placing by learned capacity costs about as much as placing by listed places.
+func BenchmarkPlaceWithLearnedCapacity(b *testing.B) {
+	learned := gauger.NewGauger()
+	entryPlacer, _ := newLargeFleet(placer.WithGauger(learned))
+	measures := []gauger.Measure{}
+
+	for number := range largeServers {
+		sample := gauger.Sample{Running: 1 + number%8, Events: 20, GapMicros: int64(20*30_000 + number), Firsts: 5, FirstMicros: int64(5*50_000 + number)}
+		measures = append(measures, gauger.Measure{ID: fmt.Sprintf("server-%d", number), Samples: []gauger.Sample{sample}, Runs: 1, RunMicros: 900_000})
+	}
+
+	for _, measure := range measures {
+		entryPlacer.ApplyMeasures([]gauger.Measure{measure})
+	}
+
+	for b.Loop() {
+		entryPlacer.Place(b.Context(), placer.Work{Service: "service-1", Prefix: 77}).Grant.Release()
+	}
+}
--- a/placer/server.go
+++ b/placer/server.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"limpetrail/gauger"
+)
 
 // Server is a backend server as the platform lists it.
 type Server struct {
@@ -50,6 +54,8 @@
 	// limit is what the server said of the requests that it takes; nil if it never named a
 	// limit.
 	limit *limit
+	// gauge is what was learned of this start of the server; nil if nothing is learned.
+	gauge *gauger.Gauge
 }
 
 func (server *serverState) totalOnline() int {
@@ -60,9 +66,9 @@
 	return server.own.Total() + server.others.Total()
 }
 
-// free is negative if the server runs more than its places.
+// free is negative if the server runs more than its places, listed or learned.
 func (server *serverState) free() int {
-	return server.Places - server.total()
+	return server.places() - server.total()
 }
 
 // wait returns how long it takes until the server's limit lets this entry send a request; 0
--- a/placer/service.go
+++ b/placer/service.go
@@ -13,7 +13,9 @@
 	// running holds the online runs of this entry.
 	running map[*Grant]bool
 	// meanRun is the mean length of an online run.
-	meanRun    time.Duration
+	meanRun time.Duration
+	// runLearned is set if meanRun is that of the complete responses of all entries.
+	runLearned bool
 	retryPacer pacer.Pacer
 	// medianFirstBytes is the median time to the first bytes over the servers at medianAt.
 	medianFirstBytes time.Duration
@@ -52,7 +54,7 @@
 	runs := make([]time.Duration, 0, share)
 	for grant := range service.running {
 		if !limited[grant.Server.ID] {
-			runs = append(runs, remaining(now.Sub(grant.grantedAt), service.meanRun))
+			runs = append(runs, remaining(now.Sub(grant.grantedAt), service.expectedRun(grant)))
 		}
 	}
 
--- a/placer/status.go
+++ b/placer/status.go
@@ -22,6 +22,10 @@
 			Server: server.Server, Own: server.own, Others: server.others,
 			Suspect: server.health.suspect(), Failing: server.health.failureShare, FirstBytes: server.health.firstBytes,
 		}
+		if server.gauge != nil {
+			status.LearnedPlaces, status.Pace = server.gauge.LearnedPlaces(), server.gauge.Pace()
+		}
+
 		if server.limited() {
 			status.Statement, status.OwnPerSecond = server.limit.Statement(), server.limit.PerSecond()
 		}
@@ -42,6 +46,10 @@
 	Failing float64
 	// FirstBytes is the mean time to the first bytes of an answer.
 	FirstBytes time.Duration
+	// LearnedPlaces is up to how many requests may run at the server, and Pace its time for a unit
+	// of work as a multiple of its service's median, if they are learned.
+	LearnedPlaces int     `json:",omitempty"`
+	Pace          float64 `json:",omitempty"`
 	// Statement is what the server says of the requests that it takes, and OwnPerSecond is how
 	// many a second of a limit are this entry's.
 	throttler.Statement
