Share what gateways measure at backend servers in load reports

Cause: one gateway of many sees few events of each server, too few to follow a slowdown of half a second. Without learning the field is absent. Result: TestMeasuresReachPeers and the tests of gossiper pass under the race detector.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"limpetrail/gauger"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -53,6 +54,8 @@
 	Marks map[string]keeper.Revision `json:",omitempty"`
 	// Findings are what the entry knows of prompt parts that end backend servers.
 	Findings []quarantiner.Finding `json:",omitempty"`
+	// Measures are what the entry measured at backend servers since its last measures of them.
+	Measures []gauger.Measure `json:",omitempty"`
 }
 
 // peer is the address of another entry.
@@ -153,6 +156,7 @@
 		report.Loads = gossiper.Placer.OwnLoads()
 		report.Departures = gossiper.Placer.Departures()
 		report.Limits = gossiper.Placer.ReportedLimits()
+		report.Measures = gossiper.Placer.Measures()
 
 		if gossiper.NewestRevisions != nil {
 			report.Marks = gossiper.NewestRevisions()
@@ -253,6 +257,7 @@
 
 		gossiper.Placer.ApplyReport(report.Instance, report.DataCentre, report.Loads)
 		gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
+		gossiper.Placer.ApplyMeasures(report.Measures)
 		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
 	}
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"limpetrail/gauger"
 	"limpetrail/gossiper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -212,3 +213,50 @@
 	second.SetPeers(map[string]string{"a": addresses[0]})
 	require.Equal(t, found, <-received)
 }
+
+// newLearningPlacer returns a placer of servers "x", "y" and "z" that learns their capacity.
+func newLearningPlacer(name string) *placer.Placer {
+	learning := placer.NewPlacer(kernel.NewDiscardCommon(name), placer.WithGauger(gauger.NewGauger()))
+	learning.UpdateServers([]placer.Server{{ID: "x", Service: "model", Places: 8}, {ID: "y", Service: "model", Places: 8}, {ID: "z", Service: "model", Places: 8}})
+
+	return learning
+}
+
+// What one entry measures at servers counts at its peers. Without learning, reports do not have
+// the field.
+func TestMeasuresReachPeers(t *testing.T) {
+	addresses, measuring, learning := []string{freePort(t), freePort(t)}, newLearningPlacer("a"), newLearningPlacer("b")
+	first, plain := newEntry(t, "a", addresses[0], func(subject *gossiper.Gossiper) { subject.Placer = measuring })
+	second, _ := newEntry(t, "b", addresses[1], func(subject *gossiper.Gossiper) { subject.Placer = learning })
+
+	first.SetPeers(map[string]string{"b": addresses[1]})
+	second.SetPeers(map[string]string{"a": addresses[0]})
+
+	measure := func(gap time.Duration, exclude ...string) {
+		grant, now := measuring.Place(t.Context(), placer.Work{Service: "model", Exclude: exclude}).Grant, time.Now()
+		for number := range 20 {
+			at := now.Add(time.Duration(number) * gap)
+			grant.ObserveEvents(placer.Events{Count: 1, ArrivedAt: at, HandledAt: at})
+		}
+
+		grant.Observe(placer.Complete, 0)
+		grant.Release()
+	}
+
+	// Measured again and again, as datagrams may be lost.
+	require.Eventually(t, func() bool {
+		measure(10*time.Millisecond, "y", "z")
+		measure(time.Millisecond, "x", "z")
+		measure(time.Millisecond, "x", "y")
+		learning.Place(t.Context(), placer.Work{Service: "model"}).Grant.Release()
+
+		return learning.Status()[0].Pace > 2
+	}, 10*time.Second, 50*time.Millisecond)
+
+	grant := plain.Place(t.Context(), placer.Work{Service: "model"}).Grant
+	grant.Observe(placer.Complete, 0)
+
+	encoded, err := json.Marshal(gossiper.Report{Measures: plain.Measures()})
+	require.NoError(t, err)
+	require.NotContains(t, string(encoded), "Measures")
+}
