Add the setting [Placement] Learn, off by default

Cause: learned capacity must take effect only where a configuration enables it, and the loader knew no booleans. Change: loader reads true and false; a gateway with Learn = true gets a placer with a gauger. Result: tests of loader and app pass; a value that is no boolean is refused with the remedy.

--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -15,6 +15,7 @@
 	"limpetrail/custodian"
 	"limpetrail/exchanger"
 	"limpetrail/forwarder"
+	"limpetrail/gauger"
 	"limpetrail/gossiper"
 	"limpetrail/inquirer"
 	"limpetrail/keeper"
@@ -125,6 +126,14 @@
 	return forwarder.NewForwarder(common, places, backend, quarantine, forwarder.WithOrigins(origins), forwarder.WithAttester(starts), forwarder.WithStopper(stop), forwarder.WithServerList(list))
 }
 
+func newPlacer(common kernel.Common, settings loader.Gateway) *placer.Placer {
+	if !settings.Placement.Learn {
+		return placer.NewPlacer(common)
+	}
+
+	return placer.NewPlacer(common, placer.WithGauger(gauger.NewGauger()))
+}
+
 func newGossiper(common kernel.Common, places *placer.Placer, quarantine *quarantiner.Quarantiner, member registrar.Member, settings loader.Gateway) *gossiper.Gossiper {
 	created := gossiper.NewGossiper(common, places, settings.Listen.Peers)
 	created.Process = member.ProcessID()
--- a/app/wire.go
+++ b/app/wire.go
@@ -19,7 +19,6 @@
 	"limpetrail/locator"
 	"limpetrail/matcher"
 	"limpetrail/observer"
-	"limpetrail/placer"
 	"limpetrail/platform"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
@@ -111,7 +110,7 @@
 		newCatalogClient,
 		matcher.NewCurrentDocument,
 		limiter.NewLimiter,
-		placer.NewPlacer,
+		newPlacer,
 		newGossiper,
 		newMember,
 		registrar.NewRegistrar,
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -16,7 +16,6 @@
 	"limpetrail/locator"
 	"limpetrail/matcher"
 	"limpetrail/observer"
-	"limpetrail/placer"
 	"limpetrail/platform"
 	"limpetrail/presenter"
 	"limpetrail/publisher"
@@ -154,23 +153,23 @@
 		return nil, err
 	}
 	currentDocument := matcher.NewCurrentDocument(common)
-	placerPlacer := placer.NewPlacer(common)
+	placer := newPlacer(common, settings)
 	exchanger := newExchanger(common, settings)
 	platformBackend := platform.NewBackend(exchanger)
-	quarantiner := newQuarantiner(common, platformBackend, placerPlacer)
+	quarantiner := newQuarantiner(common, platformBackend, placer)
 	member := newMember(settings)
-	gossiper := newGossiper(common, placerPlacer, quarantiner, member, settings)
+	gossiper := newGossiper(common, placer, quarantiner, member, settings)
 	registrarRegistrar := registrar.NewRegistrar(common, catalogClient, member)
 	sharer := relayer.NewSharer(common)
 	depositor := newDepositor(common, settings)
 	attesterAttester := attester.NewAttester(common, platformBackend)
 	inquirer := newInquirer(common, relay)
 	conveyer := newConveyer(common, relay)
-	batcher := newBatcher(common, catalogClient, placerPlacer, platformBackend, quarantiner, attesterAttester, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
+	batcher := newBatcher(common, catalogClient, placer, platformBackend, quarantiner, attesterAttester, currentDocument, depositor, member, registrarRegistrar, inquirer, conveyer, gossiper, settings)
 	resumer := newResumer(common, settings)
 	stopper := newStopper(settings)
 	appSoftwareReader := newSoftwareReader(common, catalogClient)
-	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer, attesterAttester, stopper, appSoftwareReader)
+	forwarder := newForwarder(common, placer, platformBackend, quarantiner, resumer, attesterAttester, stopper, appSoftwareReader)
 	jobHandler := platform.NewJobHandler(batcher)
 	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
@@ -181,7 +180,7 @@
 		Meter:         meter,
 		Client:        catalogClient,
 		Configuration: currentDocument,
-		Placer:        placerPlacer,
+		Placer:        placer,
 		Gossiper:      gossiper,
 		Registrar:     registrarRegistrar,
 		Relay:         relay,
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -18,11 +18,19 @@
 	Calls  keeper.Settings
 	Follow Follow
 	// Answers limits the size of backend servers' answers.
-	Answers exchanger.Limits
-	Jobs    batcher.Settings
-	Memory  Memory
-	Stop    Stop
-	Log     Log
+	Answers   exchanger.Limits
+	Jobs      batcher.Settings
+	Placement Placement
+	Memory    Memory
+	Stop      Stop
+	Log       Log
+}
+
+// Placement controls how requests are placed on backend servers.
+type Placement struct {
+	// Learn has the process learn from response times how much load each backend server handles
+	// well, and share that with other gateways, instead of relying on the listed places alone.
+	Learn bool
 }
 
 // GatewayListen holds the addresses on which a gateway listens.
--- a/loader/load.go
+++ b/loader/load.go
@@ -106,6 +106,9 @@
 	case *float64:
 		remedy = "write a number above 0"
 		*value, err = strconv.ParseFloat(text, 64)
+	case *bool:
+		remedy = "write true or false"
+		*value, err = strconv.ParseBool(text)
 	case *string:
 		*value = text
 	default:
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -107,4 +107,25 @@
 	require.NoError(t, os.WriteFile(path, []byte(formatSettings(sidecar)), 0o600))
 	require.NoError(t, loader.Load(path, &sidecar))
 	require.Equal(t, "x", sidecar.BackendServer.Service)
+
+	gateway := loader.DefaultGateway()
+	gateway.Placement.Learn = true
+	require.NoError(t, os.WriteFile(path, []byte(formatSettings(gateway)), 0o600))
+
+	gateway = loader.DefaultGateway()
+	require.False(t, gateway.Placement.Learn)
+	require.NoError(t, loader.Load(path, &gateway))
+	require.True(t, gateway.Placement.Learn)
+	require.ErrorContains(t, loadGatewayText(t, "[Placement]\nLearn = yes\n"), "write true or false")
+}
+
+func loadGatewayText(t *testing.T, text string) error {
+	t.Helper()
+
+	path := filepath.Join(t.TempDir(), "gateway.ini")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+
+	gateway := loader.DefaultGateway()
+
+	return loader.Load(path, &gateway)
 }
