--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 
 	"limpetrail/enforcer"
 	"limpetrail/follower"
+	"limpetrail/gauger"
 	"limpetrail/keeper"
 	"limpetrail/kernel"
 	"limpetrail/placer"
@@ -65,6 +66,8 @@
 	Findings []quarantiner.Finding `json:",omitempty"`
 	// Caps is the entry's use of the workspaces' caps; nil where none are enforced.
 	Caps *enforcer.Report `json:",omitempty"`
+	// Measures are what the entry measured at backend servers since its last measures of them.
+	Measures []gauger.Measure `json:",omitempty"`
 }
 
 // peer is the address of another entry.
@@ -194,6 +197,7 @@
 
 		report.Departures = gossiper.Placer.Departures()
 		report.Limits = gossiper.Placer.ReportedLimits()
+		report.Measures = gossiper.Placer.Measures()
 
 		if gossiper.NewestRevisions != nil {
 			marks.fill(&report, gossiper.NewestRevisions())
@@ -334,6 +338,7 @@
 		}
 
 		gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
+		gossiper.Placer.ApplyMeasures(report.Measures)
 		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
 	}
 }
--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -73,14 +73,14 @@
 // entry as soon as it gets the report of the new run.
 func (chooser chooser) choosePreemptible(servers []*serverState) *serverState {
 	own := cheapest(servers, func(server *serverState) (float64, bool) {
-		return chooser.cost(server), chooser.canSend(server) && len(server.grants) > 0 && server.totalOnline() < server.Places
+		return chooser.cost(server), chooser.canSend(server) && len(server.grants) > 0 && server.totalOnline() < server.places()
 	})
 	if own != nil {
 		return own
 	}
 
 	return cheapest(servers, func(server *serverState) (float64, bool) {
-		reclaimable := min(server.others.Batch, server.Places-server.totalOnline())
+		reclaimable := min(server.others.Batch, server.places()-server.totalOnline())
 
 		return chooser.cost(server), chooser.canSend(server) && reclaimable > 0 && chooser.turn(server).Delay(reclaimable) == 0
 	})
@@ -106,7 +106,7 @@
 }
 
 func (chooser chooser) cost(server *serverState) float64 {
-	cost := float64(server.total()) + failurePenalty*server.health.failureShare
+	cost := server.load() + failurePenalty*server.health.failureShare
 
 	if server.DataCentre == chooser.dataCentre {
 		cost -= localBonus
