Tell a caller who disconnects from a server that breaks off

Cause: errors.Wrap sets only the cause, which errors.Is does not look at; a stream whose caller's connection took no data was treated as broken off by the server, unless the call's context had ended before. Change: the error gets the type errCallerDisconnected. Result: the new test gets Cancelled after one attempt; before, the call ended as Broken. A caller that reads too slowly will meet this path without its context ending.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -158,8 +158,8 @@
 // endedEarly is the reason of an answer that ended without an error and is not complete.
 const endedEarly = "The answer ended within an event, or has no length and ended with its server or without a byte or an event."
 
-// errCallerDisconnected is the cause when the caller's connection no longer accepts data.
-var errCallerDisconnected = errors.New("the caller disconnected")
+// errCallerDisconnected is the type of the error when the caller's connection no longer accepts data.
+const errCallerDisconnected = errors.ConstError("the caller disconnected")
 
 // forwardEvents adds the bytes read to the parser and passes the events that they
 // complete on to the caller, in order.
@@ -189,7 +189,7 @@
 	delivery.sendStreamHead(current.answer)
 
 	if err := delivery.sink.Write(ready); err != nil {
-		return errors.Wrap(err, errCallerDisconnected)
+		return errors.Annotate(errors.WithType(err, errCallerDisconnected), "passing on a stream")
 	}
 
 	return sequenceErr
