Bound the memory of uploads and of answers for slow readers

Cause: nothing bounded what requests and unread answers occupy: 300 uploads that stop before their last byte and 300 answers that nobody reads take a gateway to 437 MB, of 144. Change: package reserver divides a quarter of [Memory] Megabytes; bodies reserve what they allocate, uploads need progress, and answers wait in a buffer of 128 KB that a goroutine writes, with a write deadline. Sockets get fixed buffers, the collector a soft limit of 0.6. Without a limit nothing changes (docs/design/memory.md).

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -70,7 +70,7 @@
 	staleConnectionsInterval = time.Second
 	// memoryLimitShare of the configured memory limit is the garbage collector's soft
 	// limit, above which it runs more often.
-	memoryLimitShare = 0.7
+	memoryLimitShare = 0.6
 )
 
 // Gateway is an entry that calls backend servers directly, without sidecars.
@@ -122,7 +122,7 @@
 	gateway.loggedRevisions = map[string]keeper.Revision{}
 	gateway.servers = newServerList()
 
-	callers, err := gateway.Listen.openHTTP(ctx, gateway.Settings.Listen.Callers)
+	callers, err := gateway.openCallers(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -168,6 +168,18 @@
 	return nil
 }
 
+// openCallers opens the listener for callers. Their sockets hold little if the memory is limited.
+func (gateway *Gateway) openCallers(ctx context.Context) (net.Listener, error) {
+	var control SocketControl
+	if gateway.Settings.Memory.Megabytes > 0 {
+		control = boundCallerSocket
+	}
+
+	listener, err := gateway.Listen(ctx, gateway.Settings.Listen.Callers, control)
+
+	return listener, errors.Annotate(err, "listening for callers")
+}
+
 // stop fails the readiness check, waits until the load balancer has noticed and lets
 // running requests finish, all within the grace.
 func (gateway *Gateway) stop(ctx context.Context, callers net.Listener) {
--- a/app/gateway_providers.go
+++ b/app/gateway_providers.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -104,7 +105,12 @@
 }
 
 func newExchanger(common kernel.Common, settings loader.Gateway) *exchanger.Exchanger {
-	return exchanger.NewExchanger(common, exchanger.WithLimits(settings.Answers))
+	options := []exchanger.Option{exchanger.WithLimits(settings.Answers)}
+	if settings.Memory.Megabytes > 0 {
+		options = append(options, exchanger.WithDial((&net.Dialer{Control: boundServerSocket}).DialContext))
+	}
+
+	return exchanger.NewExchanger(common, options...)
 }
 
 // newQuarantiner takes turns with the entries that report their load.
@@ -158,6 +164,11 @@
 	return batcher.NewBatcher(common, client, places, backend, quarantine, configuration, depositor, member.ProcessID(), registration.RegistrationValid, settings.Jobs, batcher.WithInquirer(inquiries), batcher.WithConveyer(handovers), batcher.WithSilenceCheck(reports.IsSilent), batcher.WithAttester(starts))
 }
 
-func newGatewayHandler(common kernel.Common, configuration *matcher.CurrentDocument, forwards *forwarder.Forwarder, jobs *platform.JobHandler) *platform.Handler {
-	return platform.NewHandler(common, configuration, forwards.Forward, jobs)
+func newGatewayHandler(common kernel.Common, configuration *matcher.CurrentDocument, forwards *forwarder.Forwarder, jobs *platform.JobHandler, settings loader.Gateway) *platform.Handler {
+	handler := platform.NewHandler(common, configuration, forwards.Forward, jobs)
+	if limit := settings.Memory.Megabytes; limit > 0 {
+		handler.Memory = platform.NewMemory(common, int64(limit)<<20)
+	}
+
+	return handler
 }
--- a/app/wire_gen.go
+++ b/app/wire_gen.go
@@ -172,7 +172,7 @@
 	appSoftwareReader := newSoftwareReader(common, catalogClient)
 	forwarder := newForwarder(common, placerPlacer, platformBackend, quarantiner, resumer, attesterAttester, stopper, appSoftwareReader)
 	jobHandler := platform.NewJobHandler(batcher)
-	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler)
+	platformHandler := newGatewayHandler(common, currentDocument, forwarder, jobHandler, settings)
 	limiterLimiter := limiter.NewLimiter(common, currentDocument)
 	gateway := &Gateway{
 		Common:        common,
--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -46,6 +46,8 @@
 	Holders  map[string]*Process
 	// StopGrace is the grace of gateways that are started from now on; 0 for the default.
 	StopGrace time.Duration
+	// GatewayMemory is the memory limit of gateways in megabytes; 0 for none.
+	GatewayMemory int
 
 	// incarnations counts the starts of each backend server.
 	incarnations [serverCount]atomic.Int64
@@ -217,6 +219,10 @@
 		settings += fmt.Sprintf("Grace = %s\n", deployment.StopGrace)
 	}
 
+	if deployment.GatewayMemory > 0 {
+		settings += fmt.Sprintf("[Memory]\nMegabytes = %d\n", deployment.GatewayMemory)
+	}
+
 	gateway.start(deployment.T, deployment.Binary, "gateway", settings)
 	deployment.Gateways[name] = gateway
 
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -54,7 +54,8 @@
 
 // Memory limits the memory of the process.
 type Memory struct {
-	// Megabytes is the memory limit that the platform sets for the process; 0 for none.
+	// Megabytes is the memory limit that the platform sets for the process; 0 for none. With a limit,
+	// bodies of requests and answers that callers do not take share 0.25 of it.
 	Megabytes int
 }
 
--- /dev/null
+++ b/reserver/doc.go
@@ -0,0 +1,2 @@
+// Package reserver divides a process's memory for requests among callers. It decides without I/O.
+package reserver
