Draw slow callers in the soak

Cause: the soak had no caller who sends or reads slowly, and no gateway with the memory of the smallest ones.

--- a/soaker/disk_loss.go
+++ b/soaker/disk_loss.go
@@ -36,7 +36,7 @@
 
 // hasDiskLoss reports whether a holder of the seed loses its disk.
 func (soak *Soak) hasDiskLoss() bool {
-	return soak.Seed >= firstDiskLossSeed && !soak.PlannedOnly
+	return soak.Seed >= firstDiskLossSeed && soak.Seed < firstSlowSeed && !soak.PlannedOnly
 }
 
 // loseDisks lets a holder lose its disk at the moment at which all other processes and servers lose power,
--- a/soaker/endless_answer.go
+++ b/soaker/endless_answer.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 
@@ -43,18 +44,18 @@
 		return violations
 	}
 
-	check := func(process *deployer.Process) {
-		if peak := process.PeakMemory(soak.T); peak >= deployer.SmallestMachine {
+	check := func(process *deployer.Process, limit int) {
+		if peak := process.PeakMemory(soak.T); peak >= limit {
 			violations = append(violations, fmt.Sprintf("MEMORY: %s needed %d MB", process.Name, peak))
 		}
 	}
 
 	for number := range gatewayCount {
-		check(soak.gateway(number))
+		check(soak.gateway(number), cmp.Or(soak.GatewayMemory, deployer.SmallestMachine))
 	}
 
 	for number := range holderCount {
-		check(soak.holder(number))
+		check(soak.holder(number), deployer.SmallestMachine)
 	}
 
 	return violations
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -73,6 +73,10 @@
 		faults = append(faults, (*Soak).endlessStore, (*Soak).endlessStore, (*Soak).endlessStore)
 	}
 
+	if !soak.PlannedOnly && soak.hasSlowCallers() {
+		faults = append(faults, (*Soak).slowCallers, (*Soak).slowCallers, (*Soak).slowCallers)
+	}
+
 	injectors := sync.WaitGroup{}
 
 	for range concurrentFaults {
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -106,6 +106,10 @@
 		}
 	}
 
+	if soak.hasSlowCallers() {
+		soak.GatewayMemory = smallGateway
+	}
+
 	for number := range gatewayCount {
 		soak.StartGateway(gatewayName(number))
 		soak.rotation.Store(number, true)
