Let stopped and starting gateways divide no caps

Cause: a gateway that starts hears nobody for a second, as its peers do not know it yet, and its report that it hears none of them made all divide the caps into fixed parts for 3.7 s; one that stopped was missed until it was unlisted. Change: a process reports peers that it has never heard only after its start; one that stops says so in its last reports, and is forgotten.

--- a/app/gateway.go
+++ b/app/gateway.go
@@ -203,6 +203,8 @@
 		gateway.Log.WithError(err).Warn("Listener for callers was not closed.")
 	}
 
+	defer gateway.Gossiper.End(ctx)
+
 	if err := gateway.Limiter.Drain(ctx); err != nil {
 		gateway.Log.WithError(err).Warn("Stop grace expired; requests that still run are cut off.")
 
--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -64,6 +64,8 @@
 	divided bool
 	// refreshedAt is when the state of the peers was last brought up to date.
 	refreshedAt time.Time
+	// ended holds the processes that reported their end, by name, as long as they are listed.
+	ended map[string]string
 	// isolatedAdmissions are the times of admissions by workspace while this gateway can be
 	// neither seen nor heard.
 	isolatedAdmissions map[string][]time.Time
@@ -89,6 +91,7 @@
 		peers:              map[string]*peer{},
 		mostGateways:       1,
 		isolatedAdmissions: map[string][]time.Time{},
+		ended:              map[string]string{},
 	}
 	for _, option := range options {
 		option(enforcer)
--- a/enforcer/exchange.go
+++ b/enforcer/exchange.go
@@ -40,7 +40,7 @@
 		enforcer.logEndedRefusals(now)
 	}
 
-	report := &Report{Uses: map[string]Use{}, Starting: now.Sub(enforcer.startedAt) < startTime, Unheard: enforcer.unheardPeers()}
+	report := &Report{Uses: map[string]Use{}, Starting: now.Sub(enforcer.startedAt) < startTime, Unheard: enforcer.unheardPeers(now)}
 	withLevels := now.Sub(enforcer.peerStartedAt) < startTime
 	bytes := 0
 
@@ -65,6 +65,18 @@
 	return report
 }
 
+// ReportEnd returns the last report of a process that admits no more requests.
+func (enforcer *Enforcer) ReportEnd() *Report {
+	enforcer.mutex.Lock()
+	defer enforcer.mutex.Unlock()
+
+	if len(enforcer.buckets) == 0 {
+		return nil
+	}
+
+	return &Report{Ended: true}
+}
+
 // due tells whether the workspace belongs into a report.
 func (bucket *bucket) due(now time.Time) bool {
 	age := now.Sub(bucket.reportedAt)
@@ -110,6 +122,12 @@
 
 	enforcer.start(now)
 
+	if enforcer.ended[name] == process && process != "" {
+		return
+	}
+
+	delete(enforcer.ended, name)
+
 	known := enforcer.peer(name, now)
 
 	if known.process != "" && known.process != process {
@@ -126,6 +144,13 @@
 		return
 	}
 
+	if report.Ended {
+		enforcer.ended[name] = process
+		enforcer.forget(name, known)
+
+		return
+	}
+
 	if report.Starting {
 		enforcer.peerStartedAt = now
 	}
--- a/enforcer/peers.go
+++ b/enforcer/peers.go
@@ -33,8 +33,12 @@
 		known.listed = false
 	}
 
+	maps.DeleteFunc(enforcer.ended, func(name, _ string) bool { return !slices.Contains(names, name) })
+
 	for _, name := range names {
-		enforcer.peer(name, now).listed = true
+		if enforcer.ended[name] == "" {
+			enforcer.peer(name, now).listed = true
+		}
 	}
 
 	enforcer.refreshedAt = time.Time{}
@@ -169,6 +173,16 @@
 	}
 }
 
+// forget removes a peer that has ended. All that it spent was reported, or is within its part of
+// Slack.
+func (enforcer *Enforcer) forget(name string, known *peer) {
+	for _, bucket := range enforcer.buckets {
+		bucket.setUse(known.index, peerUse{})
+	}
+
+	delete(enforcer.peers, name)
+}
+
 // dropUses charges what a peer may have spent unheard, at most its part of the level, and forgets
 // the peer's use.
 func (enforcer *Enforcer) dropUses(known *peer, now time.Time) {
@@ -189,12 +203,16 @@
 	return max(0, 1-bucket.peerShares) * part(float64(use.demand), bucket.peerDemand+bucket.claimed, enforcer.gateways()-bucket.fixedPeers)
 }
 
-// unheardPeers returns silent peers, some in each report if there are many.
-func (enforcer *Enforcer) unheardPeers() []string {
+// unheardPeers returns silent peers, some in each report if there are many. A process that has just
+// started keeps to a small part by itself, and peers that have not learned of it yet send it nothing:
+// they need not divide the caps for that.
+func (enforcer *Enforcer) unheardPeers(now time.Time) []string {
 	var silent []string
 
+	starting := now.Sub(enforcer.startedAt) < startTime
+
 	for _, name := range slices.Sorted(maps.Keys(enforcer.peers)) {
-		if enforcer.peers[name].silent {
+		if known := enforcer.peers[name]; known.silent && !(starting && known.heardAt.IsZero()) {
 			silent = append(silent, name)
 		}
 	}
--- a/enforcer/report.go
+++ b/enforcer/report.go
@@ -7,6 +7,8 @@
 	// Unheard are peers whose reports do not arrive, so that they learn of it if only one
 	// direction is interrupted.
 	Unheard []string `json:",omitempty"`
+	// Ended is true in the last report of a process that stops: it spends nothing more.
+	Ended bool `json:",omitempty"`
 	// Starting is true while the process asks its peers for the levels of the buckets.
 	Starting bool `json:",omitempty"`
 }
--- a/enforcer/simulation_test.go
+++ b/enforcer/simulation_test.go
@@ -365,6 +365,72 @@
 	}
 }
 
+// The times of stopInTurn: when the first gateway stops, the time between two stops, how long each is
+// down, and how long after its stop the others learn of its new process.
+const (
+	firstStop   = 6 * time.Second
+	stopPeriod  = 4 * time.Second
+	downTime    = 500 * time.Millisecond
+	unknownTime = 1500 * time.Millisecond
+)
+
+// betweenStops is true from a second after the fleet last changed.
+func betweenStops(at time.Duration) bool {
+	return at > firstStop && (at-firstStop)%stopPeriod > unknownTime+time.Second
+}
+
+// stopInTurn stops one gateway after the other and starts it again half a second later. Its callers
+// are at the next gateway meanwhile, and the others learn of the new process after another second.
+func (simulation *simulation) stopInTurn() {
+	// stopped returns the gateway whose turn it is, and how long ago it was stopped.
+	stopped := func(at time.Duration) (int, time.Duration) {
+		if at < firstStop {
+			return -1, 0
+		}
+
+		return int((at-firstStop)/stopPeriod) % len(simulation.gateways), (at - firstStop) % stopPeriod
+	}
+
+	for at := firstStop; at < time.Minute; at += stopPeriod {
+		simulation.events[at] = func() {
+			gateway, _ := stopped(simulation.now)
+			for other := range simulation.gateways {
+				if other != gateway {
+					simulation.gateways[other].ApplyReport(name(gateway), fmt.Sprint(simulation.starts[gateway]), simulation.gateways[gateway].ReportEnd(), origin.Add(simulation.now))
+				}
+			}
+		}
+		simulation.events[at+downTime] = func() {
+			gateway, _ := stopped(simulation.now)
+			simulation.restart(gateway)
+		}
+	}
+
+	simulation.cut = func(from, to int, at time.Duration) bool {
+		gateway, ago := stopped(at)
+
+		return from == gateway && ago < downTime || to == gateway && ago < unknownTime
+	}
+
+	for _, load := range simulation.loads {
+		demand := load.demand
+		load.demand = func(gateway int, at time.Duration) float64 {
+			current, ago := stopped(at)
+
+			switch {
+			case current < 0 || ago >= downTime:
+				return demand(gateway, at)
+			case gateway == current:
+				return 0
+			case gateway == (current+1)%len(simulation.gateways):
+				return demand(gateway, at) + demand(current, at)
+			default:
+				return demand(gateway, at)
+			}
+		}
+	}
+}
+
 // separate cuts off the first gateways, or the second one, and optionally takes away their registration.
 func (simulation *simulation) separate(lost func(gateway int) bool, start, unlisted, end time.Duration) {
 	simulation.cut = func(from, to int, at time.Duration) bool { return at > start && at < end && lost(from) != lost(to) }
@@ -439,6 +505,8 @@
 		"callers move":                      {mean, moved, (*simulation).moveCallers},
 		"all killed":                        {heavy, nil, (*simulation).killAll},
 		"one killed every second":           {heavy, nil, (*simulation).killOneEverySecond},
+		"stopped in turn":                   {mean, betweenStops, (*simulation).stopInTurn},
+		"stopped in turn, heavy":            {heavy, nil, (*simulation).stopInTurn},
 		"split in halves":                   {heavy, nil, (*simulation).splitInHalves},
 		"half loses the others, and store":  {heavy, nil, (*simulation).halfLosesTheStore},
 		"third loses the others, and store": {heavy, nil, (*simulation).thirdLosesTheStore},
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -100,6 +100,10 @@
 	// Process identifies this start of the entry in its reports.
 	Process string
 
+	// ending is closed when the process ends, ended once that was reported.
+	ending, ended chan struct{}
+	endOnce       sync.Once
+
 	mutex sync.Mutex
 	// peers holds the other entries by name. One that is missing from the list of members
 	// stays for unlistedGrace: it may only have lost its connection to the service.
@@ -120,6 +124,8 @@
 		peers:       map[string]*peer{},
 		lastReports: map[string]receivedReport{},
 		due:         make(chan struct{}, 1),
+		ending:      make(chan struct{}),
+		ended:       make(chan struct{}),
 	}
 }
 
@@ -186,7 +192,10 @@
 	incarnation, changes, marks := time.Now().UnixNano(), newLoadChanges(), newMarkChanges()
 	report := Report{Incarnation: incarnation}
 
-	for ctx.Err() == nil {
+	defer close(gossiper.ended)
+	defer func() { gossiper.reportEnd(socket, report) }()
+
+	for ctx.Err() == nil && !gossiper.isEnding() {
 		changed := gossiper.Placer.LoadChanged()
 		report = Report{Instance: gossiper.Instance, Incarnation: incarnation, Number: report.Number + 1}
 		changes.fill(&report, gossiper.Placer.OwnLoads(), time.Now())
@@ -223,6 +232,7 @@
 		select {
 		case <-changed:
 		case <-gossiper.due:
+		case <-gossiper.ending:
 		case <-time.After(gossiper.unchangedPause(interval)):
 		case <-ctx.Done():
 		}
