Let the soak run with workspaces

Cause: no soak had keys, so that faults of processes and links were not tried together with them. Change: seeds from 1000 on have workspaces. The load has a key; intruders without one, with an unknown one, and of another workspace must be refused; backend servers count requests with a key or without the workspace of the load.

--- a/deployer/deployment.go
+++ b/deployer/deployment.go
@@ -47,6 +47,12 @@
 	// StopGrace is the grace of gateways that are started from now on; 0 for the default.
 	StopGrace time.Duration
 
+	// workspaces is set if the configuration has workspaces.
+	workspaces atomic.Bool
+	// mislabelled counts the requests that reached a backend server with a key, or without the
+	// workspace of the callers.
+	mislabelled atomic.Int64
+
 	// incarnations counts the starts of each backend server.
 	incarnations [serverCount]atomic.Int64
 
@@ -84,7 +90,7 @@
 	for index := range serverCount {
 		server := emulator.NewEventServer(fmt.Sprintf("i-%d", index), emulator.PlatformEventHeaders())
 		server.EventCount = Events
-		link := deployment.StartLink(deployment.startHTTPServer(server))
+		link := deployment.StartLink(deployment.startHTTPServer(deployment.checkLabels(server)))
 		server.Crash = func() { go deployment.restartServer(index) }
 		deployment.Servers = append(deployment.Servers, server)
 		deployment.ServerLinks = append(deployment.ServerLinks, link)
@@ -161,7 +167,12 @@
 
 // WriteConfiguration writes a version of the operators' configuration to the store.
 func (deployment *Deployment) WriteConfiguration(version int) {
-	deployment.Store.Catalog.Put(emulator.PlatformDocumentKey, emulator.PlatformDocument(version))
+	document := emulator.PlatformDocument(version)
+	if deployment.workspaces.Load() {
+		document = withWorkspaces(document)
+	}
+
+	deployment.Store.Catalog.Put(emulator.PlatformDocumentKey, document)
 }
 
 // StartLink starts a link to a target; it stops with the test.
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -27,7 +27,7 @@
 // gateway for each new connection only.
 func (soak *Soak) newCaller() deployer.Caller {
 	caller := deployer.Caller{
-		Address: "balancer", KeepAlive: true,
+		Address: "balancer", KeepAlive: true, Key: soak.key(),
 		Client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 				return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, soak.gateway(soak.pickGateway()).CallerAddress)
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -71,6 +71,7 @@
 	violations = append(violations, soak.checkTakeUps()...)
 	violations = append(violations, soak.checkGivenUp()...)
 	violations = append(violations, soak.checkMemory()...)
+	violations = append(violations, soak.checkLabels()...)
 
 	return append(violations, soak.checkRuns()...)
 }
@@ -101,7 +102,7 @@
 			id := fmt.Sprintf("last-%d-%d", number, attempts)
 			soak.history.RecordRequest(id, false)
 
-			caller := deployer.NewCaller(process)
+			caller := soak.newCallerOf(process)
 			caller.Parts = soak.newCaller().Parts
 
 			return deployer.IsCompleteStream(caller.RequestStream(ctx, "/stream/x", id).Body)
@@ -128,7 +129,7 @@
 
 	for job, items := range soak.history.acceptedItems {
 		for number := range gatewayCount {
-			caller := deployer.NewCaller(soak.gateway(number))
+			caller := soak.newCallerOf(soak.gateway(number))
 
 			if !waitForRecovery(ctx, func() bool { return soak.readAllResults(ctx, caller, job) >= items }) {
 				violations = append(violations, fmt.Sprintf("LOST: %s returns %d of %d results of job %s", gatewayName(number), soak.readAllResults(ctx, caller, job), items, job))
--- a/soaker/deadly_part.go
+++ b/soaker/deadly_part.go
@@ -102,7 +102,7 @@
 		soak.history.RecordRequest(id, once)
 		soak.history.RecordDeadlyRequest(id, gateway)
 
-		caller := deployer.NewCaller(soak.gateway(gateway))
+		caller := soak.newCallerOf(soak.gateway(gateway))
 		caller.Client = &http.Client{Timeout: callTimeout}
 
 		if soak.hasDeadlyPart() {
--- a/soaker/history.go
+++ b/soaker/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -149,3 +150,11 @@
 
 	return len(history.jobResults[job])
 }
+
+// AcceptedJobs returns the IDs of the accepted jobs.
+func (history *History) AcceptedJobs() []string {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+
+	return slices.Collect(maps.Keys(history.acceptedItems))
+}
--- a/soaker/soak.go
+++ b/soaker/soak.go
@@ -88,6 +88,10 @@
 	}
 	soak.version.Store(3)
 
+	if soak.hasWorkspaces() {
+		soak.UseWorkspaces(int(soak.version.Load()))
+	}
+
 	if soak.hasDeadlyPart() {
 		for _, server := range soak.Servers {
 			server.SetDeadlyParts(deadlyPart)
@@ -166,6 +170,10 @@
 		workers.Go(func() { soak.submitDeadlyJob(loadCtx) })
 	}
 
+	if soak.hasWorkspaces() {
+		workers.Go(func() { soak.intrude(loadCtx) })
+	}
+
 	for number := range submitterCount {
 		workers.Go(func() { soak.submitJobs(loadCtx, number) })
 	}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -34,6 +34,8 @@
 	firstSilentSeed = 800
 	// firstDiskLossSeed has holders that lose their disks when all else loses power.
 	firstDiskLossSeed = 900
+	// firstWorkspaceSeed has workspaces, beside the faults of all lower seeds but the silent ones.
+	firstWorkspaceSeed = 1000
 )
 
 // faultDuration is how long each run injects faults.
@@ -56,7 +58,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800, 1001}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -130,7 +132,13 @@
 // No accepted job and no result that was read may be lost when a holder loses its disk at the moment at which
 // all gateways, servers and other holders lose power.
 func TestDiskLossBesideAPowerLoss(t *testing.T) {
-	play(t, func(seed uint64) bool { return seed >= firstDiskLossSeed })
+	play(t, func(seed uint64) bool { return seed >= firstDiskLossSeed && seed < firstWorkspaceSeed })
+}
+
+// No request without a known key may run, no key may reach a backend server, and no other workspace may read a
+// job, whatever faults there are.
+func TestWorkspacesUnderInjectedFaults(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed >= firstWorkspaceSeed })
 }
 
 // play runs the selected seeds.
