Merge the soak with workspaces; answer 503 while custodians are not listed

Cause: the soak knew no workspaces. Its seed 1002 (now 1102) once had an accepted job answered 404 after a power loss: for 0.4 s the restarted gateways listed no custodian, and HasJob took that for an answer of all.

--- a/custodian/depositor.go
+++ b/custodian/depositor.go
@@ -26,6 +26,9 @@
 	// many disk syncs. They do not wait longer for a stalled disk.
 	depositTimeout = 2 * time.Second
 	queryTimeout   = 2 * time.Second
+	// listingTime is how long after the start of the process custodians may be missing from its list: a
+	// registration that a loss of power ended is renewed within it.
+	listingTime = 10 * time.Second
 	// maxIdlePerCustodian is the maximum number of idle connections to each custodian.
 	maxIdlePerCustodian = 2
 )
@@ -38,6 +41,8 @@
 	// of disks that may be lost at once.
 	Copies int
 
+	startedAt time.Time
+
 	mutex sync.Mutex
 	// custodians maps the names of custodians to their addresses.
 	custodians map[string]string
@@ -51,6 +56,7 @@
 		Common:     common.ForPart("custodian"),
 		Client:     &http.Client{Transport: kernel.NewTransport(&net.Dialer{Timeout: dialTimeout}, maxIdlePerCustodian)},
 		Copies:     copies,
+		startedAt:  time.Now(),
 		custodians: map[string]string{},
 	}
 }
@@ -125,7 +131,7 @@
 }
 
 // HasJob implements batcher.Depositor. It returns as soon as one custodian holds the job. complete is
-// false if none does and one did not answer.
+// false if none does and one did not answer, or if fewer are listed after the start than hold each job.
 func (depositor *Depositor) HasJob(ctx context.Context, id string, reader bookkeeper.Reader) (found, complete bool) {
 	query := url.Values{parameterID: {id}}
 	if reader.Restricted {
@@ -149,7 +155,7 @@
 		}()
 	}
 
-	complete = true
+	complete = len(addresses) >= depositor.Copies || time.Since(depositor.startedAt) >= listingTime
 
 	for range addresses {
 		switch <-statuses {
--- a/soaker/slow_caller.go
+++ b/soaker/slow_caller.go
@@ -25,7 +25,7 @@
 
 // hasSlowCallers reports whether the seed draws slowCallers.
 func (soak *Soak) hasSlowCallers() bool {
-	return soak.Seed >= firstSlowSeed
+	return soak.Seed >= firstSlowSeed && soak.Seed < firstWorkspaceSeed
 }
 
 // slowCallers lets callers send all but the last byte of uploads to a gateway, and others read nothing of
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -36,6 +36,8 @@
 	firstDiskLossSeed = 900
 	// firstSlowSeed has callers who send or read slowly.
 	firstSlowSeed = 1000
+	// firstWorkspaceSeed has workspaces, beside the faults of all lower seeds but the silent ones.
+	firstWorkspaceSeed = 1100
 )
 
 // faultDuration is how long each run injects faults.
@@ -58,7 +60,7 @@
 
 	seedRange := os.Getenv(seedsVariable)
 	if seedRange == "" {
-		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800, 1001}, slices.Sorted(maps.Keys(failedSeeds))...)
+		return append([]uint64{4, 5, 201, 301, 304, 401, 404, 501, 503, 601, 603, 701, 800, 1001, 1101}, slices.Sorted(maps.Keys(failedSeeds))...)
 	}
 
 	firstText, lastText, _ := strings.Cut(seedRange, "-")
@@ -138,7 +140,13 @@
 // No request of others may be lost, and no gateway may need more memory than the smallest have, while
 // callers send or read slowly.
 func TestSlowCallersBesideInjectedFaults(t *testing.T) {
-	play(t, func(seed uint64) bool { return seed >= firstSlowSeed })
+	play(t, func(seed uint64) bool { return seed >= firstSlowSeed && seed < firstWorkspaceSeed })
+}
+
+// No request without a known key may run, no key may reach a backend server, and no other workspace may read a
+// job, whatever faults there are.
+func TestWorkspacesUnderInjectedFaults(t *testing.T) {
+	play(t, func(seed uint64) bool { return seed >= firstWorkspaceSeed })
 }
 
 // play runs the selected seeds.
