--- a/enforcer/peers.go
+++ b/enforcer/peers.go
@@ -212,7 +212,7 @@
 	starting := now.Sub(enforcer.startedAt) < startTime
 
 	for _, name := range slices.Sorted(maps.Keys(enforcer.peers)) {
-		if known := enforcer.peers[name]; known.silent && !(starting && known.heardAt.IsZero()) {
+		if known := enforcer.peers[name]; known.silent && (!starting || !known.heardAt.IsZero()) {
 			silent = append(silent, name)
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -325,30 +325,32 @@
 
 	gossiper.mutex.Unlock()
 
-	if known && !outdated {
-		if gossiper.ApplyPeerRevisions != nil {
-			gossiper.ApplyPeerRevisions(report.Marks)
-		}
+	if !known || outdated {
+		return
+	}
 
-		if gossiper.ApplyPeerVerifications != nil {
-			gossiper.ApplyPeerVerifications(report.Instance, report.Verifications)
-		}
+	if gossiper.ApplyPeerRevisions != nil {
+		gossiper.ApplyPeerRevisions(report.Marks)
+	}
 
-		if gossiper.ApplyFindings != nil {
-			gossiper.ApplyFindings(report.Instance, report.Findings)
-		}
+	if gossiper.ApplyPeerVerifications != nil {
+		gossiper.ApplyPeerVerifications(report.Instance, report.Verifications)
+	}
 
-		// The process is known once a full report has arrived.
-		if gossiper.Enforcer != nil && last.loads != nil {
-			gossiper.Enforcer.ApplyReport(report.Instance, last.process, report.Caps, time.Now())
-		}
+	if gossiper.ApplyFindings != nil {
+		gossiper.ApplyFindings(report.Instance, report.Findings)
+	}
 
-		if last.loads != nil {
-			gossiper.Placer.ApplyReport(report.Instance, last.dataCentre, last.loads)
+	// Process and loads are known once a full report has arrived.
+	if last.loads != nil {
+		if gossiper.Enforcer != nil {
+			gossiper.Enforcer.ApplyReport(report.Instance, last.process, report.Caps, time.Now())
 		}
 
-		gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
-		gossiper.Placer.ApplyMeasures(report.Measures)
-		gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
+		gossiper.Placer.ApplyReport(report.Instance, last.dataCentre, last.loads)
 	}
+
+	gossiper.Placer.ApplyReportedLimits(report.Instance, report.Limits)
+	gossiper.Placer.ApplyMeasures(report.Measures)
+	gossiper.Placer.RecordDepartures(report.Departures, "report of "+report.Instance)
 }
