--- a/gauger/gauge.go
+++ b/gauger/gauge.go
@@ -77,11 +77,11 @@
 	grownAt          time.Time
 	// missesTargets is set if the targets are not expected to be met even with a single request.
 	missesTargets bool
-	// The pending fields are not yet shared; surprise sums up how much they deviate from what
+	// The pending fields are not yet shared; deviation sums up how much they deviate from what
 	// was expected.
 	pendingRuns      int
 	pendingRunMicros int64
-	surprise         float64
+	deviation         float64
 	// pendingSince is when the first of the pending measures was made; zero if there is none.
 	pendingSince time.Time
 }
@@ -126,7 +126,7 @@
 	gauge.bins[sample.Running-1].pending.add(sample)
 
 	if expected := gauge.expectedGap(sample.Running); expected > 0 {
-		gauge.surprise += math.Abs(float64(sample.GapMicros)/expected - float64(sample.Events))
+		gauge.deviation += math.Abs(float64(sample.GapMicros)/expected - float64(sample.Events))
 	}
 
 	gauge.apply(sample)
@@ -265,7 +265,7 @@
 }
 
 func (gauge *Gauge) forgetPending() {
-	gauge.pendingRuns, gauge.pendingRunMicros, gauge.surprise, gauge.pendingSince = 0, 0, 0, time.Time{}
+	gauge.pendingRuns, gauge.pendingRunMicros, gauge.deviation, gauge.pendingSince = 0, 0, 0, time.Time{}
 
 	for index := range gauge.bins {
 		gauge.bins[index].pending = Sample{Running: index + 1}
--- a/gauger/gauger.go
+++ b/gauger/gauger.go
@@ -91,7 +91,7 @@
 	}
 
 	slices.SortFunc(pending, func(a, b *Gauge) int {
-		return cmp.Or(cmp.Compare(b.surprise, a.surprise), cmp.Compare(b.pendingRuns, a.pendingRuns), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.deviation, a.deviation), cmp.Compare(b.pendingRuns, a.pendingRuns), cmp.Compare(a.ID, b.ID))
 	})
 
 	measures := []Measure{}
