Move buffers of bodies and answers out of platform

Cause: package platform, which only translates, had grown by the reading of bodies and the buffering of answers. Change: package bufferer holds both; platform answers requests by their results. No behaviour changes.

--- a/platform/buffered_sink.go
+++ b/bufferer/sink.go
@@ -1,4 +1,4 @@
-package platform
+package bufferer
 
 import (
 	"net/http"
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxSinkBytes is how much of an answer waits for its caller.
-	maxSinkBytes = 128 << 10
+	// MaxSinkBytes is how much of an answer waits for its caller.
+	MaxSinkBytes = 128 << 10
 	// minSinkBytes may wait although the budget is spent, so that every answer goes on.
 	minSinkBytes = 4 << 10
 	// maxWriteBytes is the longest single write. A caller must take one in the time of its route.
@@ -24,16 +24,18 @@
 	brokenDrainTime = time.Second
 )
 
-// errCallerTooSlow is the cause if a caller does not take its answer in time.
-const errCallerTooSlow = errors.ConstError("the caller did not take its answer in time")
+// ErrCallerTooSlow is the cause if a caller does not take its answer in time.
+const ErrCallerTooSlow = errors.ConstError("the caller did not take its answer in time")
 
-// bufferedSink passes an answer on to a caller that may read slowly. A goroutine writes what waits.
-type bufferedSink struct {
-	responseSink
+// Sink passes an answer on to a caller that may read slowly. A goroutine writes what waits.
+type Sink struct {
+	// Sink writes to the caller.
+	forwarder.Sink
 
+	controller  *http.ResponseController
 	reservation *reserver.Reservation
-	// writeTime is the time in which a caller must take maxWriteBytes.
-	writeTime time.Duration
+	// WriteTime is the time in which a caller must take maxWriteBytes.
+	WriteTime time.Duration
 	// deadline is when the call ends; no part waits for room longer.
 	deadline time.Time
 
@@ -53,18 +55,19 @@
 	expired atomic.Bool
 }
 
-var _ forwarder.Sink = (*bufferedSink)(nil)
+var _ forwarder.Sink = (*Sink)(nil)
 
-func newBufferedSink(writer http.ResponseWriter, reservation *reserver.Reservation, writeTime time.Duration, deadline time.Time) *bufferedSink {
-	return &bufferedSink{
-		responseSink: responseSink{writer: writer, controller: http.NewResponseController(writer)},
-		reservation:  reservation, writeTime: writeTime, deadline: deadline, room: make(chan struct{}, 1),
+// NewSink returns a sink that buffers what the direct one writes. No part of the answer waits for room
+// beyond the deadline.
+func NewSink(direct forwarder.Sink, controller *http.ResponseController, reservation *reserver.Reservation, writeTime time.Duration, deadline time.Time) *Sink {
+	return &Sink{
+		Sink: direct, controller: controller, reservation: reservation, WriteTime: writeTime, deadline: deadline, room: make(chan struct{}, 1),
 	}
 }
 
 // Write implements forwarder.Sink. It returns once the part is buffered, and waits while the buffer or
 // the budget is full.
-func (sink *bufferedSink) Write(part []byte) error {
+func (sink *Sink) Write(part []byte) error {
 	for len(part) > 0 {
 		count, err := sink.push(part)
 		if err != nil {
@@ -84,7 +87,7 @@
 }
 
 // push buffers the beginning of a part that fits and returns its length.
-func (sink *bufferedSink) push(part []byte) (int, error) {
+func (sink *Sink) push(part []byte) (int, error) {
 	sink.mutex.Lock()
 	defer sink.mutex.Unlock()
 
@@ -92,7 +95,7 @@
 		return 0, sink.err
 	}
 
-	count := min(len(part), maxSinkBytes-sink.held)
+	count := min(len(part), MaxSinkBytes-sink.held)
 	if count > 0 && sink.reservation.Grow(int64(count)) != reserver.Granted {
 		count = max(0, min(len(part), minSinkBytes-sink.held))
 	}
@@ -109,7 +112,7 @@
 	return count, nil
 }
 
-func (sink *bufferedSink) awaitRoom() error {
+func (sink *Sink) awaitRoom() error {
 	timer := time.NewTimer(time.Until(sink.deadline))
 	defer timer.Stop()
 
@@ -120,14 +123,14 @@
 		sink.mutex.Lock()
 		defer sink.mutex.Unlock()
 
-		sink.err = errors.Trace(errCallerTooSlow)
+		sink.err = errors.Trace(ErrCallerTooSlow)
 
 		return sink.err
 	}
 }
 
 // writePending writes until nothing waits or a write fails.
-func (sink *bufferedSink) writePending(idle chan struct{}) {
+func (sink *Sink) writePending(idle chan struct{}) {
 	defer close(idle)
 
 	for {
@@ -155,19 +158,19 @@
 }
 
 // writeParts writes bytes that were pending and flushes them.
-func (sink *bufferedSink) writeParts(part []byte) error {
+func (sink *Sink) writeParts(part []byte) error {
 	for len(part) > 0 {
 		if sink.expired.Load() {
-			return errors.Trace(errCallerTooSlow)
+			return errors.Trace(ErrCallerTooSlow)
 		}
 
 		count := min(len(part), maxWriteBytes)
 		// Writers without deadlines wait for ever.
-		_ = sink.controller.SetWriteDeadline(time.Now().Add(sink.writeTime))
+		_ = sink.controller.SetWriteDeadline(time.Now().Add(sink.WriteTime))
 
-		if err := sink.responseSink.Write(part[:count]); err != nil {
+		if err := sink.Sink.Write(part[:count]); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				err = errors.WithType(err, errCallerTooSlow)
+				err = errors.WithType(err, ErrCallerTooSlow)
 			}
 
 			return err
@@ -181,7 +184,7 @@
 	return nil
 }
 
-func (sink *bufferedSink) recordWritten(count int) {
+func (sink *Sink) recordWritten(count int) {
 	sink.reservation.Shrink(int64(count))
 
 	sink.mutex.Lock()
@@ -190,16 +193,16 @@
 	sink.signalRoom()
 }
 
-func (sink *bufferedSink) signalRoom() {
+func (sink *Sink) signalRoom() {
 	select {
 	case sink.room <- struct{}{}:
 	default:
 	}
 }
 
-// finish waits until everything is written. An answer that is not complete is written for a short time
+// Finish waits until everything is written. An answer that is not complete is written for a short time
 // only. It releases the memory and returns the error that ended the writing.
-func (sink *bufferedSink) finish(outcome forwarder.Outcome) error {
+func (sink *Sink) Finish(outcome forwarder.Outcome) error {
 	sink.mutex.Lock()
 	writing, idle := sink.writing, sink.idle
 	sink.mutex.Unlock()
@@ -219,7 +222,7 @@
 
 	// The server still writes the end of a chunked answer. It lifts the deadline before the next
 	// request; this fails only if the connection is closed.
-	_ = sink.controller.SetWriteDeadline(time.Now().Add(sink.writeTime))
+	_ = sink.controller.SetWriteDeadline(time.Now().Add(sink.WriteTime))
 
 	sink.reservation.Release()
 
