--- a/app/gateway.go
+++ b/app/gateway.go
@@ -52,9 +52,9 @@
 	// are stopped in turn. Load reports arrive meanwhile.
 	maxMembersPause = 2 * time.Second
 	// Long watches are used only while at least longWatchMinPeers peers report and no
-	// call has failed for longWatchFailureFreeTime: the peers' reports then reveal a
-	// watch that missed a change.
-	longWatchMinPeers        = 8
+	// call has failed for longWatchFailureFreeTime: the lists that the gateways make in turn
+	// then reveal a watch that missed a change, whichever of them makes it.
+	longWatchMinPeers        = 2
 	longWatchFailureFreeTime = 10 * time.Second
 	// fleetWatchesPerSecond limits the whole fleet's watches of one prefix that changes
 	// constantly.
