--- a/placer/chooser.go
+++ b/placer/chooser.go
@@ -82,10 +82,20 @@
 	return cheapest(servers, func(server *serverState) (float64, bool) {
 		reclaimable := min(server.others.Batch, server.places()-server.totalOnline())
 
-		return chooser.cost(server), chooser.canSend(server) && reclaimable > 0 && chooser.turn(server).Delay(reclaimable) == 0
+		return chooser.reclaimCost(server), chooser.canSend(server) && reclaimable > 0 && chooser.turn(server).Delay(reclaimable) == 0
 	})
 }
 
+// reclaimCost ranks servers at which other entries run batch work. With older reports the entries must not all
+// choose the server that was least loaded in them.
+func (chooser chooser) reclaimCost(server *serverState) float64 {
+	if chooser.staleness <= 1 {
+		return float64(server.totalOnline())
+	}
+
+	return chooser.cost(server)
+}
+
 // anyCandidate reports whether some server can take the work, now or later.
 func (chooser chooser) anyCandidate(servers []*serverState) bool {
 	return slices.ContainsFunc(servers, chooser.isCandidate)
