--- a/gauger/gauge.go
+++ b/gauger/gauge.go
@@ -81,7 +81,7 @@
 	// was expected.
 	pendingRuns      int
 	pendingRunMicros int64
-	deviation         float64
+	deviation        float64
 	// pendingSince is when the first of the pending measures was made; zero if there is none.
 	pendingSince time.Time
 }
