Let gateways with callers admit one request ahead in large fleets

Change: where the part is below one, a gateway whose demand its peers know may send one request before they hear of it, as long as all such gateways are at most half of the tokens and the tolerance. Fleets of 8 are not concerned.

--- a/enforcer/bucket.go
+++ b/enforcer/bucket.go
@@ -68,7 +68,9 @@
 	// others and the sum of their shares.
 	peers      []peerUse
 	peerDemand float64
-	fixedPeers int
+	// activePeers is the number of peers with a demand.
+	activePeers int
+	fixedPeers  int
 	peerShares float64
 	// adopted is true if the level was taken from a peer after the start.
 	adopted bool
@@ -237,6 +239,10 @@
 }
 
 func (bucket *bucket) addToSums(use peerUse, sign int) {
+	if use.demand > 0 {
+		bucket.activePeers += sign
+	}
+
 	if use.share > 0 {
 		bucket.fixedPeers += sign
 		bucket.peerShares += float64(sign) * float64(use.share)
--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -31,6 +31,9 @@
 	// deafTime is how long a peer's statement that it doesn't hear this gateway holds. Long lists
 	// of such peers are spread over several reports.
 	deafTime = 2 * time.Second
+	// activeOfTokens is the part of the tokens, with those that are tolerated beyond them, that gateways of
+	// a large fleet may admit before they hear of each other.
+	activeOfTokens = 0.5
 	// minRetryAfter bounds the Retry-After of refusals from below.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -185,7 +188,16 @@
 // beyondPart is how many requests a gateway may admit beyond its part while peers have not heard
 // of it.
 func (enforcer *Enforcer) beyondPart(bucket *bucket) float64 {
-	return enforcer.Settings.beyond(bucket.limit) / float64(enforcer.mostGateways)
+	part := enforcer.Settings.beyond(bucket.limit) / float64(enforcer.mostGateways)
+
+	// In a large fleet the part is below one request, and so is the share of most workspaces' tokens. The
+	// gateways that peers know to have callers of the workspace may admit one each as long as all of
+	// these are far below what there is.
+	if part < 1 && bucket.settled > 0 && float64(bucket.activePeers+1) <= activeOfTokens*(max(0, bucket.level)+enforcer.Settings.tolerated(bucket.limit)) {
+		return 1
+	}
+
+	return part
 }
 
 // admitIsolated decides at a gateway for which the others no longer reserve anything.
--- a/enforcer/settings.go
+++ b/enforcer/settings.go
@@ -44,3 +44,8 @@
 func (settings Settings) overrun(limit matcher.Cap) float64 {
 	return settings.Overrun * (limit.PerSecond*settings.Window.Seconds() + max(1, limit.Burst))
 }
+
+// tolerated is the number of requests above a cap that a window may hold.
+func (settings Settings) tolerated(limit matcher.Cap) float64 {
+	return settings.Slack + settings.overrun(limit)
+}
