--- a/enforcer/bucket.go
+++ b/enforcer/bucket.go
@@ -71,7 +71,7 @@
 	// activePeers is the number of peers with a demand.
 	activePeers int
 	fixedPeers  int
-	peerShares float64
+	peerShares  float64
 	// adopted is true if the level was taken from a peer after the start.
 	adopted bool
 	// refused counts refusals since refusedSince; both are zero while there are none.
