--- a/review/_harness2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -1,4 +1,4 @@
-// Command harness2 plays the scripts of the second review: it starts the programs of the deploy file as
+// Command _stand2 plays the scripts of the second review: it starts the programs of the deploy file as
 // separate processes on loopback addresses, with stand-ins of the platform, of backend servers and of clients.
 package main
 
@@ -17,7 +17,6 @@
 	"syscall"
 	"time"
 
-	"limpetrail/deployer"
 	"limpetrail/emulator"
 )
 
@@ -28,14 +27,16 @@
 type fleet struct {
 	folder string
 	store  *emulator.PlatformStore
-	// storeAddress is where the store listens; each process reaches it through its own link.
+	// storeAddress is where the store listens.
 	storeAddress string
 	record       *record
 	gateways     []*process
 	holders      []*process
 	seeds        []string
-	// makeWire opens the way of a process to the store; nil for a link of its own.
-	makeWire func() (string, error)
+	// lostDisks is how many disks may be lost at once.
+	lostDisks int
+	// accepted holds the IDs of the jobs that got 202.
+	accepted sync.Map
 }
 
 // record writes what was sent, answered and run, with the time since the start.
@@ -60,17 +61,17 @@
 
 // process is one process of the system.
 type process struct {
-	name, role         string
-	callers, ready     string
-	peers, operations  string
-	metrics, data      string
-	settings           string
-	link               *deployer.Link
-	command            *exec.Cmd
-	mutex              sync.Mutex
-	ended              chan struct{}
-	logPath            string
-	stopping, exitSeen bool
+	name, role        string
+	callers, ready    string
+	peers, operations string
+	metrics, data     string
+	settings, logPath string
+
+	// mutex guards the rest.
+	mutex   sync.Mutex
+	command *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
 }
 
 func newFleet(ctx context.Context, record *record, configuration string) (*fleet, error) {
@@ -91,7 +92,7 @@
 
 // serve serves a handler at a free loopback address.
 func serve(ctx context.Context, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return "", err
 	}
@@ -105,10 +106,17 @@
 	return listener.Addr().String(), nil
 }
 
+// loopback returns a loopback address of this run, whose ports no other connection draws.
+func loopback() string {
+	pid := os.Getpid()
+
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8%250, pid%250)
+}
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
-		return "127.0.0.1:0"
+		return loopback() + ":0"
 	}
 	defer listener.Close()
 
@@ -121,7 +129,7 @@
 }
 
 // prepare reserves the addresses of the processes, so that all know the seeds.
-func (fleet *fleet) prepare(ctx context.Context, gateways, holders, memory, holderMemory int) error {
+func (fleet *fleet) prepare(gateways, holders, memory, disk int) error {
 	for number := range holders {
 		held := &process{name: fmt.Sprintf("storage-%d", number+1), role: "holder", operations: freeAddress(), metrics: freeAddress()}
 		held.data = filepath.Join(fleet.folder, held.name)
@@ -137,23 +145,6 @@
 	}
 
 	for _, started := range append(append([]*process{}, fleet.holders...), fleet.gateways...) {
-		store := ""
-		if fleet.makeWire != nil {
-			address, err := fleet.makeWire()
-			if err != nil {
-				return err
-			}
-
-			store = address
-		} else {
-			link, err := deployer.NewLink(ctx, fleet.storeAddress)
-			if err != nil {
-				return err
-			}
-
-			started.link, store = link, link.Address
-		}
-
 		started.settings = filepath.Join(fleet.folder, started.name+".ini")
 		started.logPath = filepath.Join(fleet.folder, started.name+".log")
 
@@ -166,12 +157,12 @@
 			text += fmt.Sprintf("[Listen]\nOperations = %s\nMetrics = %s\nSeeds = %s\n\n", started.operations, started.metrics, strings.Join(fleet.seeds, ","))
 		}
 
-		text += fmt.Sprintf("[Catalog]\nAdapter = platform\nAddress = %s\n\n[Calls]\nValueBytes = 1048576\n\n", store)
+		text += fmt.Sprintf("[Catalog]\nAdapter = platform\nAddress = %s\n\n[Calls]\nValueBytes = 1048576\n\n", fleet.storeAddress)
 
 		if started.role == "gateway" {
-			text += fmt.Sprintf("[Follow]\nNoticeSilence = 3000ms\nDropRemoved = 2000ms\nApplyWithin = 2000ms\n\n[Jobs]\nRetention = 120s\nLostDisks = 1\n\n[Memory]\nMegabytes = %d\n\n[Stop]\nGrace = 8s\n", memory)
+			text += fmt.Sprintf("[Follow]\nNoticeSilence = 3000ms\nDropRemoved = 2000ms\nApplyWithin = 2000ms\n\n[Jobs]\nRetention = 120s\nLostDisks = %d\n\n[Memory]\nMegabytes = %d\n\n[Stop]\nGrace = 8s\n", fleet.lostDisks, memory)
 		} else {
-			text += fmt.Sprintf("[Follow]\nApplyWithin = 2000ms\n\n[Jobs]\nRetention = 120s\n\n[Data]\nFolder = %s\nMegabytes = 160\n", started.data)
+			text += fmt.Sprintf("[Follow]\nApplyWithin = 2000ms\n\n[Jobs]\nRetention = 120s\n\n[Data]\nFolder = %s\nMegabytes = %d\n", started.data, disk)
 		}
 
 		if err := os.WriteFile(started.settings, []byte(text), 0o600); err != nil {
@@ -193,7 +184,7 @@
 	started.mutex.Lock()
 	defer started.mutex.Unlock()
 
-	started.command = exec.Command(programPath(), started.role, "--settings", started.settings)
+	started.command = exec.Command("target/limpetrail", started.role, "--settings", started.settings)
 	started.command.Stdout, started.command.Stderr = output, output
 	started.ended = make(chan struct{})
 
@@ -309,17 +300,6 @@
 		<-started.ended
 	}
 
-	if kept := os.Getenv("KEEP_LOGS"); kept != "" {
-		_ = os.MkdirAll(kept, 0o755)
-		entries, _ := os.ReadDir(fleet.folder)
-
-		for _, entry := range entries {
-			if content, err := os.ReadFile(filepath.Join(fleet.folder, entry.Name())); err == nil {
-				_ = os.WriteFile(filepath.Join(kept, entry.Name()), content, 0o644)
-			}
-		}
-	}
-
 	_ = os.RemoveAll(fleet.folder)
 }
 
@@ -337,11 +317,3 @@
 
 	return encoded
 }
-
-func programPath() string {
-	if path := os.Getenv("PROGRAM"); path != "" {
-		return path
-	}
-
-	return "target/limpetrail"
-}
--- a/review/_harness2/main.go
+++ b/review/_stand2/main.go
@@ -25,7 +25,7 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness2 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-stand-2 CASE RECORD")
 
 		return cannotRun
 	}
@@ -47,6 +47,10 @@
 	record.log("case %s, disruption: %t", os.Args[1], trouble)
 
 	result := cases[os.Args[1]](ctx, record, trouble)
+	if ctx.Err() != nil {
+		result = cannotRun
+	}
+
 	record.log("exit code %d", result)
 
 	return result
